Serve a prompt end to end as separate processes

Cause: nothing ran yet. Change: platform, engine and service stand-ins, the daemon with callers' and operators' HTTP, ticket apply, and the demo. At most once, peers, limits and recovery are not there yet.

--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,6 @@
+export default {
+    paths: ["features/**/*.feature"],
+    import: ["features/steps/**/*.ts"],
+    format: ["summary"],
+    publishQuiet: true,
+};
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,10 @@
         files: ["**/*.ts"],
         extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
         languageOptions: {
-            parserOptions: { project: ["./packages/*/tsconfig.json", "./tsconfig.tests.json"], tsconfigRootDir: import.meta.dirname },
+            parserOptions: {
+                project: ["./packages/*/tsconfig.json", "./tsconfig.tests.json"],
+                tsconfigRootDir: import.meta.dirname,
+            },
         },
         rules: {
             "curly": ["error", "all"],
@@ -28,7 +31,11 @@
             "@typescript-eslint/naming-convention": [
                 "error",
                 { selector: "typeLike", format: ["PascalCase"] },
-                { selector: ["function", "classMethod"], format: ["camelCase"], custom: { regex: verbPattern, match: true } },
+                {
+                    selector: ["function", "classMethod"],
+                    format: ["camelCase"],
+                    custom: { regex: verbPattern, match: true },
+                },
             ],
         },
     },
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./commands/applyTicket.js";
--- /dev/null
+++ b/packages/host/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./startHost.js";
--- /dev/null
+++ b/packages/host/src/model/hostMetrics.ts
@@ -0,0 +1,39 @@
+/** Metrics of a host, in the registry that `/metrics` serves. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const FIRST_TOKEN_BUCKETS_SECONDS = [0.01, 0.05, 0.1, 0.25, 0.5, 0.68, 1, 2.5, 5, 10, 30, 60, 300];
+
+export interface HostMetrics {
+    readonly registry: Registry;
+    readonly firstTokenSeconds: Histogram<"length_class">;
+    readonly requests: Counter<"outcome" | "code">;
+    readonly inFlight: Gauge;
+    readonly configurationRevision: Gauge;
+}
+
+export function createHostMetrics(): HostMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        firstTokenSeconds: new Histogram({
+            name: "currantrill_first_token_seconds",
+            help: "Time from the request to its first token.",
+            labelNames: ["length_class"],
+            buckets: FIRST_TOKEN_BUCKETS_SECONDS,
+            registers,
+        }),
+        requests: new Counter({
+            name: "currantrill_requests_total",
+            help: "Requests by outcome and error code.",
+            labelNames: ["outcome", "code"],
+            registers,
+        }),
+        inFlight: new Gauge({ name: "currantrill_requests_in_flight", help: "Requests in flight.", registers }),
+        configurationRevision: new Gauge({
+            name: "currantrill_configuration_revision",
+            help: "Revision of the configuration in force on this host.",
+            registers,
+        }),
+    };
+}
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./readEvents.js";
+export * from "./requestJson.js";
+export * from "./serveHttp.js";
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./tableClient.js";
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,7 @@
+export * from "./callerApi.js";
+export * from "./engineApi.js";
+export * from "./ids.js";
+export * from "./ledger.js";
+export * from "./peerMessages.js";
+export * from "./platformApi.js";
+export * from "./topology.js";
--- /dev/null
+++ b/packages/protocol/src/peerMessages.ts
@@ -0,0 +1,129 @@
+/** Messages between hosts, sent as msgpack over WebSocket connections. */
+import type { AttemptId, EndpointId, FailureDomainId, HostId, IncarnationId, Revision, WorkspaceId } from "./ids.js";
+
+/** State of an endpoint as its watcher last saw it. */
+export interface EndpointDigest {
+    readonly kind: "endpoint";
+    readonly endpoint: EndpointId;
+    readonly reportSequence: number;
+    readonly queuedPrefillTokens: number;
+    readonly runningRequests: number;
+    readonly slots: number;
+    readonly memoryUsedTokens: number;
+    readonly memoryTotalTokens: number;
+    readonly models: readonly string[];
+    readonly withdrawn: boolean;
+    readonly reachable: boolean;
+    /** Age of the report when the digest was made. */
+    readonly ageMs: number;
+}
+
+/** Load and entitlement demand of a host. */
+export interface HostFact {
+    readonly kind: "host";
+    readonly host: HostId;
+    readonly failureDomain: FailureDomainId;
+    readonly peerAddress: string;
+    readonly leaving: boolean;
+    /** Tokens per second that each active workspace asked of this host. */
+    readonly demand: Readonly<Record<WorkspaceId, number>>;
+}
+
+/** A local stop: no new work on the endpoint until a ticket raises its lend epoch above this one. */
+export interface StopFact {
+    readonly kind: "stop";
+    readonly endpoint: EndpointId;
+    readonly lendEpoch: number;
+    readonly reason: string;
+}
+
+export type Fact = EndpointDigest | HostFact | StopFact;
+
+/** A fact with its origin. Of two with the same key the one with the higher sequence of the newer incarnation holds. */
+export interface VersionedFact {
+    /** `<kind>/<subject>`. */
+    readonly key: string;
+    readonly origin: HostId;
+    readonly incarnation: IncarnationId;
+    readonly sequence: number;
+    readonly fact: Fact;
+}
+
+export interface HelloMessage {
+    readonly type: "hello";
+    readonly host: HostId;
+    readonly incarnation: IncarnationId;
+    readonly failureDomain: FailureDomainId;
+    readonly peerAddress: string;
+    readonly revision: Revision;
+}
+
+export interface PingMessage {
+    readonly type: "ping";
+    readonly sequence: number;
+    readonly revision: Revision;
+}
+
+export interface PongMessage {
+    readonly type: "pong";
+    readonly sequence: number;
+    readonly revision: Revision;
+    /** Time since the start of the platform read that confirmed the revision; `undefined` if there was none. */
+    readonly confirmationAgeMs: number | undefined;
+}
+
+export interface FactsMessage {
+    readonly type: "facts";
+    readonly facts: readonly VersionedFact[];
+}
+
+export interface SnapshotRequestMessage {
+    readonly type: "snapshotRequest";
+}
+
+export interface SnapshotMessage {
+    readonly type: "snapshot";
+    readonly facts: readonly VersionedFact[];
+    /** Serialized configuration. */
+    readonly configuration: string;
+}
+
+export interface ConfigurationMessage {
+    readonly type: "configuration";
+    readonly revision: Revision;
+    /** Serialized configuration. */
+    readonly configuration: string;
+}
+
+/** Asks whether the host still knows the attempts that own memory on an engine. */
+export interface OwnerQueryMessage {
+    readonly type: "ownerQuery";
+    readonly id: number;
+    readonly incarnation: IncarnationId;
+    readonly attempts: readonly AttemptId[];
+}
+
+export interface OwnerAnswerMessage {
+    readonly type: "ownerAnswer";
+    readonly id: number;
+    readonly incarnation: IncarnationId;
+    /** The subset of the asked attempts that is alive. */
+    readonly alive: readonly AttemptId[];
+}
+
+export interface LeavingMessage {
+    readonly type: "leaving";
+    readonly host: HostId;
+}
+
+export type PeerMessage =
+    | HelloMessage
+    | PingMessage
+    | PongMessage
+    | FactsMessage
+    | SnapshotRequestMessage
+    | SnapshotMessage
+    | ConfigurationMessage
+    | OwnerQueryMessage
+    | OwnerAnswerMessage
+    | LeavingMessage;
--- /dev/null
+++ b/packages/protocol/src/platformApi.ts
@@ -0,0 +1,38 @@
+/** The HTTP interface of the platform's table service, object store, host list and weight store. */
+import { z } from "zod";
+
+export type JsonValue = string | number | boolean | null | JsonValue[] | { [key: string]: JsonValue; };
+
+export const tableRowSchema = z.object({ key: z.string(), version: z.number().int().min(1), value: z.json() });
+/** A row. The version increases by one with each write of the row. */
+export type TableRow = z.infer<typeof tableRowSchema>;
+
+export const transactionSchema = z.object({
+    /** Identifies this try of the write, so that a lost answer can be told apart from another writer's. */
+    attemptId: z.string(),
+    /** The transaction takes effect only if every row has the stated version; 0 means that the row is absent. */
+    conditions: z.array(z.object({ table: z.string(), key: z.string(), version: z.number().int().min(0) })),
+    /** `null` deletes the row. */
+    writes: z.array(z.object({ table: z.string(), key: z.string(), value: z.json() })),
+});
+export type Transaction = z.infer<typeof transactionSchema>;
+
+export const transactionResultSchema = z.discriminatedUnion("committed", [
+    z.object({ committed: z.literal(true), versions: z.record(z.string(), z.number()) }),
+    z.object({
+        committed: z.literal(false),
+        conflicts: z.array(z.object({ table: z.string(), key: z.string(), version: z.number().int() })),
+    }),
+]);
+/** `versions` maps `<table>/<key>` to the new version. */
+export type TransactionResult = z.infer<typeof transactionResultSchema>;
+
+export const listedHostSchema = z.object({
+    id: z.string(),
+    failureDomain: z.string(),
+    /** `ip:port` of the peer listener. */
+    peerAddress: z.string(),
+    incarnation: z.string(),
+    state: z.enum(["live", "leaving"]),
+});
+export type ListedHost = z.infer<typeof listedHostSchema>;
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./model/hostSettings.js";
+export * from "./model/ticketSchema.js";
+export * from "./queries/parseHostSettings.js";
+export * from "./queries/parseTicket.js";
