Complete the stand-ins of engine, platform and weight store

Cause: the thin stand-ins had no batching, no memory limit on prompts, no renewal, orders, cache events or weight store, and their faults were too simple: silent also blocked new connections, and freeze let running work go on. Change: the engine runs a token-budget step loop with priorities and chunked prefill; allocations expire, are renewed and released once; gangs fail when a member no longer holds its memory; orders check or ignore the fencing token; loads fetch from the new weight store. The platform limits writes and reads, and drops hosts whose peer port refuses connections. Faults can be limited by count, path and a seeded probability. protocol declares its dependency on zod. Ruled out: refusing prompts on a withdrawn engine; the wish is for the hosts to follow, and a check must be able to see that they did not.

--- a/packages/demo/src/commands/startSystem.ts
+++ b/packages/demo/src/commands/startSystem.ts
@@ -68,7 +68,7 @@
                 "engine",
                 "--id",
                 name,
-                "--model",
+                "--models",
                 `${DEMO_MODEL}@1`,
                 "--memory-tokens",
                 String(settings.engineMemoryTokens),
--- a/packages/protocol/src/engineApi.ts
+++ b/packages/protocol/src/engineApi.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 
 export const gangMemberSchema = z.object({ url: z.string(), allocation_id: z.string() });
+export type GangMember = z.infer<typeof gangMemberSchema>;
 
 export const generateRequestSchema = z.object({
     request_id: z.string(),
@@ -18,11 +19,17 @@
     allocation_id: z.string().optional(),
     /** The other engines of a prompt that needs several. */
     members: z.array(gangMemberSchema).default([]),
-    /** Hashes of the prompt's prefixes, shortest first, for the prefix cache. */
+    /** Hashes of the prompt's prefixes, shortest first. Prefix `i` covers `getPrefixTokens(i)` tokens. */
     prefix_hashes: z.array(z.string()).default([]),
 });
 export type GenerateRequest = z.infer<typeof generateRequestSchema>;
 
+/** Tokens of the shortest prefix that the prefix cache tells apart. */
+export const SHORTEST_PREFIX_TOKENS = 1_024;
+
+/** Length of the prefix with this index: each is twice as long as the one before, which keeps the list short. */
+export const getPrefixTokens = (index: number): number => SHORTEST_PREFIX_TOKENS * 2 ** index;
+
 export const generatedTokenSchema = z.object({ index: z.number().int(), text: z.string() });
 /** Payload of one server-sent event. The stream ends with the event `data: [DONE]`. */
 export type GeneratedToken = z.infer<typeof generatedTokenSchema>;
@@ -82,3 +89,15 @@
     role: engineRoleSchema.optional(),
 });
 export type EngineOrder = z.infer<typeof engineOrderSchema>;
+
+/** Answer to `POST /v1/kv/export {attempt_id}`, and the body of `POST /v1/kv/import`. */
+export const kvStateSchema = z.object({
+    request_id: z.string(),
+    model: z.string(),
+    /** Prompt tokens whose prefill is done. */
+    tokens: z.number().int().min(0),
+});
+export type KvState = z.infer<typeof kvStateSchema>;
+
+/** Body of `PUT /owner/lending`, which only the owner of the engine calls. */
+export const ownerLendingSchema = z.object({ lending: engineReportSchema.shape.lending });
--- a/packages/protocol/src/platformApi.ts
+++ b/packages/protocol/src/platformApi.ts
@@ -36,3 +36,6 @@
     state: z.enum(["live", "leaving"]),
 });
 export type ListedHost = z.infer<typeof listedHostSchema>;
+
+/** Answer of `GET /v1/weights/<model>/<version>`. */
+export const weightsSchema = z.object({ model: z.string(), version: z.string(), bytes: z.number() });
--- a/packages/standins/src/commands/serveService.ts
+++ b/packages/standins/src/commands/serveService.ts
@@ -1,5 +1,6 @@
 /** Stand-in of a plain service whose calls may not be repeated: it executes whatever it receives. */
 import { type Route, sendJson } from "@currantrill/http";
+import { createFaultState, waitForThaw } from "../model/faultState.js";
 import { createLedgerState, recordEntry } from "../model/ledgerState.js";
 import { type RunningStandin, serveStandin } from "./serveStandin.js";
 
@@ -16,6 +17,7 @@
 export async function serveService(options: ServiceStandinOptions = {}): Promise<RunningStandin> {
     const settings = { ...defaultOptions, ...options };
     const ledger = createLedgerState();
+    const faults = createFaultState();
     const routes: Route[] = [
         {
             method: "ALL",
@@ -30,9 +32,12 @@
                     outcome: "executed",
                 });
                 const answer = { executed: ledger.entries.length, path, echo: request.body ?? null };
-                setTimeout(() => sendJson(response, 200, answer), settings.answerDelayMs);
+                setTimeout(
+                    () => void waitForThaw(faults).then(() => sendJson(response, 200, answer)),
+                    settings.answerDelayMs,
+                );
             },
         },
     ];
-    return serveStandin({ host: settings.host, port: settings.port, readLedger: () => ledger, routes });
+    return serveStandin({ host: settings.host, port: settings.port, readLedger: () => ledger, routes, faults });
 }
--- a/packages/standins/src/commands/serveStandin.ts
+++ b/packages/standins/src/commands/serveStandin.ts
@@ -1,16 +1,21 @@
 /** Common server of all stand-ins: `/ledger`, `/faults` and the stand-in's own routes. */
 import { type HttpRequest, type Route, sendJson, serveHttp } from "@currantrill/http";
 import { faultSchema, type Ledger } from "@currantrill/protocol";
-import type { ServerResponse } from "node:http";
-import { type FaultState, handleFault, startFault } from "../model/faultState.js";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createFaultState, type FaultState, startFault } from "../model/faultState.js";
+import { createFaultMiddleware } from "./applyFault.js";
+import { type ConnectionSilencer, createConnectionSilencer } from "./silenceConnections.js";
 
-const CONTROL_PATHS: ReadonlySet<string> = new Set(["/ledger", "/faults"]);
+/** Faults act on the stand-in's own interface only, so that a test can always read the ledger. */
+const CONTROL_PATHS: ReadonlySet<string> = new Set(["/ledger", "/faults", "/owner/lending"]);
 
 export interface StandinOptions {
     readonly host: string;
     readonly port: number;
     readonly readLedger: () => Ledger;
     readonly routes: readonly Route[];
+    /** Created by the caller if its own work depends on the fault. */
+    readonly faults?: FaultState;
 }
 
 export interface RunningStandin {
@@ -21,37 +26,46 @@
 
 /** Starts the server. Port 0 takes a free one. */
 export async function serveStandin(options: StandinOptions): Promise<RunningStandin> {
-    const faults: FaultState = { fault: undefined, untilMs: 0 };
+    const faults = options.faults ?? createFaultState();
+    // The server exists only after the middleware; no request arrives in between.
+    const holder: { silencer?: ConnectionSilencer; } = {};
+    const isSilent = (request: IncomingMessage): boolean => holder.silencer?.isSilent(request) ?? false;
     const running = await serveHttp({
         host: options.host,
         port: options.port,
-        middleware: [(request, response, next) => {
-            // Faults act on the stand-in's own interface only, so that a test can always read the ledger.
-            if (CONTROL_PATHS.has(request.path)) {
-                next();
-                return;
-            }
-            handleFault(faults, request, response, next);
-        }],
+        middleware: [createFaultMiddleware(faults, isSilent, CONTROL_PATHS)],
         routes: [
             {
                 method: "GET",
                 path: "/ledger",
                 handle: (_request, response) => sendJson(response, 200, options.readLedger()),
             },
-            { method: "POST", path: "/faults", handle: (request, response) => acceptFault(faults, request, response) },
+            {
+                method: "POST",
+                path: "/faults",
+                handle: (request, response) => acceptFault(faults, holder.silencer, request, response),
+            },
             ...options.routes,
         ],
     });
+    holder.silencer = createConnectionSilencer(running.server);
     return { port: running.port, faults, close: running.close };
 }
 
-function acceptFault(faults: FaultState, request: HttpRequest, response: ServerResponse): void {
+function acceptFault(
+    faults: FaultState,
+    silencer: ConnectionSilencer | undefined,
+    request: HttpRequest,
+    response: ServerResponse,
+): void {
     const parsed = faultSchema.safeParse(request.body);
     if (!parsed.success) {
         sendJson(response, 400, { error: parsed.error.message });
         return;
     }
     startFault(faults, parsed.data);
-    sendJson(response, 200, { started: parsed.data });
+    if (parsed.data.kind === "silent" && parsed.data.durationMs > 0) {
+        silencer?.silence(parsed.data.durationMs, request.socket);
+    }
+    sendJson(response, 200, { started: parsed.data }, { connection: "close" });
 }
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,49 +1,80 @@
-/** Starts one stand-in and runs until a signal ends it. */
-import { command, number, option, optional, run, string, subcommands } from "cmd-ts";
-import { serveEngine } from "./commands/serveEngine.js";
-import { servePlatform } from "./commands/servePlatform.js";
+/** Starts one stand-in and runs until a signal ends it. Prints `{"ready","port"}` as its first line. */
+import { command, flag, number, option, run, string, subcommands } from "cmd-ts";
 import { serveService } from "./commands/serveService.js";
 import type { RunningStandin } from "./commands/serveStandin.js";
+import { serveWeightStore } from "./commands/serveWeightStore.js";
+import { serveEngine } from "./engine/commands/serveEngine.js";
+import { defaultEngineOptions, type LoadedModel } from "./engine/model/engineOptions.js";
+import { servePlatform } from "./platform/commands/servePlatform.js";
 
-const port = option({
-    long: "port",
-    type: number,
-    defaultValue: () => 0,
-    description: "port on 127.0.0.1; 0 takes a free one",
-});
+const numberOption = (long: string, value: number) => option({ long, type: number, defaultValue: () => value });
+const textOption = (long: string, value: string) => option({ long, type: string, defaultValue: () => value });
+const port = numberOption("port", 0);
+const id = option({ long: "id", type: string });
 
 function printReady(name: string, standin: RunningStandin): void {
     process.stdout.write(`${JSON.stringify({ ready: name, port: standin.port })}\n`);
 }
 
+/** Reads `name@version,name@version`. */
+const parseModels = (text: string): LoadedModel[] =>
+    text.split(",").filter(part => part !== "").map(part => {
+        const [name = "", version = "1"] = part.split("@");
+        return { name, version };
+    });
+
 const engine = command({
     name: "engine",
     args: {
         port,
-        id: option({ long: "id", type: string }),
-        model: option({ long: "model", type: optional(string), description: "name@version of the loaded model" }),
-        memoryTokens: option({ long: "memory-tokens", type: number, defaultValue: () => 400_000 }),
+        id,
+        models: textOption("models", ""),
+        weightStoreUrl: textOption("weight-store", ""),
+        ignoresFencing: flag({ long: "ignores-fencing" }),
+        memoryTokens: numberOption("memory-tokens", defaultEngineOptions.memoryTokens),
+        slots: numberOption("slots", defaultEngineOptions.slots),
+        stepTokens: numberOption("step-tokens", defaultEngineOptions.stepTokens),
+        prefillTokensPerSecond: numberOption("prefill-rate", defaultEngineOptions.prefillTokensPerSecond),
+        decodeTokensPerSecond: numberOption("decode-rate", defaultEngineOptions.decodeTokensPerSecond),
+        kvTokensPerSecond: numberOption("kv-rate", defaultEngineOptions.kvTokensPerSecond),
+        reportIntervalMs: numberOption("report-interval-ms", defaultEngineOptions.reportIntervalMs),
+        cacheEventLoss: numberOption("cache-event-loss", defaultEngineOptions.cacheEventLoss),
+        loadMs: numberOption("load-ms", defaultEngineOptions.loadMs),
+        seed: numberOption("seed", defaultEngineOptions.seed),
     },
-    handler: async args => {
-        const [name, version] = (args.model ?? "").split("@");
-        const models = name === undefined || name === "" ? [] : [{ name, version: version ?? "1" }];
+    handler: async ({ id: endpointId, models, ignoresFencing, ...rest }) =>
         printReady(
-            args.id,
-            await serveEngine({ endpointId: args.id, port: args.port, memoryTokens: args.memoryTokens, models }),
-        );
-    },
+            endpointId,
+            await serveEngine({ ...rest, endpointId, models: parseModels(models), checksFencing: !ignoresFencing }),
+        ),
 });
 
 const service = command({
     name: "service",
-    args: { port, id: option({ long: "id", type: string }) },
-    handler: async args => printReady(args.id, await serveService({ port: args.port })),
+    args: { port, id, answerDelayMs: numberOption("answer-delay-ms", 5) },
+    handler: async ({ id: name, ...rest }) => printReady(name, await serveService(rest)),
 });
 
 const platform = command({
     name: "platform",
-    args: { port },
-    handler: async args => printReady("platform", await servePlatform({ port: args.port })),
+    args: {
+        port,
+        hostListLagMs: numberOption("host-list-lag-ms", 1_000),
+        writesPerSecond: numberOption("writes-per-second", 500),
+        readsPerSecond: numberOption("reads-per-second", 2_000),
+    },
+    handler: async args => printReady("platform", await servePlatform(args)),
+});
+
+const weightStore = command({
+    name: "weight-store",
+    args: {
+        port,
+        fetchesPerSecond: numberOption("fetches-per-second", 4),
+        fetchMs: numberOption("fetch-ms", 200),
+    },
+    handler: async args => printReady("weight-store", await serveWeightStore(args)),
 });
 
-await run(subcommands({ name: "standin", cmds: { engine, service, platform } }), process.argv.slice(2));
+const programs = subcommands({ name: "standin", cmds: { engine, service, platform, "weight-store": weightStore } });
+await run(programs, process.argv.slice(2));
--- a/packages/standins/src/model/faultState.ts
+++ b/packages/standins/src/model/faultState.ts
@@ -1,59 +1,58 @@
-/** The fault that a stand-in currently shows. */
+/** The fault that a stand-in currently shows. A new fault replaces the current one. */
 import type { Fault } from "@currantrill/protocol";
-import type { IncomingMessage, ServerResponse } from "node:http";
-
-const SLOW_DELAY_MS = 400;
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 
 export interface FaultState {
     fault: Fault | undefined;
     untilMs: number;
+    /** Requests that the fault may still act on. */
+    remaining: number;
+    random: RandomGenerator;
 }
 
-type Next = (error?: Error) => void;
-type FaultHandler = (request: IncomingMessage, response: ServerResponse, next: Next, state: FaultState) => void;
+export const createFaultState = (): FaultState => ({
+    fault: undefined,
+    untilMs: 0,
+    remaining: 0,
+    random: xoroshiro128plus(1),
+});
 
-const faultHandlers: Record<Fault["kind"], FaultHandler> = {
-    outage: (_request, response) => {
-        response.writeHead(503, { "content-type": "application/json" });
-        response.end(JSON.stringify({ error: "outage" }));
-    },
-    slow: (_request, _response, next) => {
-        setTimeout(next, SLOW_DELAY_MS);
-    },
-    loseAnswers: (_request, response, next) => {
-        // The request is executed; the connection closes in place of the answer.
-        response.write = () => true;
-        response.end = (() => {
-            response.socket?.destroy();
-            return response;
-        }) as ServerResponse["end"];
-        next();
-    },
-    silent: () => {
-        // Neither an answer nor a close: the peer sees an open connection without a byte.
-    },
-    freeze: (_request, _response, next, state) => {
-        setTimeout(next, Math.max(0, state.untilMs - Date.now()));
-    },
-};
+/** Starts a fault. */
+export function startFault(state: FaultState, fault: Fault): void {
+    state.fault = fault;
+    state.untilMs = Date.now() + fault.durationMs;
+    state.remaining = fault.count ?? Number.POSITIVE_INFINITY;
+    state.random = xoroshiro128plus(fault.seed);
+}
 
 /** Finds the fault in force, if any. */
 export function getActiveFault(state: FaultState): Fault | undefined {
     return state.fault !== undefined && Date.now() < state.untilMs ? state.fault : undefined;
 }
 
-/** Starts a fault; a new one replaces the current one. */
-export function startFault(state: FaultState, fault: Fault): void {
-    state.fault = fault;
-    state.untilMs = Date.now() + fault.durationMs;
+/** Takes the fault that acts on a request of this path, and counts the request. */
+export function takeFault(state: FaultState, path: string): Fault | undefined {
+    const fault = getActiveFault(state);
+    if (fault === undefined || state.remaining <= 0 || !path.startsWith(fault.path)) {
+        return undefined;
+    }
+    if (uniformFloat64(state.random) >= fault.probability) {
+        return undefined;
+    }
+    state.remaining -= 1;
+    return fault;
 }
 
-/** Passes the request on, or lets the active fault act on it. */
-export function handleFault(state: FaultState, request: IncomingMessage, response: ServerResponse, next: Next): void {
-    const fault = getActiveFault(state);
-    if (fault === undefined) {
-        next();
-        return;
+/** Time until all work goes on, in milliseconds; 0 if the stand-in is not frozen. */
+export function getFreezeMs(state: FaultState): number {
+    return getActiveFault(state)?.kind === "freeze" ? Math.max(0, state.untilMs - Date.now()) : 0;
+}
+
+/** Resolves when the stand-in is not frozen. */
+export async function waitForThaw(state: FaultState): Promise<void> {
+    for (let waitMs = getFreezeMs(state); waitMs > 0; waitMs = getFreezeMs(state)) {
+        await new Promise(resolve => setTimeout(resolve, waitMs));
     }
-    faultHandlers[fault.kind](request, response, next, state);
 }
