--- /dev/null
+++ b/packages/core/src/calls/model/callOptions.ts
@@ -0,0 +1,60 @@
+/** Time limits of calls, and the safeguards that the proofs can switch off one at a time. */
+
+/** A reservation that is not started within this time may be taken over. */
+export const CALL_RESERVATION_MS = 5_000;
+/** Longest time between the response to the `start` write and the first byte of the call. */
+export const MAX_SEND_PAUSE_MS = 1_000;
+/** Records are kept for seven days. The period is part of the promise to callers. */
+export const CALL_RETENTION_MS = 7 * 24 * 3_600_000;
+/** Added to the retention by the sweep, so that a wall clock that is ahead does not shorten it. */
+export const CALL_SWEEP_MARGIN_MS = 3_600_000;
+/** Answers up to this size are kept in the row, larger ones in the object store. */
+export const MAX_ROW_ANSWER_BYTES = 65_536;
+
+export interface CallSafeguards {
+    /** Reserve and start the record before the call is sent. */
+    readonly reserve: boolean;
+    /** Never take over a record that is started. */
+    readonly keepStarted: boolean;
+    /** Check the deadline before each step. */
+    readonly deadlineCheck: boolean;
+    /** Check both clocks immediately before the first byte. */
+    readonly finalClockCheck: boolean;
+    /** Report a call as not run only if no byte of it was sent. */
+    readonly honestNotRun: boolean;
+    /** Compare the fingerprints of calls with the same key. */
+    readonly fingerprintCheck: boolean;
+}
+
+export interface CallOptions {
+    readonly reservationMs: number;
+    readonly maxSendPauseMs: number;
+    /** Time that a call whose caller has left may still take before the host stops listening for its answer. */
+    readonly lateAnswerMs: number;
+    /** First and longest delay between two reads of a record. */
+    readonly pollMs: number;
+    readonly maxPollMs: number;
+    /** Longest time spent on writing `finished` or `released`. */
+    readonly closeRecordMs: number;
+    /** Only the proofs pass other values than the defaults; no setting of the daemon reaches them. */
+    readonly safeguards: CallSafeguards;
+}
+
+export const allCallSafeguards: CallSafeguards = {
+    reserve: true,
+    keepStarted: true,
+    deadlineCheck: true,
+    finalClockCheck: true,
+    honestNotRun: true,
+    fingerprintCheck: true,
+};
+
+export const defaultCallOptions: CallOptions = {
+    reservationMs: CALL_RESERVATION_MS,
+    maxSendPauseMs: MAX_SEND_PAUSE_MS,
+    lateAnswerMs: 60_000,
+    pollMs: 50,
+    maxPollMs: 1_000,
+    closeRecordMs: 30_000,
+    safeguards: allCallSafeguards,
+};
--- /dev/null
+++ b/packages/core/src/configuration/model/ticketMachine.ts
@@ -0,0 +1,80 @@
+/**
+ * Interface of the state machine that applies one ticket. A driver starts it with `beginTicket`, carries out the effects
+ * and passes each result to `advanceTicket`. Events with another operation number than the awaited one are ignored.
+ */
+import type { AttemptId, Revision } from "@currantrill/protocol";
+import type { Clocks } from "../../model/clocks.js";
+import type { Configuration, Ticket } from "../../model/configuration.js";
+import type { Finding } from "../../model/finding.js";
+import type { TicketChange } from "../queries/planTicket.js";
+import type { PlatformConfiguration, TicketRow } from "./ticketRows.js";
+
+export interface TicketRequest {
+    readonly ticket: Ticket;
+    /** Unique to this request on this host. */
+    readonly attempt: AttemptId;
+    /** Time from `beginTicket` within which the operator is answered. */
+    readonly timeoutMs: number;
+}
+
+export type TicketResult =
+    | {
+        readonly outcome: "applied";
+        readonly revision: Revision;
+        readonly changes: readonly TicketChange[];
+        /** Whether the ticket had been applied before, by this or an earlier request. */
+        readonly alreadyApplied: boolean;
+    }
+    /** Nothing of the ticket was applied. */
+    | { readonly outcome: "refused"; readonly code: TicketRefusalCode; readonly findings: readonly Finding[]; }
+    /** The platform did not answer in time. The ticket may be applied; sending it again tells. */
+    | { readonly outcome: "outcome_unknown"; };
+
+export type TicketRefusalCode = "invalid" | "conflict" | "platform_unavailable";
+
+export type TicketEffect =
+    /** Reads `head`, its revision and `ticket/<number>`. `head` comes first, so that the others are not older. */
+    | { readonly type: "readPlatform"; readonly operation: number; }
+    /** One transaction on `head` (at `headVersion`), `revision/<n>` and `ticket/<number>` (both absent). */
+    | {
+        readonly type: "writeTicket";
+        readonly operation: number;
+        readonly headVersion: number;
+        readonly next: Configuration;
+        readonly row: TicketRow;
+    }
+    /** The driver answers with `timerFired`. */
+    | { readonly type: "wait"; readonly operation: number; readonly delayMs: number; }
+    /** The ticket is in force; the host adopts the configuration and tells its peers. */
+    | { readonly type: "adopt"; readonly configuration: Configuration; }
+    /** Appears exactly once, and is the last effect. */
+    | { readonly type: "answerOperator"; readonly result: TicketResult; };
+
+export type TicketEvent =
+    | { readonly type: "platformRead"; readonly operation: number; readonly platform: PlatformConfiguration; }
+    | { readonly type: "readFailed"; readonly operation: number; }
+    | { readonly type: "ticketWritten"; readonly operation: number; }
+    | { readonly type: "ticketConflict"; readonly operation: number; }
+    /** The store refused the write unexecuted. */
+    | { readonly type: "writeRefused"; readonly operation: number; }
+    /** No response. The write may have taken effect, or may do so later. */
+    | { readonly type: "writeLost"; readonly operation: number; }
+    | { readonly type: "timerFired"; readonly operation: number; };
+
+export interface TicketState {
+    readonly request: TicketRequest;
+    readonly startedAt: Clocks;
+    readonly operation: number;
+    readonly deadlineOperation: number;
+    readonly phase: "reading" | "writing" | "pausing" | "ended";
+    /** Configuration and changes of the write under way. */
+    readonly planned: { readonly next: Configuration; readonly changes: readonly TicketChange[]; } | undefined;
+    /** Head version of a write whose response was lost. It can take effect only while `head` has this version. */
+    readonly lostAtVersion: number | undefined;
+    readonly pauseMs: number;
+}
+
+export interface TicketStep {
+    readonly state: TicketState;
+    readonly effects: readonly TicketEffect[];
+}
--- /dev/null
+++ b/packages/core/src/lending/commands/trackReclaims.ts
@@ -0,0 +1,21 @@
+import type { EndpointId } from "@currantrill/protocol";
+import type { Clocks } from "../../model/clocks.js";
+import type { LendingDecision, ReclaimTimes } from "../model/lending.js";
+
+/**
+ * Records since when each endpoint has been unusable. An endpoint that becomes usable again is removed. Silence of the
+ * platform does not count: the owner has asked for nothing, so work in flight is not interrupted.
+ */
+export function trackReclaims(
+    times: ReclaimTimes,
+    decisions: ReadonlyMap<EndpointId, LendingDecision>,
+    now: Clocks,
+): ReclaimTimes {
+    const next: Record<EndpointId, Clocks> = {};
+    for (const [endpoint, decision] of decisions) {
+        if (!decision.usable && decision.reason !== "silent") {
+            next[endpoint] = times[endpoint] ?? now;
+        }
+    }
+    return next;
+}
--- /dev/null
+++ b/packages/core/src/lending/queries/decideLending.ts
@@ -0,0 +1,63 @@
+/** Decides whether an endpoint takes new work from this host. */
+import type { Clocks } from "../../model/clocks.js";
+import { measureElapsed } from "../../model/clocks.js";
+import type { EndpointObject } from "../../model/configuration.js";
+import {
+    allLendingSafeguards,
+    type Freshness,
+    type LendingDecision,
+    type LendingReason,
+    type LendingSafeguards,
+    type LocalStops,
+    type OwnerReport,
+} from "../model/lending.js";
+
+interface LendingInput {
+    readonly endpoint: EndpointObject;
+    readonly stops: LocalStops;
+    readonly freshness: Freshness;
+    readonly report: OwnerReport | undefined;
+    readonly now: Clocks;
+}
+
+/** Checks in this order; the first that applies is the reason. */
+const checks: readonly {
+    readonly reason: LendingReason;
+    readonly safeguard: keyof LendingSafeguards;
+    readonly applies: (input: LendingInput) => boolean;
+}[] = [
+    { reason: "reclaimed", safeguard: "obeyReclaim", applies: ({ endpoint }) => endpoint.lending === "reclaimed" },
+    {
+        reason: "stopped",
+        safeguard: "obeyStops",
+        applies: ({ endpoint, stops }) => {
+            const stop = stops[endpoint.name];
+            return stop !== undefined && stop.lendEpoch >= endpoint.lendEpoch;
+        },
+    },
+    { reason: "withdrawn", safeguard: "obeyReports", applies: ({ report }) => report?.withdrawn === true },
+    {
+        reason: "silent",
+        safeguard: "obeySilence",
+        applies: ({ endpoint, freshness, now }) => measureSilence(freshness, now) > endpoint.maxSilenceMs,
+    },
+];
+
+/** Decides whether the endpoint takes new work now. */
+export function decideLending(
+    endpoint: EndpointObject,
+    stops: LocalStops,
+    freshness: Freshness,
+    report: OwnerReport | undefined,
+    now: Clocks,
+    safeguards: LendingSafeguards = allLendingSafeguards,
+): LendingDecision {
+    const input = { endpoint, stops, freshness, report, now };
+    const failed = checks.find(check => safeguards[check.safeguard] && check.applies(input));
+    return failed === undefined ? { usable: true } : { usable: false, reason: failed.reason };
+}
+
+/** Age of the last confirmation of the configuration; infinite if there was none. */
+export function measureSilence(freshness: Freshness, now: Clocks): number {
+    return freshness.confirmedAt === undefined ? Infinity : measureElapsed(freshness.confirmedAt, now);
+}
--- /dev/null
+++ b/packages/core/src/memory/model/allocation.ts
@@ -0,0 +1,74 @@
+/** Memory that the host holds on engines for its attempts. */
+import type { AllocationId, AttemptId, EndpointId, IncarnationId } from "@currantrill/protocol";
+import { toAllocationId, toAttemptId, toIncarnationId } from "@currantrill/protocol";
+
+/** Time to live of an allocation. The engine drops one that is not renewed for this time. */
+export const ALLOCATION_TTL_MS = 15_000;
+/** An owner renews its allocations this often, so that two lost renewals do no harm. */
+export const RENEW_INTERVAL_MS = 4_000;
+/** A host that is absent from membership for this long is suspected to be gone. */
+export const OWNER_SUSPICION_MS = 10_000;
+
+export interface AllocationParts {
+    readonly incarnation: IncarnationId;
+    readonly attempt: AttemptId;
+    readonly index: number;
+}
+
+/** An id is never used twice, so that a repeated or late release can only hit the allocation it was meant for. */
+export function formatAllocationId({ incarnation, attempt, index }: AllocationParts): AllocationId {
+    return toAllocationId(`${incarnation}.${attempt}.${index}`);
+}
+
+/** Splits an id; `undefined` if it was not made by a host of this system. */
+export function parseAllocationId(id: string): AllocationParts | undefined {
+    const [incarnation, attempt, index, ...rest] = id.split(".");
+    if (incarnation === undefined || attempt === undefined || index === undefined || rest.length > 0) {
+        return undefined;
+    }
+    const valid = incarnation !== "" && attempt !== "" && /^\d+$/.test(index);
+    return valid
+        ? { incarnation: toIncarnationId(incarnation), attempt: toAttemptId(attempt), index: Number(index) }
+        : undefined;
+}
+
+/** `wanted` from before the request is sent; `releasing` until the engine has confirmed the release. */
+export type AllocationPhase = "wanted" | "held" | "releasing";
+
+export interface OwnAllocation {
+    readonly id: AllocationId;
+    readonly attempt: AttemptId;
+    readonly endpoint: EndpointId;
+    readonly tokens: number;
+    readonly phase: AllocationPhase;
+    /** Monotonic time of the next renewal, or of the next try of the release. */
+    readonly dueAtMs: number;
+    /** Monotonic time after which the engine has dropped the allocation by itself. */
+    readonly expiresAtMs: number;
+}
+
+/** Everything that one host incarnation holds or may hold. An attempt without an entry is not alive. */
+export interface AllocationState {
+    readonly incarnation: IncarnationId;
+    readonly nextIndex: number;
+    readonly allocations: ReadonlyMap<AllocationId, OwnAllocation>;
+}
+
+export type AllocationEffect =
+    | { readonly type: "allocate"; readonly allocation: OwnAllocation; readonly ttlMs: number; }
+    | { readonly type: "renew"; readonly allocation: OwnAllocation; readonly ttlMs: number; }
+    | { readonly type: "release"; readonly allocation: OwnAllocation; }
+    /** The engine no longer holds the memory of an attempt that runs; the attempt has to be tried again. */
+    | { readonly type: "lost"; readonly allocation: OwnAllocation; };
+
+export type AllocationEvent =
+    | { readonly type: "allocated" | "refused" | "absent" | "released"; readonly id: AllocationId; }
+    /** `sentAtMs` is when the renewal left the host: the engine's own count starts no earlier. */
+    | { readonly type: "renewed"; readonly id: AllocationId; readonly sentAtMs: number; }
+    /** No answer to a request. It may have taken effect, or may do so later. */
+    | { readonly type: "answerLost"; readonly id: AllocationId; };
+
+export interface AllocationStep {
+    readonly state: AllocationState;
+    readonly effects: readonly AllocationEffect[];
+}
