Plan, apply and adopt configuration tickets in the core

Cause: a ticket could name objects that do not exist, removals were ignored, and a lost response to the apply transaction could not be resolved.

Ruled out: deciding after a single read-back that a lost write had no effect; a write that is still under way can land after that read, so the write is repeated under the same condition on head until one of the two is known to have won.

The test tickets now contain the workspace that owns the pool, because a pool with an unknown owner is invalid; the four cases are kept.

--- /dev/null
+++ b/packages/core/src/configuration/commands/advanceTicket.ts
@@ -0,0 +1,150 @@
+/** The state machine that applies one ticket to the platform. */
+import { type Clocks, measureElapsed } from "../../model/clocks.js";
+import type { Finding } from "../../model/finding.js";
+import type {
+    TicketEffect,
+    TicketEvent,
+    TicketRefusalCode,
+    TicketRequest,
+    TicketResult,
+    TicketState,
+    TicketStep,
+} from "../model/ticketMachine.js";
+import type { PlatformConfiguration } from "../model/ticketRows.js";
+import { planTicket } from "../queries/planTicket.js";
+
+/** First and longest delay before the platform is asked again. */
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 1_000;
+
+/** Starts to apply a ticket. */
+export function beginTicket(request: TicketRequest, now: Clocks): TicketStep {
+    const state: TicketState = {
+        request,
+        startedAt: now,
+        operation: 0,
+        deadlineOperation: 1,
+        nextOperation: 2,
+        phase: "reading",
+        planned: undefined,
+        lostAtVersion: undefined,
+        pauseMs: FIRST_PAUSE_MS,
+    };
+    const step = readPlatform(state);
+    return { ...step, effects: [{ type: "wait", operation: 1, delayMs: request.timeoutMs }, ...step.effects] };
+}
+
+/** Carries on with the result of an effect. */
+export function advanceTicket(state: TicketState, event: TicketEvent, now: Clocks): TicketStep {
+    if (state.phase === "ended") {
+        return { state, effects: [] };
+    }
+    if (event.operation === state.deadlineOperation) {
+        return expireTicket(state);
+    }
+    if (event.operation !== state.operation) {
+        return { state, effects: [] };
+    }
+    // Each handler receives the event of its own type; the table's type cannot express that for a union.
+    const handle = eventHandlers[event.type] as (state: TicketState, event: TicketEvent, now: Clocks) => TicketStep;
+    return handle(state, event, now);
+}
+
+type EventHandlers = {
+    [T in TicketEvent["type"]]: (
+        state: TicketState,
+        event: Extract<TicketEvent, { type: T; }>,
+        now: Clocks,
+    ) => TicketStep;
+};
+
+const eventHandlers: EventHandlers = {
+    platformRead: (state, { platform }, now) => handlePlatform(state, platform, now),
+    readFailed: state => handleUnavailable(state),
+    ticketWritten: state => finishTicket(state),
+    ticketConflict: state => readPlatform(state),
+    writeRefused: state => handleUnavailable(state),
+    writeLost: state => waitForPlatform({ ...state, lostAtVersion: state.planned?.headVersion }),
+    timerFired: state => readPlatform(state),
+};
+
+/**
+ * Plans on what the platform holds. `head` was read before the ticket's row, so if the row is absent, a lost write has
+ * either not taken effect yet, and then `head` still has the version of its condition, or never will.
+ */
+function handlePlatform(state: TicketState, platform: PlatformConfiguration, now: Clocks): TicketStep {
+    if (measureElapsed(state.startedAt, now) >= state.request.timeoutMs) {
+        return expireTicket(state);
+    }
+    const { ticket, attempt } = state.request;
+    const plan = planTicket(platform.configuration, ticket, platform.ticketRow);
+    if (!plan.ok) {
+        return refuseTicket(state, plan.code, plan.findings);
+    }
+    if (plan.appliedAs !== undefined) {
+        const alreadyApplied = platform.ticketRow?.attempt !== attempt;
+        const changes = alreadyApplied ? [] : state.planned?.changes ?? [];
+        return endTicket(
+            state,
+            { outcome: "applied", revision: plan.appliedAs, changes, alreadyApplied },
+            [{ type: "adopt", configuration: platform.configuration }],
+        );
+    }
+    const { headVersion } = platform;
+    const lostAtVersion = state.lostAtVersion === headVersion ? headVersion : undefined;
+    const planned = { headVersion, next: plan.next, changes: plan.changes };
+    const row = { ticket, revision: plan.next.revision, attempt, appliedAtMs: now.wallMs };
+    return beginOperation(
+        { ...state, phase: "writing", planned, lostAtVersion },
+        operation => ({ type: "writeTicket", operation, headVersion, next: plan.next, row }),
+    );
+}
+
+function beginOperation(state: TicketState, createEffect: (operation: number) => TicketEffect): TicketStep {
+    const operation = state.nextOperation;
+    return { state: { ...state, operation, nextOperation: operation + 1 }, effects: [createEffect(operation)] };
+}
+
+const readPlatform = (state: TicketState): TicketStep =>
+    beginOperation({ ...state, phase: "reading" }, operation => ({ type: "readPlatform", operation }));
+
+function waitForPlatform(state: TicketState): TicketStep {
+    const delayMs = state.pauseMs;
+    const pauseMs = Math.min(2 * delayMs, LONGEST_PAUSE_MS);
+    return beginOperation(
+        { ...state, phase: "pausing", pauseMs },
+        operation => ({ type: "wait", operation, delayMs }),
+    );
+}
+
+/** Refuses at once, unless an earlier write may have taken effect. */
+function handleUnavailable(state: TicketState): TicketStep {
+    return state.lostAtVersion === undefined ? refuseTicket(state, "platform_unavailable", []) : waitForPlatform(state);
+}
+
+function finishTicket(state: TicketState): TicketStep {
+    if (state.planned === undefined) {
+        return endTicket(state, { outcome: "outcome_unknown" });
+    }
+    const { next, changes } = state.planned;
+    return endTicket(
+        state,
+        { outcome: "applied", revision: next.revision, changes, alreadyApplied: false },
+        [{ type: "adopt", configuration: next }],
+    );
+}
+
+/** At the deadline a write that is under way or was lost may still take effect. */
+function expireTicket(state: TicketState): TicketStep {
+    const mayTakeEffect = state.phase === "writing" || state.lostAtVersion !== undefined;
+    return mayTakeEffect
+        ? endTicket(state, { outcome: "outcome_unknown" })
+        : refuseTicket(state, "platform_unavailable", []);
+}
+
+const refuseTicket = (state: TicketState, code: TicketRefusalCode, findings: readonly Finding[]): TicketStep =>
+    endTicket(state, { outcome: "refused", code, findings });
+
+function endTicket(state: TicketState, result: TicketResult, before: readonly TicketEffect[] = []): TicketStep {
+    return { state: { ...state, phase: "ended" }, effects: [...before, { type: "answerOperator", result }] };
+}
--- a/packages/core/src/configuration/model/ticketMachine.ts
+++ b/packages/core/src/configuration/model/ticketMachine.ts
@@ -61,14 +61,22 @@
     | { readonly type: "writeLost"; readonly operation: number; }
     | { readonly type: "timerFired"; readonly operation: number; };
 
+export interface PlannedTicket {
+    /** Version of `head` on which the write depends. */
+    readonly headVersion: number;
+    readonly next: Configuration;
+    readonly changes: readonly TicketChange[];
+}
+
 export interface TicketState {
     readonly request: TicketRequest;
     readonly startedAt: Clocks;
     readonly operation: number;
     readonly deadlineOperation: number;
+    readonly nextOperation: number;
     readonly phase: "reading" | "writing" | "pausing" | "ended";
     /** Configuration and changes of the write under way. */
-    readonly planned: { readonly next: Configuration; readonly changes: readonly TicketChange[]; } | undefined;
+    readonly planned: PlannedTicket | undefined;
     /** Head version of a write whose response was lost. It can take effect only while `head` has this version. */
     readonly lostAtVersion: number | undefined;
     readonly pauseMs: number;
--- a/packages/core/tests/configuration/planTicket.test.ts
+++ b/packages/core/tests/configuration/planTicket.test.ts
@@ -1,17 +1,28 @@
-import { toPoolId, toTicketNumber, toWorkspaceId } from "@currantrill/protocol";
+import { toPoolId, toRevision, toTicketNumber, toWorkspaceId } from "@currantrill/protocol";
 import { describe, expect, it } from "vitest";
-import { type Configuration, emptyConfiguration, planTicket, type Ticket } from "../../src/index.js";
+import {
+    type Configuration,
+    type ConfigurationObject,
+    emptyConfiguration,
+    planTicket,
+    type Ticket,
+    type TicketRow,
+} from "../../src/index.js";
+import { buildEndpoint, buildPool, buildWorkspace } from "../builders.js";
 
-const buildTicket = (number: number, replaces: number): Ticket => ({
+type Entry = [replaces: number, body: ConfigurationObject];
+
+const buildTicket = (number: number, entries: Entry[], removals: Ticket["removals"] = []): Ticket => ({
     number: toTicketNumber(number),
-    summary: "one pool",
-    objects: [{
-        replaces: toTicketNumber(replaces),
-        body: { kind: "pool", name: toPoolId("models"), owner: toWorkspaceId("desk"), serves: "engine" },
-    }],
-    removals: [],
+    summary: "test",
+    objects: entries.map(([replaces, body]) => ({ replaces: toTicketNumber(replaces), body })),
+    removals,
 });
 
+const removePool = (
+    replaces: number,
+) => [{ kind: "pool" as const, name: "models", replaces: toTicketNumber(replaces) }];
+
 const applyOrThrow = (configuration: Configuration, ticket: Ticket): Configuration => {
     const plan = planTicket(configuration, ticket);
     if (!plan.ok) {
@@ -20,15 +31,94 @@
     return plan.next;
 };
 
+const pool = buildPool("models", "desk");
+const base: Entry[] = [[0, buildWorkspace("desk")], [0, pool]];
+const first = applyOrThrow(emptyConfiguration, buildTicket(1, base));
+const withEndpoint = applyOrThrow(first, buildTicket(2, [[0, buildEndpoint("e1", { lendEpoch: 2 })]]));
+
 describe("planTicket guards against an edit of an object that another ticket has changed", () => {
-    const first = applyOrThrow(emptyConfiguration, buildTicket(1, 0));
     const cases = [
-        { name: "new object", configuration: emptyConfiguration, ticket: buildTicket(1, 0), ok: true },
-        { name: "replaces the ticket in force", configuration: first, ticket: buildTicket(2, 1), ok: true },
-        { name: "claims a new object that exists", configuration: first, ticket: buildTicket(2, 0), ok: false },
-        { name: "replaces a ticket that is not in force", configuration: first, ticket: buildTicket(3, 2), ok: false },
+        { name: "new objects", configuration: emptyConfiguration, ticket: buildTicket(1, base), ok: true },
+        { name: "replaces the ticket in force", configuration: first, ticket: buildTicket(2, [[1, pool]]), ok: true },
+        {
+            name: "claims a new object that exists",
+            configuration: first,
+            ticket: buildTicket(2, [[0, pool]]),
+            ok: false,
+        },
+        {
+            name: "replaces a ticket not in force",
+            configuration: first,
+            ticket: buildTicket(3, [[2, pool]]),
+            ok: false,
+        },
+        { name: "removes a free object", configuration: first, ticket: buildTicket(2, [], removePool(1)), ok: true },
+        {
+            name: "removes another ticket's",
+            configuration: first,
+            ticket: buildTicket(2, [], removePool(3)),
+            ok: false,
+        },
     ];
     it.each(cases)("$name", ({ configuration, ticket, ok }) => {
-        expect(planTicket(configuration, ticket).ok).toBe(ok);
+        expect(planTicket(configuration, ticket)).toMatchObject(ok ? { ok } : { ok, code: "conflict" });
+    });
+
+    it("names both tickets of a conflict", () => {
+        const plan = planTicket(applyOrThrow(first, buildTicket(7, [[1, pool]])), buildTicket(8, [[1, pool]]));
+        expect(JSON.stringify(plan)).toMatch(/ticket 8.*ticket 7 last set it/);
+    });
+});
+
+describe("planTicket guards against objects that do not fit together", () => {
+    const service = { ...buildPool("models", "desk"), serves: "service" as const };
+    const model = {
+        kind: "model",
+        name: "m" as never,
+        version: "1",
+        adapters: [],
+        pools: [toPoolId("models")],
+        replicas: 1,
+        maxPromptTokens: 1_000,
+    } as const;
+    const cases = [
+        { name: "unknown owner", ticket: buildTicket(2, [[1, { ...pool, owner: toWorkspaceId("x") }]]), path: "owner" },
+        {
+            name: "unknown pool",
+            ticket: buildTicket(3, [[0, { ...buildEndpoint("e2"), pool: toPoolId("x") }]]),
+            path: "pool",
+        },
+        { name: "removal of a pool in use", ticket: buildTicket(3, [], removePool(1)), path: "endpoint/e1.pool" },
+        {
+            name: "model on a service pool",
+            ticket: buildTicket(3, [[1, service], [0, model]]),
+            path: "model/m.pools[0]",
+        },
+        { name: "lower lend epoch", ticket: buildTicket(3, [[2, buildEndpoint("e1")]]), path: "lendEpoch" },
+        { name: "the same object twice", ticket: buildTicket(3, [[1, pool], [1, pool]]), path: "pool/models" },
+        { name: "nothing to change", ticket: buildTicket(3, []), path: "" },
+    ];
+    it.each(cases)("$name", ({ ticket, path }) => {
+        const plan = planTicket(withEndpoint, ticket);
+        expect(plan).toMatchObject({ ok: false, code: "invalid" });
+        expect(plan.ok ? [] : plan.findings.map(finding => finding.path).filter(text => text.endsWith(path))).not
+            .toEqual([]);
+    });
+});
+
+describe("planTicket guards against a ticket that is applied twice", () => {
+    const applied = (ticket: Ticket): TicketRow => ({
+        ticket,
+        revision: toRevision(1),
+        attempt: "a" as never,
+        appliedAtMs: 0,
+    });
+    it("answers the same content as applied, in any order of its entries", () => {
+        const plan = planTicket(first, buildTicket(1, [...base].reverse()), applied(buildTicket(1, base)));
+        expect(plan).toMatchObject({ ok: true, appliedAs: 1, next: first });
+    });
+    it("refuses another content under the same number", () => {
+        expect(planTicket(first, buildTicket(1, [[1, pool]]), applied(buildTicket(1, base))))
+            .toMatchObject({ ok: false, code: "conflict" });
     });
 });
