--- /dev/null
+++ b/packages/core/src/gang/queries/computeGangBackoff.ts
@@ -0,0 +1,13 @@
+const MAX_BACKOFF_MS = 400;
+const MIN_BACKOFF_MS = 20;
+/** Age at which the bound of the backoff has halved. */
+const AGE_UNIT_MS = 2_000;
+
+/**
+ * Wait before the next try, in milliseconds. The bound shrinks with the age of the attempt, so that of several hosts
+ * that compete for the same members the oldest request tries most often.
+ */
+export function computeGangBackoff(ageMs: number, fraction: number): number {
+    const bound = Math.max(MIN_BACKOFF_MS, MAX_BACKOFF_MS / (1 + ageMs / AGE_UNIT_MS));
+    return bound * (0.5 + fraction / 2);
+}
--- /dev/null
+++ b/packages/core/src/model/lengthClass.ts
@@ -0,0 +1,15 @@
+/** Classes of requests by prompt tokens. */
+export const lengthClasses = ["short", "medium", "long", "huge"] as const;
+export type LengthClass = (typeof lengthClasses)[number];
+
+/** Largest prompt of each class, in tokens. */
+export const LENGTH_LIMITS = { short: 4_000, medium: 32_000, long: 100_000, huge: Infinity } as const;
+
+export function getLengthClass(promptTokens: number): LengthClass {
+    return lengthClasses.find(name => promptTokens <= LENGTH_LIMITS[name]) ?? "huge";
+}
+
+/** Whether a class counts as long work, which is kept away from short requests. */
+export function isLongClass(lengthClass: LengthClass): boolean {
+    return lengthClass === "long" || lengthClass === "huge";
+}
--- /dev/null
+++ b/packages/core/src/routing/queries/buildDecision.ts
@@ -0,0 +1,42 @@
+import type { EndpointView } from "../../beliefs/model/endpointView.js";
+import type { RandomState } from "../../model/randomState.js";
+import type { RoutingDecision, RoutingInput, ScoredEndpoint } from "../model/routing.js";
+import { estimateFirstToken } from "./estimateFirstToken.js";
+import { getEnginePriority } from "./getEnginePriority.js";
+import type { CandidateList } from "./listCandidates.js";
+
+export interface ChosenEndpoint {
+    readonly view: EndpointView;
+    readonly considered: readonly ScoredEndpoint[];
+    readonly reason: string;
+    readonly random: RandomState;
+}
+
+/** Decision for a request that no single endpoint can take. */
+export function refuseRoute(input: RoutingInput, candidates: CandidateList): RoutingDecision {
+    const tooLarge = candidates.available > 0;
+    return {
+        outcome: tooLarge ? { kind: "gang" } : { kind: "refuse", reason: "no_endpoint" },
+        considered: [],
+        candidateCount: candidates.available,
+        reason: tooLarge ? "prompt larger than any endpoint" : "no endpoint serves the model now",
+        random: input.random,
+    };
+}
+
+/** Decision for a request that a policy sends to one endpoint. */
+export function sendRoute(input: RoutingInput, candidates: CandidateList, chosen: ChosenEndpoint): RoutingDecision {
+    return {
+        outcome: {
+            kind: "send",
+            endpoint: chosen.view,
+            expectedFirstTokenMs: estimateFirstToken(input, chosen.view),
+            enginePriority: getEnginePriority(input.request),
+            cachedTokens: input.request.prefixHits.get(chosen.view.endpoint) ?? 0,
+        },
+        considered: chosen.considered,
+        candidateCount: candidates.fitting.length,
+        reason: chosen.reason,
+        random: chosen.random,
+    };
+}
--- /dev/null
+++ b/packages/core/src/routing/queries/routeRandomly.ts
@@ -0,0 +1,15 @@
+import { generateFractions } from "../../model/randomState.js";
+import type { RoutingDecision, RoutingInput } from "../model/routing.js";
+import { refuseRoute, sendRoute } from "./buildDecision.js";
+import { listCandidates } from "./listCandidates.js";
+
+/** Baseline: any endpoint that can take the request. */
+export function routeRandomly(input: RoutingInput): RoutingDecision {
+    const candidates = listCandidates(input);
+    const { values, next } = generateFractions(input.random, 1);
+    const view = candidates.fitting[Math.floor((values[0] ?? 0) * candidates.fitting.length)];
+    if (view === undefined) {
+        return refuseRoute(input, candidates);
+    }
+    return sendRoute(input, candidates, { view, considered: [], reason: "random", random: next });
+}
--- /dev/null
+++ b/packages/core/src/routing/queries/routeToLeastLoaded.ts
@@ -0,0 +1,20 @@
+import type { EndpointView } from "../../beliefs/model/endpointView.js";
+import type { RoutingDecision, RoutingInput } from "../model/routing.js";
+import { refuseRoute, sendRoute } from "./buildDecision.js";
+import { listCandidates } from "./listCandidates.js";
+
+/** Baseline: the endpoint with the least queued prefill work by its last report. */
+export function routeToLeastLoaded(input: RoutingInput): RoutingDecision {
+    const candidates = listCandidates(input);
+    const [first, ...others] = candidates.fitting;
+    if (first === undefined) {
+        return refuseRoute(input, candidates);
+    }
+    const best = others.reduce((least, view) => isLessLoaded(view, least) ? view : least, first);
+    return sendRoute(input, candidates, { view: best, considered: [], reason: "least loaded", random: input.random });
+}
+
+function isLessLoaded(view: EndpointView, other: EndpointView): boolean {
+    const difference = view.report.queuedPrefillTokens - other.report.queuedPrefillTokens;
+    return difference === 0 ? view.report.runningRequests < other.report.runningRequests : difference < 0;
+}
