--- a/packages/protocol/src/engineApi.ts
+++ b/packages/protocol/src/engineApi.ts
@@ -23,7 +23,12 @@
 });
 export type GenerateRequest = z.infer<typeof generateRequestSchema>;
 
-export const generatedTokenSchema = z.object({ index: z.number().int(), text: z.string() });
+export const generatedTokenSchema = z.object({
+    index: z.number().int(),
+    text: z.string(),
+    /** Request that the token answers, where the engine names it, so that a mixed-up answer can be told apart. */
+    request_id: z.string().optional(),
+});
 /** Payload of one server-sent event. The stream ends with the event `data: [DONE]`. */
 export type GeneratedToken = z.infer<typeof generatedTokenSchema>;
 
