--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,3 +29,6 @@
 export * from "./routing/queries/createHostOrder.js";
 export * from "./routing/queries/getEnginePriority.js";
 export * from "./routing/queries/planLanes.js";
+export * from "./streams/commands/acceptStreamEvent.js";
+export * from "./streams/model/streamState.js";
+export * from "./streams/queries/getProgressDeadline.js";
