Add membership: neighbours, roles and flooding of facts

Cause: hosts need to know each other, the state of endpoints and stops without a full mesh. Demand is a fact of its own, so that the sign of life of a host stays small.

--- /dev/null
+++ b/packages/core/src/membership/commands/recordHeartbeat.ts
@@ -0,0 +1,9 @@
+import type { MemberInfo, Membership } from "../model/member.js";
+
+/** Records a sign of life of a host, direct or passed on by others. */
+export function recordHeartbeat(membership: Membership, info: MemberInfo, now: number): Membership {
+    const known = membership.members.get(info.host);
+    const members = new Map(membership.members);
+    members.set(info.host, { ...info, listed: known?.listed ?? false, heardAtMs: now });
+    return { ...membership, members };
+}
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -18,14 +18,24 @@
     readonly ageMs: number;
 }
 
-/** Load and entitlement demand of a host. */
+/** A sign of life of a host, for the hosts that are not connected to it. */
 export interface HostFact {
     readonly kind: "host";
     readonly host: HostId;
     readonly failureDomain: FailureDomainId;
     readonly peerAddress: string;
     readonly leaving: boolean;
-    /** Tokens per second that each active workspace asked of this host. */
+    /** Revision of the configuration in force on the host. */
+    readonly revision: Revision;
+}
+
+/** Entitlement demand of a host, or its sum over a failure domain. */
+export interface DemandFact {
+    readonly kind: "demand";
+    /** Host, or failure domain for a sum. */
+    readonly scope: HostId | FailureDomainId;
+    readonly isDomainSum: boolean;
+    /** Tokens per second that each active workspace asked for. */
     readonly demand: Readonly<Record<WorkspaceId, number>>;
 }
 
@@ -37,14 +47,15 @@
     readonly reason: string;
 }
 
-export type Fact = EndpointDigest | HostFact | StopFact;
+export type Fact = EndpointDigest | HostFact | DemandFact | StopFact;
 
-/** A fact with its origin. Of two with the same key the one with the higher sequence of the newer incarnation holds. */
+/** A fact with its origin. Of two with the same key the one with the higher sequence holds. */
 export interface VersionedFact {
     /** `<kind>/<subject>`. */
     readonly key: string;
     readonly origin: HostId;
     readonly incarnation: IncarnationId;
+    /** Wall clock of the origin in milliseconds, raised above every sequence that the origin has seen for the key. */
     readonly sequence: number;
     readonly fact: Fact;
 }
