--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./beliefs/queries/estimateQueuedPrefill.js";
 export * from "./beliefs/queries/findPrefixHits.js";
 export * from "./configuration/queries/planTicket.js";
+export * from "./membership/index.js";
 export * from "./gang/commands/advanceGang.js";
 export * from "./gang/model/gangAttempt.js";
 export * from "./gang/queries/computeGangBackoff.js";
