--- a/packages/protocol/src/engineApi.ts
+++ b/packages/protocol/src/engineApi.ts
@@ -30,7 +30,12 @@
 /** Length of the prefix with this index: each is twice as long as the one before, which keeps the list short. */
 export const getPrefixTokens = (index: number): number => SHORTEST_PREFIX_TOKENS * 2 ** index;
 
-export const generatedTokenSchema = z.object({ index: z.number().int(), text: z.string() });
+export const generatedTokenSchema = z.object({
+    index: z.number().int(),
+    text: z.string(),
+    /** Request that the token answers, where the engine names it, so that a mixed-up answer can be told apart. */
+    request_id: z.string().optional(),
+});
 /** Payload of one server-sent event. The stream ends with the event `data: [DONE]`. */
 export type GeneratedToken = z.infer<typeof generatedTokenSchema>;
 
--- a/packages/standins/src/engine/commands/stepEngine.ts
+++ b/packages/standins/src/engine/commands/stepEngine.ts
@@ -105,7 +105,8 @@
         return;
     }
     if (request.nextIndex < body.max_tokens) {
-        const token = { index: request.nextIndex, text: formatToken(body.request_id, request.nextIndex) };
+        const { request_id } = body;
+        const token = { index: request.nextIndex, text: formatToken(request_id, request.nextIndex), request_id };
         response.write(`data: ${JSON.stringify(token)}\n\n`);
         request.nextIndex += 1;
     }
--- a/packages/standins/tests/engine/serveEngine.test.ts
+++ b/packages/standins/tests/engine/serveEngine.test.ts
@@ -8,7 +8,7 @@
     useStandin(
         serveEngine({ endpointId: "e1", models, decodeTokensPerSecond: 1_000, memoryTokens: 10_000, ...options }),
     );
-const token = (index: number): string => JSON.stringify({ index, text: `0001.${index} ` });
+const token = (index: number): string => JSON.stringify({ index, text: `0001.${index} `, request_id: "request-0001" });
 const allocate = (url: string, id: string, tokens: number, ttlMs = 5_000) =>
     postJson(`${url}/v1/allocations`, {
         allocation_id: id,
