Connect hosts as peers and distribute facts and configurations

Cause: each host read the whole configuration from the platform once a second and knew no other host. Row head now holds the revision alone. Control messages, bytes and platform requests are counted. Conclusion: six hosts in two domains adopt a ticket, receive a stop, reopen a silent connection, and a seventh starts with the platform down (packages/host/tests/peers).

--- a/packages/core/src/membership/commands/takeBatch.ts
+++ b/packages/core/src/membership/commands/takeBatch.ts
@@ -35,9 +35,9 @@
     return { flood: { ...flood, pending }, facts };
 }
 
-/** Lists all facts for a peer that has just connected. */
-export function listSnapshot(flood: Flood, now: number): VersionedFact[] {
-    return [...flood.facts.values()].map(held => ageFact(held, now));
+/** Lists the facts that pass the filter for a peer that has just connected. */
+export function listSnapshot(flood: Flood, now: number, passes: (held: HeldFact) => boolean): VersionedFact[] {
+    return [...flood.facts.values()].filter(passes).map(held => ageFact(held, now));
 }
 
 /** Adds the time that a digest was held here to the age that it states, so that no clocks are compared. */
--- a/packages/core/src/membership/queries/listRoles.ts
+++ b/packages/core/src/membership/queries/listRoles.ts
@@ -9,9 +9,23 @@
 export const WATCHERS_PER_ENDPOINT = 2;
 export const POLLERS_PER_DOMAIN = 2;
 
-/** Lists the hosts of a domain that connect it to other domains. */
+/** Time after which other hosts of a silent domain are tried as its relays. */
+const RELAY_ROTATION_MS = 30_000;
+
+/**
+ * Lists the hosts of a domain that connect it to other domains. For a domain that has gone silent as a whole, members
+ * are tried in turns, so that the connection comes back whichever of them is reachable first.
+ */
 export function listRelays(membership: Membership, domain: FailureDomainId, now: number): HostId[] {
-    return rankByRendezvous(`relay/${domain}`, listLiveHosts(membership, now, domain)).slice(0, RELAYS_PER_DOMAIN);
+    const live = listLiveHosts(membership, now, domain);
+    if (live.length > 0) {
+        return rankByRendezvous(`relay/${domain}`, live).slice(0, RELAYS_PER_DOMAIN);
+    }
+    const candidates = [...membership.members.values()]
+        .filter(member => member.failureDomain === domain && !member.leaving)
+        .map(member => member.host);
+    const turn = Math.floor(now / RELAY_ROTATION_MS);
+    return rankByRendezvous(`relay/${domain}/${turn}`, candidates).slice(0, RELAYS_PER_DOMAIN);
 }
 
 /** Lists the hosts of the own domain that poll the platform for the configuration. */
--- a/packages/host/src/model/hostContext.ts
+++ b/packages/host/src/model/hostContext.ts
@@ -1,11 +1,13 @@
 /** What the parts of a host share. */
-import type { Configuration } from "@currantrill/core";
-import type { TableClient } from "@currantrill/platform";
+import type { HostListClient, TableClient } from "@currantrill/platform";
 import type { AttemptId, IncarnationId, RequestId } from "@currantrill/protocol";
 import { toAttemptId, toIncarnationId, toRequestId } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { randomUUID } from "node:crypto";
+import type { ConfigurationHolder } from "../configuration/model/configurationHolder.js";
+import type { Fleet } from "../peers/model/fleet.js";
+import type { EndpointViews } from "../watching/model/endpointViews.js";
 import type { HostMetrics } from "./hostMetrics.js";
 
 export interface HostContext {
@@ -14,19 +16,15 @@
     readonly log: Logger;
     readonly metrics: HostMetrics;
     readonly tables: TableClient;
+    readonly hostList: HostListClient;
     readonly configuration: ConfigurationHolder;
+    readonly fleet: Fleet;
+    readonly endpointViews: EndpointViews;
     /** Requests in flight, so that a drain can wait for them. */
     readonly inFlight: Set<RequestId>;
     draining: boolean;
 }
 
-/** The newest configuration that the host has seen. */
-export interface ConfigurationHolder {
-    current: Configuration;
-    /** Start of the platform read that last confirmed it, on the monotonic clock; `undefined` before the first. */
-    confirmedAtMs: number | undefined;
-}
-
 export const createIncarnationId = (): IncarnationId => toIncarnationId(randomUUID());
 export const createRequestId = (): RequestId => toRequestId(randomUUID());
 export const createAttemptId = (): AttemptId => toAttemptId(randomUUID());
--- a/packages/host/src/model/hostMetrics.ts
+++ b/packages/host/src/model/hostMetrics.ts
@@ -9,6 +9,10 @@
     readonly requests: Counter<"outcome" | "code">;
     readonly inFlight: Gauge;
     readonly configurationRevision: Gauge;
+    readonly confirmationAgeSeconds: Gauge;
+    readonly controlMessages: Counter<"direction" | "type">;
+    readonly controlBytes: Counter<"direction" | "type">;
+    readonly platformRequests: Counter<"use" | "operation">;
 }
 
 export function createHostMetrics(): HostMetrics {
@@ -35,5 +39,28 @@
             help: "Revision of the configuration in force on this host.",
             registers,
         }),
+        confirmationAgeSeconds: new Gauge({
+            name: "currantrill_configuration_confirmation_age_seconds",
+            help: "Time since the platform read that last confirmed the configuration.",
+            registers,
+        }),
+        controlMessages: new Counter({
+            name: "currantrill_control_messages_total",
+            help: "Messages between hosts by direction and type.",
+            labelNames: ["direction", "type"],
+            registers,
+        }),
+        controlBytes: new Counter({
+            name: "currantrill_control_bytes_total",
+            help: "Bytes of messages between hosts by direction and type.",
+            labelNames: ["direction", "type"],
+            registers,
+        }),
+        platformRequests: new Counter({
+            name: "currantrill_platform_requests_total",
+            help: "Requests to the platform by use and operation.",
+            labelNames: ["use", "operation"],
+            registers,
+        }),
     };
 }
--- a/packages/host/src/operators/commands/applyTicket.ts
+++ b/packages/host/src/operators/commands/applyTicket.ts
@@ -1,11 +1,7 @@
 import { type Configuration, type Finding, planTicket, type Ticket } from "@currantrill/core";
 import type { JsonValue } from "@currantrill/protocol";
-import {
-    adoptConfiguration,
-    CONFIG_TABLE,
-    HEAD_KEY,
-    readHead,
-} from "../../configuration/commands/pollConfiguration.js";
+import { adoptConfiguration } from "../../configuration/commands/adoptConfiguration.js";
+import { CONFIG_TABLE, HEAD_KEY, readHead } from "../../configuration/commands/pollConfiguration.js";
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
 
 export type ApplyResult =
@@ -14,7 +10,8 @@
 
 /** Applies a ticket in one transaction of the table service. */
 export async function applyTicket(context: HostContext, ticket: Ticket): Promise<ApplyResult> {
-    const version = await readHead(context);
+    await readHead(context);
+    const version = (await context.tables.readRow(CONFIG_TABLE, HEAD_KEY))?.version ?? 0;
     const plan = planTicket(context.configuration.current, ticket);
     if (!plan.ok) {
         return plan;
@@ -22,7 +19,10 @@
     const result = await context.tables.transact({
         attemptId: createAttemptId(),
         conditions: [{ table: CONFIG_TABLE, key: HEAD_KEY, version }],
-        writes: [{ table: CONFIG_TABLE, key: HEAD_KEY, value: toJson(plan.next) }],
+        writes: [
+            { table: CONFIG_TABLE, key: HEAD_KEY, value: { revision: plan.next.revision } },
+            { table: CONFIG_TABLE, key: `revision/${plan.next.revision}`, value: toJson(plan.next) },
+        ],
     });
     if (!result.committed) {
         return {
--- a/packages/host/src/operators/commands/serveOperators.ts
+++ b/packages/host/src/operators/commands/serveOperators.ts
@@ -1,6 +1,7 @@
 /** HTTP server for operators: tickets, health and metrics. */
 import { type HttpHandler, type RunningServer, sendJson, serveHttp } from "@currantrill/http";
 import { parseTicket } from "@currantrill/settings";
+import { isReady } from "../../configuration/queries/isReady.js";
 import type { HostContext } from "../../model/hostContext.js";
 import { applyTicket } from "./applyTicket.js";
 
@@ -50,7 +51,7 @@
 }
 
 function sendReadiness(context: HostContext, response: Parameters<HttpHandler>[1]): void {
-    const ready = !context.draining && context.configuration.confirmedAtMs !== undefined;
+    const ready = isReady(context);
     sendJson(response, ready ? 200 : 503, {
         ready,
         draining: context.draining,
--- /dev/null
+++ b/packages/host/src/peers/commands/handlePeerMessage.ts
@@ -0,0 +1,99 @@
+/** Reactions to the messages of a peer. */
+import { recordHeartbeat } from "@currantrill/core";
+import type { PeerMessage } from "@currantrill/protocol";
+import {
+    receiveConfiguration,
+    recordConfirmation,
+    recordPeerRevision,
+    sendConfiguration,
+} from "../../configuration/commands/shareConfiguration.js";
+import { computeConfirmationAge } from "../../configuration/queries/computeConfirmationAge.js";
+import type { HostContext } from "../../model/hostContext.js";
+import type { PeerConnection } from "../model/fleet.js";
+import { receiveFacts, sendSnapshot } from "./receiveFacts.js";
+import { sendMessage } from "./sendMessage.js";
+
+type HandlerOf<K extends PeerMessage["type"]> = (
+    context: HostContext,
+    connection: PeerConnection,
+    message: Extract<PeerMessage, { type: K; }>,
+) => void;
+
+const handlers: { readonly [K in PeerMessage["type"]]: HandlerOf<K>; } = {
+    // The connection was registered with the first hello; another one carries nothing new.
+    hello: () => undefined,
+    ping: (context, connection, message) => {
+        sendMessage(context, connection.socket, {
+            type: "pong",
+            sequence: message.sequence,
+            revision: context.configuration.current.revision,
+            confirmationAgeMs: computeConfirmationAge(context.configuration),
+        });
+        recordPeerRevision(context, connection, message.revision);
+    },
+    pong: (context, connection, message) => {
+        const sentAtMs = connection.pings.get(message.sequence);
+        if (sentAtMs === undefined) {
+            return;
+        }
+        connection.pings.clear();
+        connection.lastPongAtMs = performance.now();
+        recordPeer(context, connection);
+        recordPeerRevision(context, connection, message.revision);
+        if (message.confirmationAgeMs !== undefined) {
+            recordConfirmation(context, message.revision, sentAtMs - message.confirmationAgeMs);
+        }
+    },
+    facts: (context, connection, message) => receiveFacts(context, connection.host, message.facts),
+    snapshotRequest: (context, connection, message) => {
+        connection.revision = message.revision;
+        // The configuration comes first, so that a peer that has the snapshot has both.
+        sendConfiguration(context, connection);
+        sendSnapshot(context, connection);
+    },
+    snapshot: (context, connection, message) => {
+        receiveFacts(context, connection.host, message.facts);
+        recordPeerRevision(context, connection, message.revision);
+        connection.hasSentSnapshot = true;
+        markSeed(context, connection);
+    },
+    configuration: (context, connection, message) => receiveConfiguration(context, connection, message),
+    ownerQuery: (context, connection, message) => {
+        const isAsked = message.incarnation === context.incarnation;
+        const alive = isAsked ? context.fleet.listAliveAttempts(message.attempts) : [];
+        sendMessage(context, connection.socket, {
+            type: "ownerAnswer",
+            id: message.id,
+            incarnation: context.incarnation,
+            alive,
+        });
+    },
+    ownerAnswer: (context, _connection, message) => context.fleet.ownerQueries.get(message.id)?.(message),
+    leaving: (context, connection, message) => {
+        const member = context.fleet.membership.members.get(message.host);
+        if (member?.incarnation === connection.incarnation) {
+            const now = performance.now();
+            context.fleet.membership = recordHeartbeat(context.fleet.membership, { ...member, leaving: true }, now);
+        }
+    },
+};
+
+/** Handles one message. */
+export function handlePeerMessage(context: HostContext, connection: PeerConnection, message: PeerMessage): void {
+    const handle = handlers[message.type] as HandlerOf<PeerMessage["type"]>;
+    handle(context, connection, message);
+}
+
+function recordPeer(context: HostContext, connection: PeerConnection): void {
+    const member = context.fleet.membership.members.get(connection.host);
+    if (member?.incarnation === connection.incarnation) {
+        context.fleet.membership = recordHeartbeat(context.fleet.membership, member, performance.now());
+    }
+}
+
+function markSeed({ fleet }: HostContext, connection: PeerConnection): void {
+    const member = fleet.membership.members.get(connection.host);
+    if (member !== undefined) {
+        fleet.settledSeeds.add(member.peerAddress);
+    }
+}
--- /dev/null
+++ b/packages/host/src/peers/queries/listStops.ts
@@ -0,0 +1,15 @@
+import { findObject } from "@currantrill/core";
+import type { EndpointId, StopFact } from "@currantrill/protocol";
+import type { HostContext } from "../../model/hostContext.js";
+
+/** Local stops in force, by endpoint. A stop ends when a ticket with a higher lend epoch is in force. */
+export function listStops(context: HostContext): Map<EndpointId, StopFact> {
+    const stops = [...context.fleet.flood.facts.values()]
+        .map(({ versioned }) => versioned.fact)
+        .filter((fact): fact is StopFact => fact.kind === "stop")
+        .filter(stop => stop.lendEpoch >= (getEndpoint(context, stop.endpoint)?.lendEpoch ?? 0));
+    return new Map(stops.map(stop => [stop.endpoint, stop]));
+}
+
+const getEndpoint = (context: HostContext, endpoint: EndpointId) =>
+    findObject(context.configuration.current, "endpoint", endpoint);
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -1,13 +1,20 @@
 /** Composes the parts of a host. */
-import { emptyConfiguration } from "@currantrill/core";
-import { createTableClient } from "@currantrill/platform";
+import { createHostListClient, createTableClient } from "@currantrill/platform";
 import type { HostSettings } from "@currantrill/settings";
 import bunyan from "bunyan";
 import { serveCallers } from "./callers/commands/serveCallers.js";
 import { readHead, startConfigurationPoll } from "./configuration/commands/pollConfiguration.js";
+import { shareConfiguration } from "./configuration/commands/shareConfiguration.js";
+import { createConfigurationHolder } from "./configuration/model/configurationHolder.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
 import { serveOperators } from "./operators/commands/serveOperators.js";
+import { publishHostFact } from "./peers/commands/publishFact.js";
+import { startPeers } from "./peers/commands/startPeers.js";
+import { trackHostList } from "./peers/commands/trackHostList.js";
+import { createFleet } from "./peers/model/fleet.js";
+import { startWatching } from "./watching/commands/watchEndpoints.js";
+import { createEndpointViews } from "./watching/model/endpointViews.js";
 
 export interface RunningHost {
     readonly context: HostContext;
@@ -17,16 +24,28 @@
 
 /** Starts a host. Rejects if an address cannot be bound. */
 export async function startHost(settings: HostSettings): Promise<RunningHost> {
+    const incarnation = createIncarnationId();
+    const platform = { url: settings.platform.url, timeoutMs: settings.platform.timeout_ms };
     const context: HostContext = {
         settings,
-        incarnation: createIncarnationId(),
+        incarnation,
         log: bunyan.createLogger({ name: "currantrilld", host: settings.host_id, level: settings.log_level }),
         metrics: createHostMetrics(),
-        tables: createTableClient({ url: settings.platform.url, timeoutMs: settings.platform.timeout_ms }),
-        configuration: { current: emptyConfiguration, confirmedAtMs: undefined },
+        tables: createTableClient(platform),
+        hostList: createHostListClient(platform),
+        configuration: createConfigurationHolder(),
+        fleet: createFleet(settings, incarnation),
+        endpointViews: createEndpointViews(),
         inFlight: new Set(),
         draining: false,
     };
+    const watching = startWatching(context);
+    const peers = await startPeers(context);
+    context.configuration.listeners.add(() => {
+        shareConfiguration(context);
+        publishHostFact(context);
+    });
+    const hostList = trackHostList(context);
     await readHead(context).catch((error: unknown) =>
         context.log.warn({ err: error }, "configuration: platform not reachable")
     );
@@ -37,8 +56,12 @@
     const drain = async (): Promise<void> => {
         context.draining = true;
         context.log.info({ inFlight: context.inFlight.size }, "host: draining");
+        peers.leave();
+        await hostList.leave();
         await callers.drain();
-        clearInterval(poll);
+        [poll, ...watching].forEach(timer => clearInterval(timer));
+        await hostList.stop();
+        await peers.stop();
         await operators.close();
         context.log.info("host: stopped");
     };
--- /dev/null
+++ b/packages/host/tests/startFleet.ts
@@ -0,0 +1,78 @@
+/** Starts hosts and a platform in the test's own process. */
+import { parseHostSettings } from "@currantrill/settings";
+import { servePlatform } from "@currantrill/standins";
+import { type AddressInfo, createServer } from "node:net";
+import { type RunningHost, startHost } from "../src/startHost.js";
+
+export const OPERATOR_KEY = "test-operator-key";
+
+export interface TestFleet {
+    readonly hosts: RunningHost[];
+    readonly platformUrl: string;
+    readonly addHost: (name: string, domain: string) => Promise<RunningHost>;
+    readonly stopPlatform: () => Promise<void>;
+    readonly stop: () => Promise<void>;
+}
+
+async function findFreePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+/** Starts the given number of hosts in each domain. */
+export async function startFleet(domains: Readonly<Record<string, number>>): Promise<TestFleet> {
+    const platform = await servePlatform({ hostListLagMs: 100 });
+    const platformUrl = `http://127.0.0.1:${platform.port}`;
+    const hosts: RunningHost[] = [];
+    const seeds: string[] = [];
+    let isPlatformRunning = true;
+    const stopPlatform = async (): Promise<void> => {
+        if (isPlatformRunning) {
+            isPlatformRunning = false;
+            await platform.close();
+        }
+    };
+    const addHost = async (name: string, domain: string): Promise<RunningHost> => {
+        const [callers, operators, peers] = await Promise.all([findFreePort(), findFreePort(), findFreePort()]);
+        const text = `
+            host_id = "${name}"
+            failure_domain = "${domain}"
+            operator_key = "${OPERATOR_KEY}"
+            seeds = ${JSON.stringify(seeds)}
+            log_level = "error"
+            listen = { callers = "127.0.0.1:${callers}", operators = "127.0.0.1:${operators}", peers = "127.0.0.1:${peers}" }
+            platform = { url = "${platformUrl}", timeout_ms = 300 }`;
+        const parsed = parseHostSettings(text, "test.toml");
+        if (!parsed.ok) {
+            throw new Error(JSON.stringify(parsed.findings));
+        }
+        const host = await startHost(parsed.value);
+        hosts.push(host);
+        seeds.push(`127.0.0.1:${peers}`);
+        return host;
+    };
+    for (const [domain, count] of Object.entries(domains)) {
+        for (let index = 1; index <= count; index += 1) {
+            await addHost(`${domain}-${index}`, domain);
+        }
+    }
+    const stop = async (): Promise<void> => {
+        await Promise.all(hosts.map(host => host.drain()));
+        await stopPlatform();
+    };
+    return { hosts, platformUrl, addHost, stopPlatform, stop };
+}
+
+/** Waits until a condition holds; fails with its name if it does not within 20 s. */
+export async function waitUntil(name: string, holds: () => boolean): Promise<void> {
+    const deadlineMs = performance.now() + 20_000;
+    while (!holds()) {
+        if (performance.now() > deadlineMs) {
+            throw new Error(`not within 20 s: ${name}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+}
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -88,22 +88,28 @@
     readonly facts: readonly VersionedFact[];
 }
 
+/** Asks for the facts, and for the configuration if it is newer. */
 export interface SnapshotRequestMessage {
     readonly type: "snapshotRequest";
+    readonly revision: Revision;
 }
 
 export interface SnapshotMessage {
     readonly type: "snapshot";
     readonly facts: readonly VersionedFact[];
-    /** Serialized configuration. */
-    readonly configuration: string;
+    readonly revision: Revision;
 }
 
+/** A configuration, whole or as the difference from an earlier one. */
 export interface ConfigurationMessage {
     readonly type: "configuration";
     readonly revision: Revision;
-    /** Serialized configuration. */
+    /** Revision that the difference starts from; `undefined` for a whole configuration. */
+    readonly base: Revision | undefined;
+    /** Serialized configuration, or serialized difference. */
     readonly configuration: string;
+    /** Time since the start of the platform read that confirmed the revision; `undefined` if there was none. */
+    readonly confirmationAgeMs: number | undefined;
 }
 
 /** Asks whether the host still knows the attempts that own memory on an engine. */
