--- a/packages/host/src/configuration/commands/adoptConfiguration.ts
+++ b/packages/host/src/configuration/commands/adoptConfiguration.ts
@@ -1,4 +1,4 @@
-import { type Configuration, diffConfiguration } from "@currantrill/core";
+import { adoptConfiguration as adoptHigher, type Configuration, diffConfiguration } from "@currantrill/core";
 import type { HostContext } from "../../model/hostContext.js";
 
 /** Differences kept for peers. A peer that lacks more is sent the whole configuration. */
@@ -7,7 +7,7 @@
 /** Puts a configuration in force unless the host already has it or a newer one. */
 export function adoptConfiguration(context: HostContext, configuration: Configuration): boolean {
     const holder = context.configuration;
-    if (configuration.revision <= holder.current.revision) {
+    if (adoptHigher(holder.current, configuration) === holder.current) {
         return false;
     }
     holder.history.push(diffConfiguration(holder.current, configuration));
--- a/packages/host/src/configuration/commands/pollConfiguration.ts
+++ b/packages/host/src/configuration/commands/pollConfiguration.ts
@@ -1,33 +1,60 @@
 /** Reads the configuration in force from the platform's table service. */
-import { type Configuration, listPollers } from "@currantrill/core";
-import { toRevision } from "@currantrill/protocol";
+import {
+    advanceStart,
+    type Configuration,
+    CONFIGURATION_TABLE,
+    emptyConfiguration,
+    formatRevisionKey,
+    HEAD_ROW_KEY,
+    type HeadRow,
+    listPollers,
+    recordPlatformRead,
+} from "@currantrill/core";
+import type { Revision, TableRow } from "@currantrill/protocol";
 import type { HostContext } from "../../model/hostContext.js";
+import { readClocks } from "../model/configurationHolder.js";
+import { computeConfirmationAge } from "../queries/computeConfirmationAge.js";
 import { adoptConfiguration } from "./adoptConfiguration.js";
-import { recordConfirmation } from "./shareConfiguration.js";
 
 export const POLL_INTERVAL_MS = 1_000;
 /** Age of the confirmation from which a host that is no poller reads the platform itself, no more often than this. */
 const FALLBACK_MS = 15_000;
 
-/** Row of the table `config` that holds the newest revision. */
-export const HEAD_KEY = "head";
-export const CONFIG_TABLE = "config";
-
 /** Reads the head, and the configuration if it is newer. Rejects if the platform gives no answer. */
 export async function readHead(context: HostContext): Promise<void> {
-    const startedAtMs = performance.now();
-    context.metrics.platformRequests.inc({ use: "configuration", operation: "read" });
-    const head = await context.tables.readRow(CONFIG_TABLE, HEAD_KEY);
-    const revision = toRevision((head?.value as { revision?: number; } | undefined)?.revision ?? 0);
-    if (revision > context.configuration.current.revision) {
-        context.metrics.platformRequests.inc({ use: "configuration", operation: "read" });
-        const row = await context.tables.readRow(CONFIG_TABLE, `revision/${revision}`);
-        if (row !== undefined) {
-            adoptConfiguration(context, row.value as unknown as Configuration);
-        }
+    const holder = context.configuration;
+    try {
+        const startedAt = readClocks();
+        const { configuration, headRevision } = await readConfiguration(context, holder.current);
+        adoptConfiguration(context, configuration);
+        holder.freshness = recordPlatformRead(holder.freshness, startedAt, headRevision, holder.current.revision);
+        holder.start = advanceStart(holder.start, { type: "platformRead", configuration });
+    }
+    catch (error) {
+        holder.start = advanceStart(holder.start, { type: "platformFailed" });
+        throw error;
+    }
+}
+
+interface ReadConfiguration {
+    readonly configuration: Configuration;
+    readonly headRevision: Revision;
+}
+
+async function readConfiguration(context: HostContext, known: Configuration): Promise<ReadConfiguration> {
+    const head = await readConfigurationRow(context, HEAD_ROW_KEY);
+    const headRevision = (head?.value as HeadRow | undefined)?.revision ?? emptyConfiguration.revision;
+    if (headRevision <= known.revision) {
+        return { configuration: known, headRevision };
     }
-    recordConfirmation(context, revision, startedAtMs);
-    context.configuration.hasReadPlatform = true;
+    const row = await readConfigurationRow(context, formatRevisionKey(headRevision));
+    return { configuration: (row?.value as Configuration | undefined) ?? known, headRevision };
+}
+
+/** Reads a row of the configuration's table, and counts the read. */
+export function readConfigurationRow(context: HostContext, key: string): Promise<TableRow | undefined> {
+    context.metrics.platformRequests.inc({ use: "configuration", operation: "read" });
+    return context.tables.readRow(CONFIGURATION_TABLE, key);
 }
 
 /** Polls until the host stops, if this host is one of the domain's pollers or has no news from them. */
@@ -36,7 +63,7 @@
     let nextFallbackMs = 0;
     return setInterval(() => {
         const now = performance.now();
-        const isSilent = now - (context.configuration.confirmedAtMs ?? -Infinity) > FALLBACK_MS;
+        const isSilent = (computeConfirmationAge(context.configuration) ?? Infinity) > FALLBACK_MS;
         const isDue = isPoller(context, now) || (isSilent && now >= nextFallbackMs);
         if (isReading || !isDue) {
             return;
--- a/packages/host/src/configuration/commands/shareConfiguration.ts
+++ b/packages/host/src/configuration/commands/shareConfiguration.ts
@@ -62,14 +62,3 @@
     }
     adoptConfiguration(context, configuration);
 }
-
-/**
- * Counts a confirmation of the platform's revision at a time on this host's monotonic clock. A confirmation of a newer
- * revision than the one in force here says nothing about it.
- */
-export function recordConfirmation(context: HostContext, revision: Revision, confirmedAtMs: number): void {
-    const holder = context.configuration;
-    if (revision <= holder.current.revision) {
-        holder.confirmedAtMs = Math.max(holder.confirmedAtMs ?? -Infinity, confirmedAtMs);
-    }
-}
--- a/packages/host/src/configuration/model/configurationHolder.ts
+++ b/packages/host/src/configuration/model/configurationHolder.ts
@@ -1,13 +1,23 @@
 /** The configuration in force on a host. */
-import { type Configuration, type ConfigurationDifference, emptyConfiguration } from "@currantrill/core";
+import {
+    beginStart,
+    type Clocks,
+    type Configuration,
+    type ConfigurationDifference,
+    emptyConfiguration,
+    type Freshness,
+    type StartState,
+} from "@currantrill/core";
+import { toHostId } from "@currantrill/protocol";
+import type { HostSettings } from "@currantrill/settings";
 
 export interface ConfigurationHolder {
     /** The newest configuration that the host has seen. */
     current: Configuration;
-    /** Start of the platform read that last confirmed it, on the monotonic clock; `undefined` before the first. */
-    confirmedAtMs: number | undefined;
-    /** Whether this host itself has read the platform since its start. */
-    hasReadPlatform: boolean;
+    /** When the configuration was last known to be the platform's, for lending. */
+    freshness: Freshness;
+    /** What the start still waits for. Seeds are named by their peer address, since their ids are not known yet. */
+    start: StartState;
     /** The last differences, oldest first, for peers that lack few revisions. */
     readonly history: ConfigurationDifference[];
     /** Called with each configuration that comes into force. */
@@ -15,12 +25,16 @@
 }
 
 /** Creates a holder of the empty configuration. */
-export function createConfigurationHolder(): ConfigurationHolder {
+export function createConfigurationHolder(settings: HostSettings): ConfigurationHolder {
+    const seeds = settings.seeds.filter(seed => seed !== settings.listen.peers);
     return {
         current: emptyConfiguration,
-        confirmedAtMs: undefined,
-        hasReadPlatform: false,
+        freshness: { confirmedAt: undefined },
+        start: beginStart(seeds.map(toHostId)),
         history: [],
         listeners: new Set(),
     };
 }
+
+/** Reads both clocks. */
+export const readClocks = (): Clocks => ({ wallMs: Date.now(), monotonicMs: performance.now() });
--- a/packages/host/src/configuration/queries/computeConfirmationAge.ts
+++ b/packages/host/src/configuration/queries/computeConfirmationAge.ts
@@ -1,6 +1,7 @@
-import type { ConfigurationHolder } from "../model/configurationHolder.js";
+import { measureSilence } from "@currantrill/core";
+import { type ConfigurationHolder, readClocks } from "../model/configurationHolder.js";
 
 /** Time since the platform read that confirmed the configuration, in whole milliseconds, never rounded down. */
-export function computeConfirmationAge(holder: ConfigurationHolder): number | undefined {
-    return holder.confirmedAtMs === undefined ? undefined : Math.ceil(performance.now() - holder.confirmedAtMs);
+export function computeConfirmationAge({ freshness }: ConfigurationHolder): number | undefined {
+    return freshness.confirmedAt === undefined ? undefined : Math.ceil(measureSilence(freshness, readClocks()));
 }
--- a/packages/host/src/peers/commands/handlePeerMessage.ts
+++ b/packages/host/src/peers/commands/handlePeerMessage.ts
@@ -1,9 +1,8 @@
 /** Reactions to the messages of a peer. */
-import { recordHeartbeat } from "@currantrill/core";
-import type { PeerMessage } from "@currantrill/protocol";
+import { advanceStart, recordHeartbeat, recordHeartbeatAnswer } from "@currantrill/core";
+import { type PeerMessage, toHostId } from "@currantrill/protocol";
 import {
     receiveConfiguration,
-    recordConfirmation,
     recordPeerRevision,
     sendConfiguration,
 } from "../../configuration/commands/shareConfiguration.js";
@@ -32,17 +31,16 @@
         recordPeerRevision(context, connection, message.revision);
     },
     pong: (context, connection, message) => {
-        const sentAtMs = connection.pings.get(message.sequence);
-        if (sentAtMs === undefined) {
+        const sentAt = connection.pings.get(message.sequence);
+        if (sentAt === undefined) {
             return;
         }
         connection.pings.clear();
         connection.lastPongAtMs = performance.now();
         recordPeer(context, connection);
         recordPeerRevision(context, connection, message.revision);
-        if (message.confirmationAgeMs !== undefined) {
-            recordConfirmation(context, message.revision, sentAtMs - message.confirmationAgeMs);
-        }
+        const holder = context.configuration;
+        holder.freshness = recordHeartbeatAnswer(holder.freshness, sentAt, message, holder.current.revision);
     },
     facts: (context, connection, message) => receiveFacts(context, connection.host, message.facts),
     snapshotRequest: (context, connection, message) => {
@@ -54,8 +52,7 @@
     snapshot: (context, connection, message) => {
         receiveFacts(context, connection.host, message.facts);
         recordPeerRevision(context, connection, message.revision);
-        connection.hasSentSnapshot = true;
-        markSeed(context, connection);
+        recordSeedAnswer(context, connection);
     },
     configuration: (context, connection, message) => receiveConfiguration(context, connection, message),
     ownerQuery: (context, connection, message) => {
@@ -91,9 +88,11 @@
     }
 }
 
-function markSeed({ fleet }: HostContext, connection: PeerConnection): void {
-    const member = fleet.membership.members.get(connection.host);
-    if (member !== undefined) {
-        fleet.settledSeeds.add(member.peerAddress);
+/** Counts the snapshot of a seed. Its configuration came before it and is in force by now. */
+function recordSeedAnswer({ fleet, configuration: holder }: HostContext, connection: PeerConnection): void {
+    const peer = toHostId(fleet.membership.members.get(connection.host)?.peerAddress ?? "");
+    if (holder.start.seeds.has(peer)) {
+        const event = { type: "snapshotReceived", peer, configuration: holder.current } as const;
+        holder.start = advanceStart(holder.start, event);
     }
 }
--- a/packages/host/src/peers/commands/openConnection.ts
+++ b/packages/host/src/peers/commands/openConnection.ts
@@ -1,3 +1,5 @@
+import { advanceStart } from "@currantrill/core";
+import { toHostId } from "@currantrill/protocol";
 import { WebSocket } from "ws";
 import type { HostContext } from "../../model/hostContext.js";
 import type { Dial, PeerConnection } from "../model/fleet.js";
@@ -45,5 +47,9 @@
     dial.isOpening = false;
     dial.failures += 1;
     dial.nextAtMs = performance.now() + Math.random() * ceilingMs;
-    context.fleet.settledSeeds.add(address);
+    const holder = context.configuration;
+    const peer = toHostId(address);
+    if (holder.start.seeds.get(peer) === "asked") {
+        holder.start = advanceStart(holder.start, { type: "snapshotFailed", peer });
+    }
 }
--- a/packages/host/src/peers/commands/registerSocket.ts
+++ b/packages/host/src/peers/commands/registerSocket.ts
@@ -90,7 +90,6 @@
         neededAtMs: now,
         revision,
         configurationSentAtMs: -Infinity,
-        hasSentSnapshot: false,
     };
     fleet.connections.set(host, connection);
     fleet.flood = openQueue(fleet.flood, host);
--- a/packages/host/src/peers/commands/updateConnections.ts
+++ b/packages/host/src/peers/commands/updateConnections.ts
@@ -1,6 +1,7 @@
 /** Keeps the connections that this host should have, and pings them. */
 import { listConnections, listLiveHosts } from "@currantrill/core";
 import type { HostId } from "@currantrill/protocol";
+import { readClocks } from "../../configuration/model/configurationHolder.js";
 import type { HostContext } from "../../model/hostContext.js";
 import { PEER_SILENCE_MS, type PeerConnection } from "../model/fleet.js";
 import { openConnection } from "./openConnection.js";
@@ -51,17 +52,17 @@
     }
     const { fleet } = context;
     fleet.pingSequence += 1;
-    connection.pings.set(fleet.pingSequence, now);
+    connection.pings.set(fleet.pingSequence, readClocks());
     const { revision } = context.configuration.current;
     sendMessage(context, socket, { type: "ping", sequence: fleet.pingSequence, revision });
 }
 
 /** Opens the seeds at start, and again when the host has lost sight of every other host. */
 function openSeeds(context: HostContext, now: number): void {
-    const { fleet, settings } = context;
+    const { fleet, configuration } = context;
     const isAlone = listLiveHosts(fleet.membership, now).length <= 1;
-    for (const address of settings.seeds.filter(seed => seed !== settings.listen.peers)) {
-        if (isAlone || !fleet.settledSeeds.has(address)) {
+    for (const [address, state] of configuration.start.seeds) {
+        if (isAlone || state === "asked") {
             openConnection(context, address);
         }
     }
--- a/packages/host/src/peers/model/fleet.ts
+++ b/packages/host/src/peers/model/fleet.ts
@@ -1,5 +1,12 @@
 /** What a host knows of the fleet, and its connections to other hosts. */
-import { createMembership, emptyFlood, type Flood, type Membership, type SentFact } from "@currantrill/core";
+import {
+    type Clocks,
+    createMembership,
+    emptyFlood,
+    type Flood,
+    type Membership,
+    type SentFact,
+} from "@currantrill/core";
 import {
     type AttemptId,
     type FailureDomainId,
@@ -29,7 +36,7 @@
     /** Whether this host opened the connection, and so closes it when it is no longer needed. */
     readonly isOwn: boolean;
     /** Send times of the pings that wait for an answer, by sequence. */
-    readonly pings: Map<number, number>;
+    readonly pings: Map<number, Clocks>;
     /** Facts last sent over a connection between domains. */
     readonly sent: Map<string, SentFact>;
     lastPongAtMs: number;
@@ -39,7 +46,6 @@
     revision: Revision;
     /** Time at which the configuration was last sent to the peer. */
     configurationSentAtMs: number;
-    hasSentSnapshot: boolean;
 }
 
 /** Attempts to open a connection to an address. */
@@ -59,8 +65,6 @@
     readonly connections: Map<HostId, PeerConnection>;
     /** By peer address. */
     readonly dials: Map<string, Dial>;
-    /** Seeds that have answered with a snapshot or have failed to open. */
-    readonly settledSeeds: Set<string>;
     readonly listeners: Set<FactListener>;
     readonly ownerQueries: Map<number, (answer: OwnerAnswerMessage) => void>;
     /** Names the attempts among those asked about that this host still runs. */
@@ -83,7 +87,6 @@
         flood: emptyFlood,
         connections: new Map(),
         dials: new Map(),
-        settledSeeds: new Set(),
         listeners: new Set(),
         ownerQueries: new Map(),
         listAliveAttempts: attempts => attempts,
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -33,7 +33,7 @@
         metrics: createHostMetrics(),
         tables: createTableClient(platform),
         hostList: createHostListClient(platform),
-        configuration: createConfigurationHolder(),
+        configuration: createConfigurationHolder(settings),
         fleet: createFleet(settings, incarnation),
         endpointViews: createEndpointViews(),
         inFlight: new Set(),
--- a/packages/host/tests/peers/gossip.test.ts
+++ b/packages/host/tests/peers/gossip.test.ts
@@ -9,8 +9,15 @@
 
 const ticket = (number: number): string => `
     ticket = ${number}
-    summary = "pool"
-    pools = [{ name = "models", replaces = ${number - 1}, owner = "desk", serves = "engine" }]`;
+    summary = "workspace"
+    workspaces = [{
+        name = "desk",
+        replaces = ${number - 1},
+        key_sha256 = "${"0".repeat(64)}",
+        tokens_per_second = 1,
+        burst_tokens = 1,
+        max_concurrent = 1
+    }]`;
 
 describe("hosts in two domains", () => {
     let fleet: TestFleet;
@@ -69,7 +76,7 @@
         const host = await fleet.addHost("b-4", "b");
         await waitUntil("ready", () => isReady(host.context));
         expect(host.context.configuration.current.revision).toBe(2);
-        expect(host.context.configuration.hasReadPlatform).toBe(false);
+        expect(host.context.configuration.start.platform).toBe("unreachable");
         await waitUntil("stop", () => listStops(host.context).size === 1);
         expect(await applyTicket(3)).not.toBe(200);
     });
