--- a/packages/core/src/beliefs/commands/applyReport.ts
+++ b/packages/core/src/beliefs/commands/applyReport.ts
@@ -19,7 +19,11 @@
         runningRequests: digest.runningRequests,
         memoryUsedTokens: digest.memoryUsedTokens,
     });
-    return updated === view
-        ? view
-        : { ...updated, models: digest.models, slots: digest.slots, memoryTokens: digest.memoryTotalTokens };
+    return updated === view ? view : {
+        ...updated,
+        reachable: digest.reachable,
+        models: digest.models,
+        slots: digest.slots,
+        memoryTokens: digest.memoryTotalTokens,
+    };
 }
--- a/packages/core/src/beliefs/commands/createEndpointView.ts
+++ b/packages/core/src/beliefs/commands/createEndpointView.ts
@@ -19,6 +19,7 @@
         prefillTokensPerSecond: endpoint.prefillTokensPerSecond,
         decodeTokensPerSecond: endpoint.decodeTokensPerSecond,
         usable: endpoint.lending === "lent",
+        reachable: true,
         suspectUntilMs: 0,
         report: emptyReport,
         ownWork: [],
--- a/packages/core/src/beliefs/commands/recordWork.ts
+++ b/packages/core/src/beliefs/commands/recordWork.ts
@@ -36,6 +36,11 @@
     return view.usable === usable ? view : { ...view, usable };
 }
 
+/** Sets whether the endpoint can be reached, such as after the loss of a failure domain. */
+export function setReachable(view: EndpointView, reachable: boolean): EndpointView {
+    return view.reachable === reachable ? view : { ...view, reachable };
+}
+
 function setOwnWork(view: EndpointView, ownWork: readonly OwnWork[]): EndpointView {
     return { ...view, ownWork, ownLoad: sumOwnLoad(ownWork, view.report.observedAtMs) };
 }
--- a/packages/core/src/beliefs/model/endpointView.ts
+++ b/packages/core/src/beliefs/model/endpointView.ts
@@ -57,6 +57,8 @@
     readonly decodeTokensPerSecond: number;
     /** Whether the lending rules allow new work now. */
     readonly usable: boolean;
+    /** Whether the endpoint's watchers reach it. */
+    readonly reachable: boolean;
     /** No new work before this time, after a failure seen by this host. */
     readonly suspectUntilMs: number;
     readonly report: LoadReport;
--- a/packages/core/src/gang/queries/computeGangBackoff.ts
+++ b/packages/core/src/gang/queries/computeGangBackoff.ts
@@ -1,5 +1,5 @@
 const MAX_BACKOFF_MS = 400;
-const MIN_BACKOFF_MS = 20;
+const MIN_BACKOFF_MS = 50;
 /** Age at which the bound of the backoff has halved. */
 const AGE_UNIT_MS = 2_000;
 
--- a/packages/core/src/routing/model/routing.ts
+++ b/packages/core/src/routing/model/routing.ts
@@ -54,6 +54,8 @@
         /** Prompt tokens expected in the endpoint's cache. */
         readonly cachedTokens: number;
     }
+    /** Every suitable endpoint is full. The request waits in the host's queue, where it can still be refused. */
+    | { readonly kind: "wait"; readonly expectedFirstTokenMs: number; }
     /** No single endpoint has enough memory; `planGang` decides. */
     | { readonly kind: "gang"; }
     | { readonly kind: "refuse"; readonly reason: RefusalReason; };
--- a/packages/core/src/routing/queries/buildDecision.ts
+++ b/packages/core/src/routing/queries/buildDecision.ts
@@ -2,12 +2,12 @@
 import type { RandomState } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput, ScoredEndpoint } from "../model/routing.js";
 import { estimateFirstToken } from "./estimateFirstToken.js";
-import { getEnginePriority } from "./getEnginePriority.js";
 import type { CandidateList } from "./listCandidates.js";
 
 export interface ChosenEndpoint {
     readonly view: EndpointView;
     readonly considered: readonly ScoredEndpoint[];
+    readonly enginePriority: number;
     readonly reason: string;
     readonly random: RandomState;
 }
@@ -31,7 +31,7 @@
             kind: "send",
             endpoint: chosen.view,
             expectedFirstTokenMs: estimateFirstToken(input, chosen.view),
-            enginePriority: getEnginePriority(input.request),
+            enginePriority: chosen.enginePriority,
             cachedTokens: input.request.prefixHits.get(chosen.view.endpoint) ?? 0,
         },
         considered: chosen.considered,
--- a/packages/core/src/routing/queries/getEnginePriority.ts
+++ b/packages/core/src/routing/queries/getEnginePriority.ts
@@ -1,11 +1,23 @@
 import type { Priority } from "@currantrill/protocol";
+import type { EndpointView } from "../../beliefs/model/endpointView.js";
 import type { LengthClass } from "../../model/lengthClass.js";
 import type { RoutingRequest } from "../model/routing.js";
 
-const CLASS_PRIORITY: Record<LengthClass, number> = { short: 6, medium: 4, long: 2, huge: 0 };
-const REQUEST_PRIORITY: Record<Priority, number> = { interactive: 1, standard: 0, batch: -8 };
+const CLASS_PRIORITY: Record<LengthClass, number> = { short: 12, medium: 8, long: 4, huge: 0 };
+const REQUEST_PRIORITY: Record<Priority, number> = { interactive: 2, standard: 0, batch: -16 };
+/** Advantage of the pool owner's requests on its own endpoints. */
+const OWNER_PRIORITY = 1;
 
-/** Priority of a request on the engine: short prompts first, batch work behind all else. */
-export function getEnginePriority(request: Pick<RoutingRequest, "lengthClass" | "priority">): number {
-    return CLASS_PRIORITY[request.lengthClass] + REQUEST_PRIORITY[request.priority];
+/**
+ * Priority of a request on an engine: short prompts first, batch work behind all else. Within a class the caller's
+ * priority decides, then the owner of the endpoint.
+ */
+export function getEnginePriority(request: RoutingRequest, view: EndpointView): number {
+    const ownerPriority = view.poolOwner === request.workspace ? OWNER_PRIORITY : 0;
+    return CLASS_PRIORITY[request.lengthClass] + getRequestPriority(request) + ownerPriority;
+}
+
+/** Priority that the caller asked for, without regard to the prompt. */
+export function getRequestPriority(request: RoutingRequest): number {
+    return REQUEST_PRIORITY[request.priority];
 }
--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -4,6 +4,7 @@
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
 import { refuseRoute, sendRoute } from "./buildDecision.js";
 import { estimateFirstToken } from "./estimateFirstToken.js";
+import { getEnginePriority } from "./getEnginePriority.js";
 import { listCandidates } from "./listCandidates.js";
 
 const CONSIDERED_LIMIT = 5;
@@ -33,7 +34,14 @@
         endpoint: entry.endpoint,
         score: Math.round(scoreEndpoint(input, entry)),
     }));
-    return sendRoute(input, candidates, { view, considered, reason: "least expected first token", random });
+    const enginePriority = getEnginePriority(input.request, view);
+    return sendRoute(input, candidates, {
+        view,
+        considered,
+        enginePriority,
+        reason: "least expected first token",
+        random,
+    });
 }
 
 /** Expected first token plus the costs of using the endpoint, in milliseconds. */
--- a/packages/core/src/routing/queries/routeRandomly.ts
+++ b/packages/core/src/routing/queries/routeRandomly.ts
@@ -1,6 +1,7 @@
 import { generateFractions } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
 import { refuseRoute, sendRoute } from "./buildDecision.js";
+import { getRequestPriority } from "./getEnginePriority.js";
 import { listCandidates } from "./listCandidates.js";
 
 /** Baseline: any endpoint that can take the request. */
@@ -11,5 +12,11 @@
     if (view === undefined) {
         return refuseRoute(input, candidates);
     }
-    return sendRoute(input, candidates, { view, considered: [], reason: "random", random: next });
+    return sendRoute(input, candidates, {
+        view,
+        considered: [],
+        enginePriority: getRequestPriority(input.request),
+        reason: "random",
+        random: next,
+    });
 }
--- a/packages/core/src/routing/queries/routeToLeastLoaded.ts
+++ b/packages/core/src/routing/queries/routeToLeastLoaded.ts
@@ -1,6 +1,7 @@
 import type { EndpointView } from "../../beliefs/model/endpointView.js";
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
 import { refuseRoute, sendRoute } from "./buildDecision.js";
+import { getRequestPriority } from "./getEnginePriority.js";
 import { listCandidates } from "./listCandidates.js";
 
 /** Baseline: the endpoint with the least queued prefill work by its last report. */
@@ -11,7 +12,13 @@
         return refuseRoute(input, candidates);
     }
     const best = others.reduce((least, view) => isLessLoaded(view, least) ? view : least, first);
-    return sendRoute(input, candidates, { view: best, considered: [], reason: "least loaded", random: input.random });
+    return sendRoute(input, candidates, {
+        view: best,
+        considered: [],
+        enginePriority: getRequestPriority(input.request),
+        reason: "least loaded",
+        random: input.random,
+    });
 }
 
 function isLessLoaded(view: EndpointView, other: EndpointView): boolean {
--- /dev/null
+++ b/packages/measure/src/commands/measureDecisions.ts
@@ -0,0 +1,113 @@
+import {
+    applyReport,
+    createEndpointView,
+    createHostOrder,
+    createRandomState,
+    defaultRoutingSettings,
+    type EndpointView,
+    planLanes,
+    type RoutingInput,
+    routingPolicies,
+    type RoutingPolicyName,
+} from "@currantrill/core";
+import {
+    toEndpointId,
+    toFailureDomainId,
+    toHostId,
+    toModelId,
+    toPoolId,
+    toRequestId,
+    toWorkspaceId,
+} from "@currantrill/protocol";
+import type { DecisionTime } from "../model/decisionTime.js";
+import { ENGINE } from "../model/scenario.js";
+import { computePercentiles } from "../queries/collectSummary.js";
+
+const TARGET_ENDPOINTS = 780;
+const TARGET_DOMAINS = 6;
+const WARM_UP_DECISIONS = 2_000;
+const DECISIONS = 5_000;
+
+/** Measures the wall-clock time of a decision of each policy among the endpoints of the target size. */
+export function measureDecisions(): DecisionTime[] {
+    const candidates = Array.from({ length: TARGET_ENDPOINTS }, (_, position) => createLoadedView(position));
+    return (Object.keys(routingPolicies) as RoutingPolicyName[]).map(policy => measurePolicy(policy, candidates));
+}
+
+function measurePolicy(policy: RoutingPolicyName, candidates: readonly EndpointView[]): DecisionTime {
+    const base = buildInput(candidates);
+    const times: number[] = [];
+    let random = base.random;
+    for (let decision = 0; decision < WARM_UP_DECISIONS + DECISIONS; decision += 1) {
+        const isLong = decision % 10 === 0;
+        const request: RoutingInput["request"] = {
+            ...base.request,
+            lengthClass: isLong ? "long" : "short",
+            promptTokens: isLong ? 60_000 : 2_000,
+        };
+        const startedAt = performance.now();
+        const decided = routingPolicies[policy]({ ...base, request, random });
+        const elapsedMs = performance.now() - startedAt;
+        random = decided.random;
+        if (decision >= WARM_UP_DECISIONS) {
+            times.push(elapsedMs * 1_000);
+        }
+    }
+    const { p50, p99 } = computePercentiles(times);
+    return { policy, endpoints: candidates.length, decisions: DECISIONS, p50Us: p50, p99Us: p99 };
+}
+
+function createLoadedView(position: number): EndpointView {
+    const view = createEndpointView(
+        {
+            kind: "endpoint",
+            name: toEndpointId(`engine-${position}`),
+            pool: toPoolId(`pool-${position % 20}`),
+            url: "",
+            failureDomain: toFailureDomainId(`domain-${position % TARGET_DOMAINS}`),
+            lending: "lent",
+            lendEpoch: 0,
+            maxSilenceMs: 0,
+            graceMs: 0,
+            checksFencing: true,
+            memoryTokens: ENGINE.memoryTokens,
+            slots: ENGINE.slots,
+            prefillTokensPerSecond: ENGINE.prefillTokensPerSecond,
+            decodeTokensPerSecond: 1_000 / ENGINE.stepMs,
+        },
+        toWorkspaceId(`workspace-${position % 20}`),
+        Array.from({ length: 8 }, (_, model) => toModelId(`model-${model}`)),
+    );
+    return applyReport(view, {
+        sequence: 1,
+        observedAtMs: 1_000,
+        queuedPrefillTokens: position * 7_919 % 50_000,
+        runningRequests: position % ENGINE.slots,
+        memoryUsedTokens: position * 104_729 % ENGINE.memoryTokens,
+    });
+}
+
+function buildInput(candidates: readonly EndpointView[]): RoutingInput {
+    const endpoints = candidates.map(view => view.endpoint);
+    return {
+        request: {
+            request: toRequestId("request"),
+            workspace: toWorkspaceId("workspace-1"),
+            model: toModelId("model-3"),
+            lengthClass: "short",
+            promptTokens: 2_000,
+            maxTokens: 100,
+            priority: "standard",
+            deadlineMs: 60_000,
+            prefixHits: new Map([[toEndpointId("engine-17"), 1_000]]),
+        },
+        candidates,
+        failureDomain: toFailureDomainId("domain-0"),
+        lanes: planLanes(candidates, { shortTokensPerSecond: 3e6, longTokensPerSecond: 8e6 }),
+        withheld: new Set(),
+        hostOrder: createHostOrder(toHostId("host-0"), endpoints, text => text.length),
+        settings: defaultRoutingSettings,
+        random: createRandomState(1),
+        now: 1_500,
+    };
+}
--- /dev/null
+++ b/packages/measure/src/commands/runMatrix.ts
@@ -0,0 +1,48 @@
+import { routingPolicies, type RoutingPolicyName } from "@currantrill/core";
+import type { RunSummary } from "../model/runSummary.js";
+import { type FaultName, faultNames, type Scenario } from "../model/scenario.js";
+import { type UserProfile, userProfiles } from "../model/userProfile.js";
+import { collectSummary } from "../queries/collectSummary.js";
+import { runScenario } from "../simulation/commands/runScenario.js";
+
+/** The runs to make: every combination of the lists. */
+export interface MatrixOptions {
+    readonly users: readonly UserProfile[];
+    readonly loads: readonly number[];
+    readonly faults: readonly FaultName[];
+    readonly policies: readonly RoutingPolicyName[];
+    readonly seed: number;
+    readonly durationMs: number;
+}
+
+export const defaultMatrixOptions: MatrixOptions = {
+    users: userProfiles,
+    loads: [0.5, 0.7, 0.9, 1.1],
+    faults: faultNames,
+    policies: Object.keys(routingPolicies) as RoutingPolicyName[],
+    seed: 1,
+    durationMs: 200_000,
+};
+
+/** The version for CI. */
+export const smallMatrixOptions: MatrixOptions = {
+    ...defaultMatrixOptions,
+    loads: [0.7, 0.9],
+    faults: ["none", "1 engine dies"],
+    durationMs: 140_000,
+};
+
+/** Runs all combinations, each with and without long requests. */
+export function runMatrix(options: Partial<MatrixOptions> = {}): RunSummary[] {
+    const { users, loads, faults, policies, seed, durationMs } = { ...defaultMatrixOptions, ...options };
+    const scenarios = users.flatMap(user =>
+        loads.flatMap(load =>
+            faults.flatMap(fault =>
+                policies.map((policy): Scenario => ({ user, policy, load, fault, seed, durationMs, withLong: true }))
+            )
+        )
+    );
+    return scenarios.map(scenario =>
+        collectSummary(scenario, runScenario(scenario), runScenario({ ...scenario, withLong: false }))
+    );
+}
--- a/packages/measure/src/index.ts
+++ b/packages/measure/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from "./commands/measureDecisions.js";
+export * from "./commands/runMatrix.js";
+export * from "./model/decisionTime.js";
+export * from "./model/runSummary.js";
+export * from "./model/scenario.js";
+export * from "./model/userProfile.js";
+export * from "./queries/checkGoals.js";
+export * from "./queries/collectSummary.js";
+export * from "./queries/renderTables.js";
+export * from "./simulation/commands/runScenario.js";
