--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -18,14 +18,24 @@
     readonly ageMs: number;
 }
 
-/** Load and entitlement demand of a host. */
+/** A sign of life of a host, for the hosts that are not connected to it. */
 export interface HostFact {
     readonly kind: "host";
     readonly host: HostId;
     readonly failureDomain: FailureDomainId;
     readonly peerAddress: string;
     readonly leaving: boolean;
-    /** Tokens per second that each active workspace asked of this host. */
+    /** Revision of the configuration in force on the host. */
+    readonly revision: Revision;
+}
+
+/** Entitlement demand of a host, or its sum over a failure domain. */
+export interface DemandFact {
+    readonly kind: "demand";
+    /** Host, or failure domain for a sum. */
+    readonly scope: HostId | FailureDomainId;
+    readonly isDomainSum: boolean;
+    /** Tokens per second that each active workspace asked for. */
     readonly demand: Readonly<Record<WorkspaceId, number>>;
 }
 
@@ -37,14 +47,15 @@
     readonly reason: string;
 }
 
-export type Fact = EndpointDigest | HostFact | StopFact;
+export type Fact = EndpointDigest | HostFact | DemandFact | StopFact;
 
-/** A fact with its origin. Of two with the same key the one with the higher sequence of the newer incarnation holds. */
+/** A fact with its origin. Of two with the same key the one with the higher sequence holds. */
 export interface VersionedFact {
     /** `<kind>/<subject>`. */
     readonly key: string;
     readonly origin: HostId;
     readonly incarnation: IncarnationId;
+    /** Wall clock of the origin in milliseconds, raised above every sequence that the origin has seen for the key. */
     readonly sequence: number;
     readonly fact: Fact;
 }
@@ -77,22 +88,28 @@
     readonly facts: readonly VersionedFact[];
 }
 
+/** Asks for the facts, and for the configuration if it is newer. */
 export interface SnapshotRequestMessage {
     readonly type: "snapshotRequest";
+    readonly revision: Revision;
 }
 
 export interface SnapshotMessage {
     readonly type: "snapshot";
     readonly facts: readonly VersionedFact[];
-    /** Serialized configuration. */
-    readonly configuration: string;
+    readonly revision: Revision;
 }
 
+/** A configuration, whole or as the difference from an earlier one. */
 export interface ConfigurationMessage {
     readonly type: "configuration";
     readonly revision: Revision;
-    /** Serialized configuration. */
+    /** Revision that the difference starts from; `undefined` for a whole configuration. */
+    readonly base: Revision | undefined;
+    /** Serialized configuration, or serialized difference. */
     readonly configuration: string;
+    /** Time since the start of the platform read that confirmed the revision; `undefined` if there was none. */
+    readonly confirmationAgeMs: number | undefined;
 }
 
 /** Asks whether the host still knows the attempts that own memory on an engine. */
