Expect short requests to wait only for the running step and their own kind

Cause: a short request counted queued medium prompts as work ahead of it, although the engine runs it first, and left the short lane for endpoints whose memory long prompts had filled. There it waited for memory (p99 up to 15 s with one engine dead).

Change: the estimate counts the rest of the step and the host's own short prompts; long prompts leave a tenth of the memory free and wait at the host when no endpoint has room.

Ruled out: reported short work as part of the estimate; it is finished before the report arrives.

--- a/packages/core/src/beliefs/model/endpointView.ts
+++ b/packages/core/src/beliefs/model/endpointView.ts
@@ -33,6 +33,8 @@
     readonly prefillTokens: number;
     /** The part of `prefillTokens` that belongs to short requests. */
     readonly shortPrefillTokens: number;
+    /** The part of `prefillTokens` that belongs to short and medium requests. */
+    readonly urgentPrefillTokens: number;
     /** Requests of the classes `long` and `huge` in prefill. */
     readonly longPrefills: number;
     /** Time of the oldest request in prefill; `Infinity` if there is none. */
@@ -78,6 +80,7 @@
     requests: 0,
     prefillTokens: 0,
     shortPrefillTokens: 0,
+    urgentPrefillTokens: 0,
     longPrefills: 0,
     oldestPrefillAtMs: Infinity,
     requestsSinceReport: 0,
--- a/packages/core/src/beliefs/queries/sumOwnLoad.ts
+++ b/packages/core/src/beliefs/queries/sumOwnLoad.ts
@@ -9,6 +9,7 @@
         requests: work.length,
         prefillTokens: sumTokens(prefills, entry => entry.prefillTokens),
         shortPrefillTokens: sumTokens(prefills, entry => entry.lengthClass === "short" ? entry.prefillTokens : 0),
+        urgentPrefillTokens: sumTokens(prefills, entry => isLongClass(entry.lengthClass) ? 0 : entry.prefillTokens),
         longPrefills: prefills.filter(entry => isLongClass(entry.lengthClass)).length,
         oldestPrefillAtMs: findEarliest(prefills),
         requestsSinceReport: unreported.length,
--- a/packages/core/src/routing/queries/buildDecision.ts
+++ b/packages/core/src/routing/queries/buildDecision.ts
@@ -24,6 +24,18 @@
     };
 }
 
+/** Decision for a request that finds every suitable endpoint full. */
+export function waitForRoom(input: RoutingInput, candidates: CandidateList): RoutingDecision {
+    const expected = candidates.fitting.map(view => estimateFirstToken(input, view));
+    return {
+        outcome: { kind: "wait", expectedFirstTokenMs: Math.min(...expected) },
+        considered: [],
+        candidateCount: candidates.fitting.length,
+        reason: "every suitable endpoint is full",
+        random: input.random,
+    };
+}
+
 /** Decision for a request that a policy sends to one endpoint. */
 export function sendRoute(input: RoutingInput, candidates: CandidateList, chosen: ChosenEndpoint): RoutingDecision {
     return {
--- a/packages/core/src/routing/queries/estimateFirstToken.ts
+++ b/packages/core/src/routing/queries/estimateFirstToken.ts
@@ -4,22 +4,34 @@
 
 /** Expected time to first token on an endpoint, in milliseconds from now. */
 export function estimateFirstToken(input: RoutingInput, view: EndpointView): number {
-    return estimateWait(input, view) + estimateOwnPrefill(input, view);
+    return estimateWait(input, view, input.lanes.longLane.has(view.endpoint)) + estimateOwnPrefill(input, view);
 }
 
 /** Expected time until the prefill of the request starts, in milliseconds. */
-export function estimateWait(input: RoutingInput, view: EndpointView): number {
-    const queued = estimateQueuedPrefill(view, input.now);
-    const runsLong = view.ownLoad.longPrefills > 0 || input.lanes.longLane.has(view.endpoint);
-    const isUrgent = input.request.lengthClass === "short" || input.request.lengthClass === "medium";
-    // Short work overtakes long prefills at the end of the running step, so it waits for one step and its own kind.
-    const ahead = isUrgent && runsLong
-        ? Math.min(queued, input.settings.chunkTokens) + view.ownLoad.shortPrefillTokens
-        : queued;
-    return ahead / view.prefillTokensPerSecond * 1_000;
+export function estimateWait(input: RoutingInput, view: EndpointView, isLongLane: boolean): number {
+    return estimateTokensAhead(input, view, isLongLane) / view.prefillTokensPerSecond * 1_000;
 }
 
-function estimateOwnPrefill(input: RoutingInput, view: EndpointView): number {
-    const cached = input.request.prefixHits.get(view.endpoint) ?? 0;
+/** Prefill time of the request itself without what the endpoint has in its cache, in milliseconds. */
+export function estimateOwnPrefill(input: RoutingInput, view: EndpointView): number {
+    const cached = input.request.prefixHits.size === 0 ? 0 : input.request.prefixHits.get(view.endpoint) ?? 0;
     return Math.max(1, input.request.promptTokens - cached) / view.prefillTokensPerSecond * 1_000;
 }
+
+function estimateTokensAhead(input: RoutingInput, view: EndpointView, isLongLane: boolean): number {
+    const queued = estimateQueuedPrefill(view, input.now);
+    // Half a step remains on average before work of higher priority gets its turn.
+    const restOfStep = Math.min(queued, input.settings.chunkTokens / 2);
+    switch (input.request.lengthClass) {
+        case "short":
+            // Short prompts of other hosts are finished before a report about them arrives.
+            return restOfStep + view.ownLoad.shortPrefillTokens;
+        case "medium":
+            return isLongLane || view.ownLoad.longPrefills > 0
+                ? restOfStep + view.ownLoad.urgentPrefillTokens
+                : queued;
+        case "long":
+        case "huge":
+            return queued;
+    }
+}
--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -2,61 +2,76 @@
 import { isLongClass } from "../../model/lengthClass.js";
 import { generateFractions } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
-import { refuseRoute, sendRoute } from "./buildDecision.js";
-import { estimateFirstToken } from "./estimateFirstToken.js";
+import { refuseRoute, sendRoute, waitForRoom } from "./buildDecision.js";
+import { estimateOwnPrefill, estimateWait } from "./estimateFirstToken.js";
 import { getEnginePriority } from "./getEnginePriority.js";
 import { listCandidates } from "./listCandidates.js";
 
 const CONSIDERED_LIMIT = 5;
 /** Cost of using an endpoint that a pending gang waits for. */
 const WITHHELD_PENALTY_MS = 500;
-/** Cost of waiting for memory or a slot, when none is free by the last report. */
-const FULL_PENALTY_MS = 2_000;
+/** Part of an endpoint's memory that long prompts leave free, so that a short one never waits for memory. */
+const SHORT_MEMORY_RESERVE = 0.1;
+
+interface Scored {
+    readonly view: EndpointView;
+    readonly score: number;
+}
 
 /** The policy of the product: least expected time to first token, with costs for using what others need more. */
 export function routeAdaptively(input: RoutingInput): RoutingDecision {
     const candidates = listCandidates(input);
-    const scores = new Float64Array(candidates.fitting.length);
-    let best = Infinity;
-    candidates.fitting.forEach((view, position) => {
-        const score = scoreEndpoint(input, view);
-        scores[position] = score;
-        best = Math.min(best, score);
-    });
-    const nearEqual = candidates.fitting.filter((_view, position) =>
-        (scores[position] ?? Infinity) <= best + input.settings.nearEqualMs
-    );
-    const { view, random } = chooseNearEqual(input, nearEqual);
-    if (view === undefined) {
+    if (candidates.fitting.length === 0) {
         return refuseRoute(input, candidates);
     }
-    const considered = nearEqual.slice(0, CONSIDERED_LIMIT).map(entry => ({
-        endpoint: entry.endpoint,
-        score: Math.round(scoreEndpoint(input, entry)),
+    const nearEqual = listNearEqual(input, candidates.fitting);
+    if (nearEqual.length === 0) {
+        return waitForRoom(input, candidates);
+    }
+    const { chosen, random } = chooseNearEqual(input, nearEqual);
+    const considered = nearEqual.slice(0, CONSIDERED_LIMIT).map(({ view, score }) => ({
+        endpoint: view.endpoint,
+        score: Math.round(score),
     }));
-    const enginePriority = getEnginePriority(input.request, view);
-    return sendRoute(input, candidates, {
-        view,
-        considered,
-        enginePriority,
-        reason: "least expected first token",
-        random,
-    });
+    const enginePriority = getEnginePriority(input.request, chosen.view);
+    const reason = "least expected first token";
+    return sendRoute(input, candidates, { view: chosen.view, considered, enginePriority, reason, random });
+}
+
+/** Endpoints with room whose scores are within `nearEqualMs` of the best one. Empty if all are full. */
+function listNearEqual(input: RoutingInput, views: readonly EndpointView[]): Scored[] {
+    const scores = new Float64Array(views.length);
+    let best = Infinity;
+    for (const [position, view] of views.entries()) {
+        const score = hasRoom(input, view) ? scoreEndpoint(input, view) : Infinity;
+        scores[position] = score;
+        best = score < best ? score : best;
+    }
+    const limit = best + input.settings.nearEqualMs;
+    const nearEqual: Scored[] = [];
+    for (const [position, view] of views.entries()) {
+        const score = scores[position] ?? Infinity;
+        if (score <= limit && score < Infinity) {
+            nearEqual.push({ view, score });
+        }
+    }
+    return nearEqual;
 }
 
 /** Expected first token plus the costs of using the endpoint, in milliseconds. */
-export function scoreEndpoint(input: RoutingInput, view: EndpointView): number {
-    return estimateFirstToken(input, view)
-        + scoreLane(input, view)
-        + scoreRoom(input, view)
+function scoreEndpoint(input: RoutingInput, view: EndpointView): number {
+    const isLongLane = input.lanes.longLane.has(view.endpoint);
+    const isWithheld = input.withheld.size > 0 && input.withheld.has(view.endpoint);
+    return estimateWait(input, view, isLongLane)
+        + estimateOwnPrefill(input, view)
+        + scoreLane(input, isLongLane)
         + (view.poolOwner === input.request.workspace ? 0 : input.settings.borrowedPenaltyMs)
         + (view.failureDomain === input.failureDomain ? 0 : input.settings.remotePenaltyMs)
-        + (input.withheld.has(view.endpoint) ? WITHHELD_PENALTY_MS : 0);
+        + (isWithheld ? WITHHELD_PENALTY_MS : 0);
 }
 
 /** Cost of crossing lanes: long work on the lane of short requests, or short requests behind long prefills. */
-function scoreLane(input: RoutingInput, view: EndpointView): number {
-    const isLongLane = input.lanes.longLane.has(view.endpoint);
+function scoreLane(input: RoutingInput, isLongLane: boolean): number {
     if (isLongClass(input.request.lengthClass) === isLongLane) {
         return 0;
     }
@@ -64,25 +79,24 @@
     return isLongLane ? 100 + 200 * weight : 2_000 + 20_000 * weight;
 }
 
-function scoreRoom(input: RoutingInput, view: EndpointView): number {
-    const memory = view.report.memoryUsedTokens + view.ownLoad.memoryTokensSinceReport
-        + input.request.promptTokens + input.request.maxTokens;
-    const running = view.report.runningRequests + view.ownLoad.requestsSinceReport;
-    return memory > view.memoryTokens || running >= view.slots ? FULL_PENALTY_MS : 0;
+/** Whether the endpoint has a free slot and enough free memory, as far as the host knows. */
+function hasRoom(input: RoutingInput, view: EndpointView): boolean {
+    const { request } = input;
+    const used = view.report.memoryUsedTokens + view.ownLoad.memoryTokensSinceReport;
+    const free = view.memoryTokens - used - request.promptTokens - request.maxTokens;
+    const reserve = isLongClass(request.lengthClass) && used > 0 ? view.memoryTokens * SHORT_MEMORY_RESERVE : 0;
+    return free >= reserve && view.report.runningRequests + view.ownLoad.requestsSinceReport < view.slots;
 }
 
 /** Power of two choices among near-equal endpoints, so that hosts with the same report do not all pick the same one. */
 function chooseNearEqual(
     input: RoutingInput,
-    views: readonly EndpointView[],
-): { view: EndpointView | undefined; random: RoutingInput["random"]; } {
-    if (views.length < 2) {
-        return { view: views[0], random: input.random };
-    }
+    nearEqual: readonly Scored[],
+): { chosen: Scored; random: RoutingInput["random"]; } {
     const { values, next } = generateFractions(input.random, 2);
-    const [first, second] = values.map(value => views[Math.floor(value * views.length)]);
+    const [first, second] = values.map(value => nearEqual[Math.floor(value * nearEqual.length)]);
     if (first === undefined || second === undefined) {
-        return { view: views[0], random: next };
+        throw new RangeError("no endpoint to choose from");
     }
-    return { view: scoreEndpoint(input, first) <= scoreEndpoint(input, second) ? first : second, random: next };
+    return { chosen: first.score <= second.score ? first : second, random: next };
 }
