--- a/packages/core/src/beliefs/commands/applyReport.ts
+++ b/packages/core/src/beliefs/commands/applyReport.ts
@@ -22,7 +22,7 @@
     return updated === view ? view : {
         ...updated,
         reachable: digest.reachable,
-        models: digest.models,
+        models: new Set(digest.models),
         slots: digest.slots,
         memoryTokens: digest.memoryTotalTokens,
     };
--- a/packages/core/src/beliefs/commands/createEndpointView.ts
+++ b/packages/core/src/beliefs/commands/createEndpointView.ts
@@ -13,7 +13,7 @@
         pool: endpoint.pool,
         poolOwner,
         failureDomain: endpoint.failureDomain,
-        models,
+        models: new Set(models),
         memoryTokens: endpoint.memoryTokens,
         slots: endpoint.slots,
         prefillTokensPerSecond: endpoint.prefillTokensPerSecond,
--- a/packages/core/src/beliefs/model/endpointView.ts
+++ b/packages/core/src/beliefs/model/endpointView.ts
@@ -52,7 +52,7 @@
     readonly poolOwner: WorkspaceId;
     readonly failureDomain: FailureDomainId;
     /** Names of loaded models. */
-    readonly models: readonly string[];
+    readonly models: ReadonlySet<string>;
     readonly memoryTokens: number;
     readonly slots: number;
     readonly prefillTokensPerSecond: number;
--- a/packages/core/src/gang/queries/planGang.ts
+++ b/packages/core/src/gang/queries/planGang.ts
@@ -22,7 +22,7 @@
     "random": (_input, _view, fraction) => fraction,
     "least-loaded": (_input, view) => view.report.queuedPrefillTokens,
     "adaptive": (input, view) =>
-        estimateWait(input, view, true) + (input.lanes.longLane.has(view.endpoint) ? 0 : CROSS_LANE_COST_MS),
+        estimateWait(input, view) + (input.lanes.longLane.has(view.endpoint) ? 0 : CROSS_LANE_COST_MS),
 };
 
 const CROSS_LANE_COST_MS = 10_000;
@@ -72,7 +72,7 @@
             .sort((a, b) => a.endpoint < b.endpoint ? -1 : 1),
         expectedFirstTokenMs: Math.max(
             ...shares.map(({ view, tokens }) =>
-                estimateWait(input, view, true) + tokens / view.prefillTokensPerSecond * 1_000
+                estimateWait(input, view) + tokens / view.prefillTokensPerSecond * 1_000
             ),
         ),
     };
--- a/packages/core/src/routing/model/routing.ts
+++ b/packages/core/src/routing/model/routing.ts
@@ -65,6 +65,7 @@
     readonly outcome: RoutingOutcome;
     /** Best endpoints considered, best first. */
     readonly considered: readonly ScoredEndpoint[];
+    /** Endpoints that the rules let the workspace use. */
     readonly candidateCount: number;
     readonly reason: string;
     readonly random: RandomState;
--- a/packages/core/src/routing/queries/buildDecision.ts
+++ b/packages/core/src/routing/queries/buildDecision.ts
@@ -18,7 +18,7 @@
     return {
         outcome: tooLarge ? { kind: "gang" } : { kind: "refuse", reason: "no_endpoint" },
         considered: [],
-        candidateCount: candidates.available,
+        candidateCount: input.candidates.length,
         reason: tooLarge ? "prompt larger than any endpoint" : "no endpoint serves the model now",
         random: input.random,
     };
@@ -30,14 +30,14 @@
     return {
         outcome: { kind: "wait", expectedFirstTokenMs: Math.min(...expected) },
         considered: [],
-        candidateCount: candidates.fitting.length,
+        candidateCount: input.candidates.length,
         reason: "every suitable endpoint is full",
         random: input.random,
     };
 }
 
 /** Decision for a request that a policy sends to one endpoint. */
-export function sendRoute(input: RoutingInput, candidates: CandidateList, chosen: ChosenEndpoint): RoutingDecision {
+export function sendRoute(input: RoutingInput, chosen: ChosenEndpoint): RoutingDecision {
     return {
         outcome: {
             kind: "send",
@@ -47,7 +47,7 @@
             cachedTokens: input.request.prefixHits.get(chosen.view.endpoint) ?? 0,
         },
         considered: chosen.considered,
-        candidateCount: candidates.fitting.length,
+        candidateCount: input.candidates.length,
         reason: chosen.reason,
         random: chosen.random,
     };
--- a/packages/core/src/routing/queries/listCandidates.ts
+++ b/packages/core/src/routing/queries/listCandidates.ts
@@ -3,7 +3,7 @@
 
 /** Whether a view may get new work of a model now. */
 export function isAvailable(view: EndpointView, model: string, now: number): boolean {
-    return view.usable && view.reachable && view.suspectUntilMs <= now && view.models.includes(model);
+    return view.usable && view.reachable && view.suspectUntilMs <= now && view.models.has(model);
 }
 
 export interface CandidateList {
--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -3,9 +3,9 @@
 import { generateFractions } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
 import { refuseRoute, sendRoute, waitForRoom } from "./buildDecision.js";
-import { estimateOwnPrefill, estimateWait } from "./estimateFirstToken.js";
+import { estimateFirstToken } from "./estimateFirstToken.js";
 import { getEnginePriority } from "./getEnginePriority.js";
-import { listCandidates } from "./listCandidates.js";
+import { isAvailable, listCandidates } from "./listCandidates.js";
 
 const CONSIDERED_LIMIT = 5;
 /** Cost of using an endpoint that a pending gang waits for. */
@@ -20,58 +20,58 @@
 
 /** The policy of the product: least expected time to first token, with costs for using what others need more. */
 export function routeAdaptively(input: RoutingInput): RoutingDecision {
-    const candidates = listCandidates(input);
-    if (candidates.fitting.length === 0) {
-        return refuseRoute(input, candidates);
-    }
-    const nearEqual = listNearEqual(input, candidates.fitting);
+    const nearEqual = listNearEqual(input);
     if (nearEqual.length === 0) {
-        return waitForRoom(input, candidates);
+        const candidates = listCandidates(input);
+        return candidates.fitting.length === 0 ? refuseRoute(input, candidates) : waitForRoom(input, candidates);
     }
     const { chosen, random } = chooseNearEqual(input, nearEqual);
-    const considered = nearEqual.slice(0, CONSIDERED_LIMIT).map(({ view, score }) => ({
-        endpoint: view.endpoint,
-        score: Math.round(score),
-    }));
-    const enginePriority = getEnginePriority(input.request, chosen.view);
-    const reason = "least expected first token";
-    return sendRoute(input, candidates, { view: chosen.view, considered, enginePriority, reason, random });
+    return sendRoute(input, {
+        view: chosen.view,
+        considered: nearEqual.slice(0, CONSIDERED_LIMIT).map(({ view, score }) => ({
+            endpoint: view.endpoint,
+            score: Math.round(score),
+        })),
+        enginePriority: getEnginePriority(input.request, chosen.view),
+        reason: "least expected first token",
+        random,
+    });
 }
 
-/** Endpoints with room whose scores are within `nearEqualMs` of the best one. Empty if all are full. */
-function listNearEqual(input: RoutingInput, views: readonly EndpointView[]): Scored[] {
-    const scores = new Float64Array(views.length);
-    let best = Infinity;
-    for (const [position, view] of views.entries()) {
-        const score = hasRoom(input, view) ? scoreEndpoint(input, view) : Infinity;
-        scores[position] = score;
-        best = score < best ? score : best;
-    }
-    const limit = best + input.settings.nearEqualMs;
-    const nearEqual: Scored[] = [];
-    for (const [position, view] of views.entries()) {
-        const score = scores[position] ?? Infinity;
+/** Endpoints with room whose scores are within `nearEqualMs` of the best one. Empty if all are full or unsuitable. */
+function listNearEqual(input: RoutingInput): Scored[] {
+    const contenders: Scored[] = [];
+    let limit = Infinity;
+    for (const view of input.candidates) {
+        const score = scoreEndpoint(input, view, limit);
         if (score <= limit && score < Infinity) {
-            nearEqual.push({ view, score });
+            contenders.push({ view, score });
+            limit = Math.min(limit, score + input.settings.nearEqualMs);
         }
     }
-    return nearEqual;
+    return contenders.filter(({ score }) => score <= limit);
 }
 
-/** Expected first token plus the costs of using the endpoint, in milliseconds. */
-function scoreEndpoint(input: RoutingInput, view: EndpointView): number {
-    const isLongLane = input.lanes.longLane.has(view.endpoint);
-    const isWithheld = input.withheld.size > 0 && input.withheld.has(view.endpoint);
-    return estimateWait(input, view, isLongLane)
-        + estimateOwnPrefill(input, view)
-        + scoreLane(input, isLongLane)
+/**
+ * Expected first token plus the costs of using the endpoint, in milliseconds. `Infinity` if it is above `limit` or the
+ * endpoint cannot take the request. The numbers come first: they rule out most of the endpoints without a look-up.
+ */
+function scoreEndpoint(input: RoutingInput, view: EndpointView, limit: number): number {
+    const firstTokenMs = estimateFirstToken(input, view);
+    if (firstTokenMs > limit || !hasRoom(input, view)) {
+        return Infinity;
+    }
+    const score = firstTokenMs
         + (view.poolOwner === input.request.workspace ? 0 : input.settings.borrowedPenaltyMs)
         + (view.failureDomain === input.failureDomain ? 0 : input.settings.remotePenaltyMs)
-        + (isWithheld ? WITHHELD_PENALTY_MS : 0);
+        + scoreLane(input, view)
+        + (input.withheld.size > 0 && input.withheld.has(view.endpoint) ? WITHHELD_PENALTY_MS : 0);
+    return score <= limit && isAvailable(view, input.request.model, input.now) ? score : Infinity;
 }
 
 /** Cost of crossing lanes: long work on the lane of short requests, or short requests behind long prefills. */
-function scoreLane(input: RoutingInput, isLongLane: boolean): number {
+function scoreLane(input: RoutingInput, view: EndpointView): number {
+    const isLongLane = input.lanes.longLane.has(view.endpoint);
     if (isLongClass(input.request.lengthClass) === isLongLane) {
         return 0;
     }
--- a/packages/core/src/routing/queries/routeRandomly.ts
+++ b/packages/core/src/routing/queries/routeRandomly.ts
@@ -12,7 +12,7 @@
     if (view === undefined) {
         return refuseRoute(input, candidates);
     }
-    return sendRoute(input, candidates, {
+    return sendRoute(input, {
         view,
         considered: [],
         enginePriority: getRequestPriority(input.request),
--- a/packages/core/src/routing/queries/routeToLeastLoaded.ts
+++ b/packages/core/src/routing/queries/routeToLeastLoaded.ts
@@ -12,7 +12,7 @@
         return refuseRoute(input, candidates);
     }
     const best = others.reduce((least, view) => isLessLoaded(view, least) ? view : least, first);
-    return sendRoute(input, candidates, {
+    return sendRoute(input, {
         view: best,
         considered: [],
         enginePriority: getRequestPriority(input.request),
