--- a/packages/core/src/routing/queries/estimateFirstToken.ts
+++ b/packages/core/src/routing/queries/estimateFirstToken.ts
@@ -9,17 +9,29 @@
 
 /** Expected time until the prefill of the request starts, in milliseconds. */
 export function estimateWait(input: RoutingInput, view: EndpointView): number {
-    const queued = estimateQueuedPrefill(view, input.now);
-    const runsLong = view.ownLoad.longPrefills > 0 || input.lanes.longLane.has(view.endpoint);
-    const isUrgent = input.request.lengthClass === "short" || input.request.lengthClass === "medium";
-    // Short work overtakes long prefills at the end of the running step, so it waits for one step and its own kind.
-    const ahead = isUrgent && runsLong
-        ? Math.min(queued, input.settings.chunkTokens) + view.ownLoad.shortPrefillTokens
-        : queued;
-    return ahead / view.prefillTokensPerSecond * 1_000;
+    return estimateTokensAhead(input, view) / view.prefillTokensPerSecond * 1_000;
 }
 
+/** Prefill time of the request itself without what the endpoint has in its cache, in milliseconds. */
 function estimateOwnPrefill(input: RoutingInput, view: EndpointView): number {
-    const cached = input.request.prefixHits.get(view.endpoint) ?? 0;
+    const cached = input.request.prefixHits.size === 0 ? 0 : input.request.prefixHits.get(view.endpoint) ?? 0;
     return Math.max(1, input.request.promptTokens - cached) / view.prefillTokensPerSecond * 1_000;
 }
+
+function estimateTokensAhead(input: RoutingInput, view: EndpointView): number {
+    const queued = estimateQueuedPrefill(view, input.now);
+    // Half a step remains on average before work of higher priority gets its turn.
+    const restOfStep = Math.min(queued, input.settings.chunkTokens / 2);
+    switch (input.request.lengthClass) {
+        case "short":
+            // Short prompts of other hosts are finished before a report about them arrives.
+            return restOfStep + view.ownLoad.shortPrefillTokens;
+        case "medium":
+            return input.lanes.longLane.has(view.endpoint) || view.ownLoad.longPrefills > 0
+                ? restOfStep + view.ownLoad.urgentPrefillTokens
+                : queued;
+        case "long":
+        case "huge":
+            return queued;
+    }
+}
