Serve prompts and calls by the decisions of the core

Cause: the host chose endpoints at random, sent each prompt once, and passed calls on without a record. Ruled out: undici's agent with pooled time limits, since a limit on progress has to differ before and after the first token and must not count the time in which the caller does not read; kept connections for calls that must not run twice, since one that the service has closed meanwhile leaves the outcome unknown.

--- a/packages/demo/src/commands/startSystem.ts
+++ b/packages/demo/src/commands/startSystem.ts
@@ -149,6 +149,8 @@
                 listen: { callers, operators, peers },
                 platform: { url: platformUrl },
                 limits: { allow_synthetic_prompts: true },
+                // There is no load balancer to wait for.
+                drain: { notice_ms: 0 },
             }),
         );
         const child = spawn(process.execPath, [DAEMON, "--settings", file], { stdio: ["ignore", "ignore", "inherit"] });
--- /dev/null
+++ b/packages/host/src/allocations/commands/sweepOrphans.ts
@@ -0,0 +1,79 @@
+/** Releases memory on engines whose owner is gone or no longer knows the attempt. */
+import {
+    createSweepState,
+    handleOwnerAnswer,
+    sweepAllocations,
+    type SweepEffect,
+    type SweepState,
+} from "@currantrill/core";
+import { requestJson } from "@currantrill/http";
+import { type AllocationId, type EndpointId, heldAllocationSchema } from "@currantrill/protocol";
+import { z } from "zod";
+import type { HostContext } from "../../model/hostContext.js";
+
+const SWEEP_INTERVAL_MS = 5_000;
+const REQUEST_TIMEOUT_MS = 1_000;
+
+const allocationListSchema = z.object({ allocations: z.array(heldAllocationSchema) });
+
+/** Sweeps the endpoints that this host watches, until the returned timer is cleared. */
+export function startSweeper(context: HostContext): NodeJS.Timeout {
+    const states = new Map<EndpointId, SweepState>();
+    return setInterval(() => {
+        for (const endpoint of context.owners.listWatchedEndpoints()) {
+            sweepEndpoint(context, states, endpoint).catch((error: unknown) =>
+                context.log.debug({ err: error, endpoint }, "allocations: endpoint not swept")
+            );
+        }
+    }, SWEEP_INTERVAL_MS);
+}
+
+/** Sweeps one endpoint once. Rejects if it gives no listing. */
+export async function sweepEndpoint(
+    context: HostContext,
+    states: Map<EndpointId, SweepState>,
+    endpoint: EndpointId,
+): Promise<void> {
+    const connections = context.clients.get(context.beliefs.getUrl(endpoint));
+    const response = await requestJson(`${connections.origin}/v1/allocations`, {
+        timeoutMs: REQUEST_TIMEOUT_MS,
+        dispatcher: connections.getDispatcher(),
+    });
+    const held = allocationListSchema.parse(response.body).allocations;
+    const members = context.owners.listIncarnations();
+    const step = sweepAllocations(states.get(endpoint) ?? createSweepState(), { held, members }, performance.now());
+    states.set(endpoint, step.state);
+    await runEffects(context, states, endpoint, step.effects);
+}
+
+async function runEffects(
+    context: HostContext,
+    states: Map<EndpointId, SweepState>,
+    endpoint: EndpointId,
+    effects: readonly SweepEffect[],
+): Promise<void> {
+    for (const effect of effects) {
+        if (effect.type === "release") {
+            await releaseOrphan(context, endpoint, effect.allocation);
+            continue;
+        }
+        const alive = await context.owners.askOwner(effect.incarnation, effect.attempts);
+        const state = states.get(endpoint);
+        if (alive === undefined || state === undefined) {
+            continue;
+        }
+        const step = handleOwnerAnswer(state, { id: effect.question, incarnation: effect.incarnation, alive });
+        states.set(endpoint, step.state);
+        await runEffects(context, states, endpoint, step.effects);
+    }
+}
+
+async function releaseOrphan(context: HostContext, endpoint: EndpointId, allocation: AllocationId): Promise<void> {
+    const connections = context.clients.get(context.beliefs.getUrl(endpoint));
+    await requestJson(`${connections.origin}/v1/allocations/${encodeURIComponent(allocation)}`, {
+        method: "DELETE",
+        timeoutMs: REQUEST_TIMEOUT_MS,
+        dispatcher: connections.getDispatcher(),
+    });
+    context.log.info({ endpoint, allocation }, "allocations: orphan released");
+}
--- a/packages/host/src/callers/commands/handleServiceCall.ts
+++ b/packages/host/src/callers/commands/handleServiceCall.ts
@@ -1,49 +1,75 @@
 /** Passes a call on to a plain service. */
-import { findObject, listObjects } from "@currantrill/core";
+import { findObject } from "@currantrill/core";
 import type { HttpRequest } from "@currantrill/http";
-import { callerHeaders, type RequestId } from "@currantrill/protocol";
+import { callerHeaders } from "@currantrill/protocol";
 import type { ServerResponse } from "node:http";
-import { request as sendRequest } from "undici";
-import { createAttemptId, type HostContext } from "../../model/hostContext.js";
+import { runIdempotentCall } from "../../calls/commands/runIdempotentCall.js";
+import { runRecordedCall } from "../../calls/commands/runRecordedCall.js";
+import type { ServiceAnswer, ServiceCall } from "../../calls/model/serviceCall.js";
+import { findOperation } from "../../calls/queries/findOperation.js";
+import { parseTarget } from "../../calls/queries/parseTarget.js";
+import { selectRequestHeaders } from "../../calls/queries/selectHeaders.js";
+import type { HostContext } from "../../model/hostContext.js";
+import { getConfigurationIndex, listAllowedEndpoints } from "../../queries/getConfigurationIndex.js";
 import { CallerError } from "../model/callerError.js";
-import { findWorkspace } from "../queries/findWorkspace.js";
-import { parseTimeout } from "../queries/parseTimeout.js";
+import type { RequestScope } from "../model/requestScope.js";
+import { parseIdempotencyKey } from "../queries/parseHeaders.js";
 
-/** Serves one call. Throws `CallerError`. */
+/** Serves one call. Rejects with a `CallerError`. */
 export async function handleServiceCall(
     context: HostContext,
-    requestId: RequestId,
+    scope: RequestScope,
     request: HttpRequest,
     response: ServerResponse,
 ): Promise<void> {
-    findWorkspace(context, request.headers);
-    const timeoutMs = parseTimeout(context, request.headers);
-    const service = findObject(context.configuration.current, "service", request.params["service"] ?? "");
+    const call = buildCall(context, scope, request);
+    sendAnswer(response, await runCall(context, call));
+}
+
+function runCall(context: HostContext, call: ServiceCall): Promise<ServiceAnswer> {
+    if (call.idempotent) {
+        return runIdempotentCall(context, call);
+    }
+    if (call.idempotencyKey === undefined) {
+        throw new CallerError("key_required");
+    }
+    return runRecordedCall(context, call, call.idempotencyKey);
+}
+
+function buildCall(context: HostContext, scope: RequestScope, request: HttpRequest): ServiceCall {
+    const { service: name, path, target } = parseTarget(request.url ?? "");
+    const configuration = context.configuration.current;
+    const service = findObject(configuration, "service", name);
     if (service === undefined) {
-        throw new CallerError({ status: 404, code: "unknown_service", message: "No such service.", field: "service" });
+        throw new CallerError("unknown_service");
+    }
+    const method = request.method ?? "GET";
+    const operation = findOperation(service, method, path);
+    const idempotent = operation?.idempotent ?? false;
+    const headers = selectRequestHeaders(request.headers);
+    if (!idempotent) {
+        // The stored answer keeps no content encoding.
+        delete headers["accept-encoding"];
     }
-    const endpoint = listObjects(context.configuration.current, "endpoint").find(entry => entry.pool === service.pool);
-    if (endpoint === undefined) {
-        throw new CallerError({
-            status: 503,
-            code: "no_endpoint",
-            message: "No endpoint serves it now.",
-            retryAfterSeconds: 1,
-        });
+    const endpoints = listAllowedEndpoints(getConfigurationIndex(configuration), scope.workspace.name, [service.pool]);
+    if (endpoints.length === 0) {
+        throw new CallerError("not_allowed", { message: "No rule lets the workspace use the service." });
     }
-    const path = request.path.slice(`/services/${service.name}`.length);
-    context.log.info({ requestId, endpoint: endpoint.name }, "routing: endpoint chosen");
-    const answer = await sendRequest(`${endpoint.url}${path}`, {
-        method: request.method ?? "GET",
-        headers: {
-            "content-type": request.headers["content-type"] ?? "application/json",
-            "x-request-id": requestId,
-            "x-attempt-id": createAttemptId(),
-            "idempotency-key": request.headers[callerHeaders.idempotencyKey] ?? "",
-        },
-        body: request.method === "GET" ? null : JSON.stringify(request.body),
-        signal: AbortSignal.timeout(timeoutMs),
-    });
-    response.writeHead(answer.statusCode, { "content-type": "application/json", "x-outcome": "answered" });
-    response.end(await answer.body.text());
+    return {
+        scope,
+        service,
+        endpoints,
+        method,
+        target,
+        headers,
+        body: request.body as Buffer,
+        idempotencyKey: parseIdempotencyKey(request.headers),
+        operation: `${method} ${operation?.path ?? path}`,
+        idempotent,
+    };
+}
+
+function sendAnswer(response: ServerResponse, answer: ServiceAnswer): void {
+    response.writeHead(answer.status, { ...answer.headers, [callerHeaders.outcome]: "answered" });
+    response.end(answer.body);
 }
--- a/packages/host/src/callers/commands/serveCallers.ts
+++ b/packages/host/src/callers/commands/serveCallers.ts
@@ -1,57 +1,72 @@
 /** HTTP server for callers. */
-import { listObjects } from "@currantrill/core";
-import {
-    type HttpError,
-    type HttpHandler,
-    type HttpRequest,
-    type RunningServer,
-    sendJson,
-    serveHttp,
-} from "@currantrill/http";
+import { type HttpHandler, type HttpRequest, type Route, type RunningServer, serveHttp } from "@currantrill/http";
 import { callerHeaders, type RequestId } from "@currantrill/protocol";
 import type { ServerResponse } from "node:http";
 import { createRequestId, type HostContext } from "../../model/hostContext.js";
-import { CallerError } from "../model/callerError.js";
+import { CallerError, type CallerErrorCode } from "../model/callerError.js";
+import { createRequestScope, type RequestScope } from "../model/requestScope.js";
+import { findWorkspace } from "../queries/findWorkspace.js";
+import { parsePriority, parseTimeout } from "../queries/parseHeaders.js";
 import { handleCompletion } from "./handleCompletion.js";
 import { handleServiceCall } from "./handleServiceCall.js";
+import { buildCallerError, sendCallerError } from "./sendCallerError.js";
+import { sendModels } from "./sendModels.js";
 
-type CallerHandler = (requestId: RequestId, request: HttpRequest, response: ServerResponse) => void | Promise<void>;
+type CallerHandler = (scope: RequestScope, request: HttpRequest, response: ServerResponse) => void | Promise<void>;
+
+const badRequestCodes = { 400: "bad_http", 408: "request_timeout", 431: "headers_too_large" } as const satisfies Record<
+    number,
+    CallerErrorCode
+>;
 
 /** Starts the server on the settings' callers address. */
 export function serveCallers(context: HostContext): Promise<RunningServer> {
     const [host = "", port = ""] = context.settings.listen.callers.split(":");
-    const track = (handle: CallerHandler): HttpHandler => (request, response) =>
-        trackRequest(context, handle, request, response);
     return serveHttp({
         host,
         port: Number(port),
+        bodies: "raw",
         bodyLimitBytes: context.settings.limits.max_body_bytes,
-        handleError: (error, _request, response) => sendCallerError(context, response, toCallerError(error)),
-        routes: [
-            {
-                method: "POST",
-                path: "/v1/chat/completions",
-                handle: track((id, request, response) => handleCompletion(context, "chat", id, request, response)),
-            },
-            {
-                method: "POST",
-                path: "/v1/completions",
-                handle: track((id, request, response) => handleCompletion(context, "text", id, request, response)),
-            },
-            {
-                method: "GET",
-                path: "/v1/models",
-                handle: track((_id, _request, response) => sendModels(context, response)),
-            },
-            {
-                method: "ALL",
-                path: "/services/:service/*",
-                handle: track((id, request, response) => handleServiceCall(context, id, request, response)),
-            },
-        ],
+        maxHeaderBytes: context.settings.limits.max_header_bytes,
+        handleError: (error, _request, response) =>
+            sendCallerError(context, createRequestId(), response, buildCallerError(error)),
+        handleNoRoute: (_request, response) =>
+            sendCallerError(context, createRequestId(), response, new CallerError("unknown_path")),
+        describeBadRequest: status => {
+            const error = new CallerError(badRequestCodes[status]);
+            context.metrics.requests.inc({ outcome: error.outcome, code: error.code });
+            return {
+                headers: { ...error.toHeaders(), [callerHeaders.requestId]: createRequestId() },
+                body: error.toBody(),
+            };
+        },
+        routes: listRoutes(context),
     });
 }
 
+function listRoutes(context: HostContext): Route[] {
+    const track = (handle: CallerHandler): HttpHandler => (request, response) =>
+        trackRequest(context, handle, request, response);
+    const chat = track((scope, request, response) => handleCompletion(context, "chat", scope, request, response));
+    const text = track((scope, request, response) => handleCompletion(context, "text", scope, request, response));
+    const models = track((scope, _request, response) => sendModels(context, scope, response));
+    const service = track((scope, request, response) => handleServiceCall(context, scope, request, response));
+    const refuseMethod = track(() => {
+        throw new CallerError("bad_method");
+    });
+    return [
+        { method: "POST", path: "/v1/chat/completions", handle: chat },
+        { method: "ALL", path: "/v1/chat/completions", handle: refuseMethod },
+        { method: "POST", path: "/v1/completions", handle: text },
+        { method: "ALL", path: "/v1/completions", handle: refuseMethod },
+        { method: "GET", path: "/v1/models", handle: models },
+        { method: "ALL", path: "/v1/models", handle: refuseMethod },
+        { method: "ALL", path: "/services/:service", handle: service },
+        { method: "ALL", path: "/services/:service/*", handle: service },
+    ];
+}
+
+/** Runs a handler with the request's scope, and answers the error that it throws. */
 async function trackRequest(
     context: HostContext,
     handle: CallerHandler,
@@ -62,13 +77,15 @@
     context.inFlight.add(requestId);
     context.metrics.inFlight.set(context.inFlight.size);
     response.setHeader(callerHeaders.requestId, requestId);
+    if (context.draining) {
+        response.setHeader("connection", "close");
+    }
     try {
-        await handle(requestId, request, response);
+        await handle(createScope(context, requestId, request, response), request, response);
         context.metrics.requests.inc({ outcome: "answered", code: "" });
     }
     catch (error) {
-        context.log.warn({ requestId, err: error }, "callers: request failed");
-        sendCallerError(context, response, toCallerError(error as HttpError));
+        sendCallerError(context, requestId, response, buildCallerError(error as Error));
     }
     finally {
         context.inFlight.delete(requestId);
@@ -76,43 +93,18 @@
     }
 }
 
-function sendModels(context: HostContext, response: ServerResponse): void {
-    const data = listObjects(context.configuration.current, "model").map(model => ({
-        id: model.name,
-        object: "model",
-    }));
-    sendJson(response, 200, { object: "list", data }, { "x-outcome": "answered" });
-}
-
-function toCallerError(error: HttpError): CallerError {
-    if (error instanceof CallerError) {
-        return error;
-    }
-    if (error.type === "entity.too.large") {
-        return new CallerError({ status: 413, code: "body_too_large", message: "Send a smaller body.", field: "body" });
-    }
-    if (error.type === "entity.parse.failed") {
-        return new CallerError({
-            status: 400,
-            code: "bad_json",
-            message: "Send a body that is valid JSON.",
-            field: "body",
-        });
-    }
-    return new CallerError({
-        status: 502,
-        code: "endpoint_failed",
-        message: "The endpoint gave no whole answer.",
-        outcome: "outcome_unknown",
-    });
-}
-
-function sendCallerError(context: HostContext, response: ServerResponse, error: CallerError): void {
-    context.metrics.requests.inc({ outcome: error.outcome, code: error.code });
-    if (response.headersSent) {
-        response.end(`data: ${JSON.stringify(error.toBody())}\n\n`);
-        return;
-    }
-    const retryAfter = error.retryAfterSeconds === undefined ? {} : { "retry-after": String(error.retryAfterSeconds) };
-    sendJson(response, error.status, error.toBody(), { "x-outcome": error.outcome, ...retryAfter });
+function createScope(
+    context: HostContext,
+    requestId: RequestId,
+    request: HttpRequest,
+    response: ServerResponse,
+): RequestScope {
+    const { headers } = request;
+    return createRequestScope({
+        requestId,
+        workspace: findWorkspace(context.configuration.current, headers),
+        priority: parsePriority(headers),
+        arrivedAtMs: performance.now(),
+        timeoutMs: parseTimeout(context.settings.limits, headers),
+    }, response);
 }
--- /dev/null
+++ b/packages/host/src/calls/commands/runRecordedCall.ts
@@ -0,0 +1,248 @@
+/** Calls that must run at most once: drives the call machine of the core against the platform. */
+import {
+    advanceCall,
+    beginCall,
+    type CallEffect,
+    type CallEvent,
+    type CallResult,
+    type CallRow,
+    CALLS_TABLE,
+    type CallState,
+    type CallStep,
+    canSendCall,
+    formatCallKey,
+    type SendLimit,
+    type StoredAnswer,
+} from "@currantrill/core";
+import { createConnections } from "@currantrill/http";
+import { isStoreUnavailable } from "@currantrill/platform";
+import type { AttemptId, EndpointId, IdempotencyKey, JsonValue } from "@currantrill/protocol";
+import { CallerError } from "../../callers/model/callerError.js";
+import { getRemainingMs } from "../../callers/model/requestScope.js";
+import { readClocks } from "../../lending/model/lendingWatch.js";
+import { createAttemptId, type HostContext } from "../../model/hostContext.js";
+import type { ServiceAnswer, ServiceCall } from "../model/serviceCall.js";
+import { computeFingerprint } from "../queries/computeFingerprint.js";
+import { chooseServiceEndpoint } from "./chooseServiceEndpoint.js";
+import { sendCall, type SendCallResult } from "./sendCall.js";
+
+/** A body is stored as text with one character for each byte, so that any content survives. */
+const BODY_ENCODING = "latin1";
+
+interface CallRun {
+    readonly context: HostContext;
+    readonly call: ServiceCall;
+    state: CallState;
+    /** Ends what still runs when the machine has ended. */
+    readonly controller: AbortController;
+    readonly timers: Set<NodeJS.Timeout>;
+    readonly answer: (result: CallResult) => void;
+    readonly end: () => void;
+}
+
+/**
+ * Resolves with the answer, of this call or of an earlier one with the same key. Rejects with a `CallerError` whose
+ * outcome is true. The call goes on if the caller leaves, so that a duplicate finds its answer.
+ */
+export async function runRecordedCall(
+    context: HostContext,
+    call: ServiceCall,
+    idempotencyKey: IdempotencyKey,
+): Promise<ServiceAnswer> {
+    const request = {
+        rowKey: formatCallKey({
+            workspace: call.scope.workspace.name,
+            service: call.service.name,
+            operation: call.operation,
+            idempotencyKey,
+        }),
+        attempt: createAttemptId(),
+        fingerprint: computeFingerprint(call),
+        timeoutMs: getRemainingMs(call.scope),
+    };
+    const result = await new Promise<CallResult>(answer => {
+        const step = beginCall(request, readClocks());
+        const ended = new Promise<void>(end => {
+            const run = {
+                context,
+                call,
+                state: step.state,
+                controller: new AbortController(),
+                timers: new Set<NodeJS.Timeout>(),
+                answer,
+                end,
+            };
+            applyStep(run, step);
+        });
+        context.openCalls.add(ended);
+        void ended.finally(() => context.openCalls.delete(ended));
+    });
+    if (result.outcome === "answered") {
+        return restoreAnswer(result.answer);
+    }
+    throw new CallerError(result.code, { outcome: result.outcome });
+}
+
+function applyStep(run: CallRun, step: CallStep): void {
+    run.state = step.state;
+    step.effects.forEach(effect => runEffect(run, effect));
+}
+
+/** Starts an effect. Its event arrives later, also when the result is known at once. */
+function runEffect(run: CallRun, effect: CallEffect): void {
+    switch (effect.type) {
+        case "answerCaller":
+            run.answer(effect.result);
+            return;
+        case "end":
+            run.timers.forEach(timer => clearTimeout(timer));
+            run.controller.abort(new Error("the call has ended"));
+            run.end();
+            return;
+        case "wait": {
+            const timer = setTimeout(() => {
+                run.timers.delete(timer);
+                advance(run, { type: "timerFired", operation: effect.operation });
+            }, effect.delayMs);
+            run.timers.add(timer);
+            return;
+        }
+        case "writeRow":
+        case "readRow":
+        case "writeObject":
+        case "readObject":
+        case "sendCall":
+            void runExchange(run, effect).then(event => advance(run, event));
+    }
+}
+
+const advance = (run: CallRun, event: CallEvent): void => applyStep(run, advanceCall(run.state, event, readClocks()));
+
+type ExchangeEffect = Exclude<CallEffect, { type: "answerCaller" | "end" | "wait"; }>;
+
+/** Talks to the platform or the service. Never rejects. */
+function runExchange(run: CallRun, effect: ExchangeEffect): Promise<CallEvent> {
+    switch (effect.type) {
+        case "writeRow":
+            return writeRow(run, effect);
+        case "readRow":
+            return readRow(run, effect);
+        case "writeObject":
+            return writeObject(run, effect);
+        case "readObject":
+            return readObject(run, effect);
+        case "sendCall":
+            return sendToService(run, effect);
+    }
+}
+
+type EffectOf<T extends CallEffect["type"]> = Extract<CallEffect, { type: T; }>;
+
+async function writeRow(run: CallRun, { operation, key, version, row }: EffectOf<"writeRow">): Promise<CallEvent> {
+    try {
+        const result = await run.context.tables.transact({
+            attemptId: run.state.request.attempt,
+            conditions: [{ table: CALLS_TABLE, key, version }],
+            writes: [{ table: CALLS_TABLE, key, value: row as unknown as JsonValue }],
+        });
+        const written = result.committed ? result.versions[`${CALLS_TABLE}/${key}`] : undefined;
+        return written === undefined
+            ? { type: result.committed ? "writeLost" : "rowConflict", operation }
+            : { type: "rowWritten", operation, version: written };
+    }
+    catch (error) {
+        return { type: isStoreUnavailable(error) ? "writeRefused" : "writeLost", operation };
+    }
+}
+
+async function readRow(run: CallRun, { operation, key }: EffectOf<"readRow">): Promise<CallEvent> {
+    try {
+        const found = await run.context.tables.readRow(CALLS_TABLE, key);
+        const row = found?.value as unknown as CallRow | undefined;
+        return {
+            type: "rowRead",
+            operation,
+            found: found === undefined || row === undefined ? undefined : { version: found.version, row },
+        };
+    }
+    catch {
+        return { type: "readFailed", operation };
+    }
+}
+
+async function writeObject(run: CallRun, { operation, key, answer }: EffectOf<"writeObject">): Promise<CallEvent> {
+    try {
+        await run.context.objects.writeObject(key, JSON.stringify(answer));
+        return { type: "objectWritten", operation };
+    }
+    catch {
+        return { type: "objectFailed", operation };
+    }
+}
+
+async function readObject(run: CallRun, { operation, key }: EffectOf<"readObject">): Promise<CallEvent> {
+    try {
+        const text = await run.context.objects.readObject(key);
+        return text === undefined
+            ? { type: "objectFailed", operation }
+            : { type: "objectRead", operation, answer: JSON.parse(text) as StoredAnswer };
+    }
+    catch {
+        return { type: "objectFailed", operation };
+    }
+}
+
+/** Tries endpoints until a connection exists. After the first byte there is no other try. */
+async function sendToService(run: CallRun, { operation, attempt, limit }: EffectOf<"sendCall">): Promise<CallEvent> {
+    const tried = new Set<EndpointId>();
+    for (;;) {
+        const endpoint = chooseServiceEndpoint(run.context, run.call, tried);
+        if (endpoint === undefined || !canSendCall(limit, readClocks())) {
+            return { type: "callFailed", operation, bytesSent: false };
+        }
+        tried.add(endpoint.name);
+        const release = run.context.services.begin(endpoint.name);
+        const result = await sendOnce(run, endpoint, attempt, limit).finally(release);
+        if (result.kind === "answered") {
+            return { type: "callAnswered", operation, answer: buildStoredAnswer(result.answer) };
+        }
+        run.context.services.markSuspect(endpoint.name);
+        run.context.log.warn({ attempt, endpoint: endpoint.name, err: result.error }, "calls: endpoint failed");
+        if (result.bytesSent) {
+            return { type: "callFailed", operation, bytesSent: true };
+        }
+    }
+}
+
+/** Uses a connection of its own: a kept one may have been closed meanwhile, which leaves the outcome unknown. */
+async function sendOnce(
+    run: CallRun,
+    endpoint: { readonly url: string; readonly name: EndpointId; },
+    attemptId: AttemptId,
+    limit: SendLimit,
+): Promise<SendCallResult> {
+    const connections = createConnections(new URL(endpoint.url).origin);
+    try {
+        return await sendCall(run.call, {
+            connections,
+            attemptId,
+            signal: run.controller.signal,
+            admit: () => canSendCall(limit, readClocks()) && run.context.lending.isUsable(endpoint.name),
+        });
+    }
+    finally {
+        void connections.close();
+    }
+}
+
+const buildStoredAnswer = (answer: ServiceAnswer): StoredAnswer => ({
+    status: answer.status,
+    contentType: String(answer.headers["content-type"] ?? ""),
+    body: answer.body.toString(BODY_ENCODING),
+});
+
+const restoreAnswer = (answer: StoredAnswer): ServiceAnswer => ({
+    status: answer.status,
+    headers: answer.contentType === "" ? {} : { "content-type": answer.contentType },
+    body: Buffer.from(answer.body, BODY_ENCODING),
+});
--- /dev/null
+++ b/packages/host/src/calls/commands/sendCall.ts
@@ -0,0 +1,65 @@
+/** Sends a service call to one endpoint. */
+import { type Connections, watchSend } from "@currantrill/http";
+import { callerHeaders } from "@currantrill/protocol";
+import type { AttemptId } from "@currantrill/protocol";
+import { getRemainingMs } from "../../callers/model/requestScope.js";
+import type { ServiceAnswer, ServiceCall } from "../model/serviceCall.js";
+import { selectAnswerHeaders } from "../queries/selectHeaders.js";
+
+/** A larger answer is given up, since it has to be kept in memory until it is whole. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+export interface SendCallOptions {
+    readonly connections: Connections;
+    readonly attemptId: AttemptId;
+    readonly signal: AbortSignal;
+    /** Called immediately before the first byte; `false` gives the call up unsent. */
+    admit(): boolean;
+}
+
+export type SendCallResult =
+    | { readonly kind: "answered"; readonly answer: ServiceAnswer; }
+    | { readonly kind: "failed"; readonly bytesSent: boolean; readonly error: Error; };
+
+/** Sends the call once and reads the whole answer. Never rejects. */
+export async function sendCall(call: ServiceCall, options: SendCallOptions): Promise<SendCallResult> {
+    let bytesSent = false;
+    const admit = (): boolean => {
+        bytesSent = options.admit();
+        return bytesSent;
+    };
+    try {
+        const response = await watchSend(options.connections.getDispatcher(), { admit }).request({
+            origin: options.connections.origin,
+            method: call.method,
+            path: call.target,
+            headers: {
+                ...call.headers,
+                [callerHeaders.requestId]: call.scope.requestId,
+                [callerHeaders.timeout]: String(Math.ceil(getRemainingMs(call.scope))),
+                "x-attempt-id": options.attemptId,
+            },
+            body: call.body.length === 0 ? null : call.body,
+            signal: options.signal,
+        });
+        const body = await readBody(response.body);
+        const answer = { status: response.statusCode, headers: selectAnswerHeaders(response.headers), body };
+        return { kind: "answered", answer };
+    }
+    catch (error) {
+        return { kind: "failed", bytesSent, error: error as Error };
+    }
+}
+
+async function readBody(body: AsyncIterable<Uint8Array>): Promise<Buffer> {
+    const chunks: Uint8Array[] = [];
+    let length = 0;
+    for await (const chunk of body) {
+        length += chunk.length;
+        if (length > MAX_ANSWER_BYTES) {
+            throw new Error(`the answer is larger than ${MAX_ANSWER_BYTES} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
--- a/packages/host/src/configuration/commands/pollConfiguration.ts
+++ b/packages/host/src/configuration/commands/pollConfiguration.ts
@@ -1,5 +1,6 @@
 /** Reads the configuration in force from the platform's table service. */
 import type { Configuration } from "@currantrill/core";
+import { readClocks } from "../../lending/model/lendingWatch.js";
 import type { HostContext } from "../../model/hostContext.js";
 
 const POLL_INTERVAL_MS = 1_000;
@@ -10,9 +11,9 @@
 
 /** Reads the head once and adopts it if it is newer. Rejects if the platform gives no answer. */
 export async function readHead(context: HostContext): Promise<number> {
-    const startedAtMs = performance.now();
+    const startedAt = readClocks();
     const row = await context.tables.readRow(CONFIG_TABLE, HEAD_KEY);
-    context.configuration.confirmedAtMs = startedAtMs;
+    context.configuration.confirmedAt = startedAt;
     if (row !== undefined) {
         adoptConfiguration(context, row.value as unknown as Configuration);
     }
--- /dev/null
+++ b/packages/host/src/model/dataPath.ts
@@ -0,0 +1,78 @@
+/** The parts of a host that serve prompts and calls. */
+import { type Configuration, findObject, type LocalStops } from "@currantrill/core";
+import { createObjectClient, type ObjectClient } from "@currantrill/platform";
+import { type AttemptId, type IncarnationId, toHostId } from "@currantrill/protocol";
+import type { HostSettings } from "@currantrill/settings";
+import { type AllocationKeeper, createAllocationKeeper } from "../allocations/model/allocationKeeper.js";
+import type { OwnerDirectory } from "../allocations/model/ownerDirectory.js";
+import { createServiceLoad, type ServiceLoad } from "../calls/model/serviceLoad.js";
+import { createEndpointBeliefs, type EndpointBeliefs } from "../endpoints/model/endpointBeliefs.js";
+import { createEndpointClients, type EndpointClients } from "../endpoints/model/endpointClients.js";
+import type { RunningAttempts } from "../endpoints/model/runningAttempt.js";
+import { createLendingWatch, type LendingWatch } from "../lending/model/lendingWatch.js";
+import { routePrompt } from "../prompts/commands/routePrompt.js";
+import { createPromptQueue, type PromptQueue } from "../prompts/model/promptQueue.js";
+import { createPromptState, type PromptState } from "../prompts/model/promptState.js";
+import { getConfigurationIndex } from "../queries/getConfigurationIndex.js";
+import type { HostContext } from "./hostContext.js";
+
+export interface DataPath {
+    readonly objects: ObjectClient;
+    readonly clients: EndpointClients;
+    readonly beliefs: EndpointBeliefs;
+    readonly lending: LendingWatch;
+    readonly attempts: RunningAttempts;
+    readonly prompts: PromptState;
+    readonly queue: PromptQueue;
+    readonly allocations: AllocationKeeper;
+    readonly owners: OwnerDirectory;
+    readonly services: ServiceLoad;
+    /** Recorded calls whose last write is not confirmed, also those whose caller has left. */
+    readonly openCalls: Set<Promise<void>>;
+}
+
+/** What the data path needs from the other parts of the host. */
+export interface DataPathSources {
+    readonly settings: HostSettings;
+    readonly incarnation: IncarnationId;
+    readonly owners: OwnerDirectory;
+    getStops(): LocalStops;
+    /** The context that will contain the data path. Not called before the host serves. */
+    getContext(): HostContext;
+}
+
+/** Creates the data path. It does nothing until `startDataPath`. */
+export function createDataPath(sources: DataPathSources): DataPath {
+    const { settings, incarnation, owners } = sources;
+    const getConfiguration = (): Configuration => sources.getContext().configuration.current;
+    const clients = createEndpointClients();
+    const beliefs = createEndpointBeliefs(toHostId(settings.host_id), getConfiguration);
+    const attempts: RunningAttempts = new Map();
+    return {
+        objects: createObjectClient({ url: settings.platform.url, timeoutMs: settings.platform.timeout_ms }),
+        clients,
+        beliefs,
+        lending: createLendingWatch({
+            getEndpoints: () => getConfigurationIndex(getConfiguration()).endpoints,
+            findEndpoint: endpoint => findObject(getConfiguration(), "endpoint", endpoint),
+            getStops: () => sources.getStops(),
+            getFreshness: () => ({ confirmedAt: sources.getContext().configuration.confirmedAt }),
+            beliefs,
+        }),
+        attempts,
+        prompts: createPromptState(),
+        queue: createPromptQueue({
+            canStart: job => routePrompt(sources.getContext(), job).outcome.kind !== "refuse",
+            getKind: ({ scope, request }) => `${scope.workspace.name}/${request.model}/${request.lengthClass}`,
+        }),
+        allocations: createAllocationKeeper({
+            incarnation,
+            clients,
+            getUrl: endpoint => beliefs.getUrl(endpoint),
+            handleLost: (attempt: AttemptId) => attempts.get(attempt)?.interrupt("allocation_lost"),
+        }),
+        owners,
+        services: createServiceLoad(),
+        openCalls: new Set(),
+    };
+}
--- a/packages/host/src/model/hostContext.ts
+++ b/packages/host/src/model/hostContext.ts
@@ -1,14 +1,15 @@
 /** What the parts of a host share. */
-import type { Configuration } from "@currantrill/core";
+import type { Clocks, Configuration } from "@currantrill/core";
 import type { TableClient } from "@currantrill/platform";
 import type { AttemptId, IncarnationId, RequestId } from "@currantrill/protocol";
 import { toAttemptId, toIncarnationId, toRequestId } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { randomUUID } from "node:crypto";
+import type { DataPath } from "./dataPath.js";
 import type { HostMetrics } from "./hostMetrics.js";
 
-export interface HostContext {
+export interface HostContext extends DataPath {
     readonly settings: HostSettings;
     readonly incarnation: IncarnationId;
     readonly log: Logger;
@@ -23,8 +24,8 @@
 /** The newest configuration that the host has seen. */
 export interface ConfigurationHolder {
     current: Configuration;
-    /** Start of the platform read that last confirmed it, on the monotonic clock; `undefined` before the first. */
-    confirmedAtMs: number | undefined;
+    /** Start of the platform read that last confirmed it; `undefined` before the first. */
+    confirmedAt: Clocks | undefined;
 }
 
 export const createIncarnationId = (): IncarnationId => toIncarnationId(randomUUID());
--- a/packages/host/src/model/hostMetrics.ts
+++ b/packages/host/src/model/hostMetrics.ts
@@ -2,10 +2,16 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const FIRST_TOKEN_BUCKETS_SECONDS = [0.01, 0.05, 0.1, 0.25, 0.5, 0.68, 1, 2.5, 5, 10, 30, 60, 300];
+const SLOWDOWN_BUCKETS = [1, 1.1, 1.25, 1.5, 2, 3, 5, 10, 30, 100];
 
 export interface HostMetrics {
     readonly registry: Registry;
     readonly firstTokenSeconds: Histogram<"length_class">;
+    /** Time to first token relative to the prefill on an idle engine. */
+    readonly slowdown: Histogram<"length_class">;
+    readonly retries: Counter<"reason">;
+    readonly queueLength: Gauge<"length_class">;
+    readonly reclaimAgeSeconds: Gauge;
     readonly requests: Counter<"outcome" | "code">;
     readonly inFlight: Gauge;
     readonly configurationRevision: Gauge;
@@ -23,6 +29,30 @@
             buckets: FIRST_TOKEN_BUCKETS_SECONDS,
             registers,
         }),
+        slowdown: new Histogram({
+            name: "currantrill_first_token_slowdown",
+            help: "Time to first token divided by the prefill time on an idle engine.",
+            labelNames: ["length_class"],
+            buckets: SLOWDOWN_BUCKETS,
+            registers,
+        }),
+        retries: new Counter({
+            name: "currantrill_retries_total",
+            help: "Retries by what made them necessary.",
+            labelNames: ["reason"],
+            registers,
+        }),
+        queueLength: new Gauge({
+            name: "currantrill_queue_length",
+            help: "Prompts that wait at this host, by length class.",
+            labelNames: ["length_class"],
+            registers,
+        }),
+        reclaimAgeSeconds: new Gauge({
+            name: "currantrill_reclaim_age_seconds",
+            help: "Time since the oldest reclaim with work of this host still in flight.",
+            registers,
+        }),
         requests: new Counter({
             name: "currantrill_requests_total",
             help: "Requests by outcome and error code.",
--- a/packages/host/src/operators/commands/serveOperators.ts
+++ b/packages/host/src/operators/commands/serveOperators.ts
@@ -50,7 +50,7 @@
 }
 
 function sendReadiness(context: HostContext, response: Parameters<HttpHandler>[1]): void {
-    const ready = !context.draining && context.configuration.confirmedAtMs !== undefined;
+    const ready = !context.draining && context.configuration.confirmedAt !== undefined;
     sendJson(response, ready ? 200 : 503, {
         ready,
         draining: context.draining,
--- /dev/null
+++ b/packages/host/src/prompts/queries/buildRoutingInput.ts
@@ -0,0 +1,34 @@
+import { defaultRoutingSettings, type EndpointView, findPrefixHits, type RoutingInput } from "@currantrill/core";
+import { toFailureDomainId } from "@currantrill/protocol";
+import type { HostContext } from "../../model/hostContext.js";
+import type { PromptJob } from "../model/promptJob.js";
+
+/** Input of the routing core for one prompt now. */
+export function buildRoutingInput(context: HostContext, job: PromptJob): RoutingInput {
+    const { prompts, settings } = context;
+    const { request, scope } = job;
+    const now = performance.now();
+    const views = context.beliefs.getAll();
+    const withheldByOthers = [...prompts.withheld].filter(([id]) => id !== scope.requestId).flatMap(([, ids]) => ids);
+    return {
+        request: {
+            request: scope.requestId,
+            workspace: scope.workspace.name,
+            model: request.model,
+            lengthClass: request.lengthClass,
+            promptTokens: request.promptTokens + job.stream.nextIndex,
+            maxTokens: request.maxTokens - job.stream.nextIndex,
+            priority: scope.priority,
+            deadlineMs: scope.deadlineMs,
+            prefixHits: findPrefixHits(context.beliefs.getPrefixes(), request.prefixHashes, now),
+        },
+        candidates: job.allowed.map(id => views.get(id)).filter((view): view is EndpointView => view !== undefined),
+        failureDomain: toFailureDomainId(settings.failure_domain),
+        lanes: prompts.lanes,
+        withheld: new Set(withheldByOthers),
+        hostOrder: context.beliefs.getHostOrder(),
+        settings: { ...defaultRoutingSettings, shortRequestWeight: settings.routing.short_request_weight },
+        random: prompts.random,
+        now,
+    };
+}
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -3,8 +3,12 @@
 import { createTableClient } from "@currantrill/platform";
 import type { HostSettings } from "@currantrill/settings";
 import bunyan from "bunyan";
+import { createSoleOwner } from "./allocations/queries/createSoleOwner.js";
 import { serveCallers } from "./callers/commands/serveCallers.js";
+import { drainRequests } from "./commands/drainRequests.js";
+import { startDataPath } from "./commands/startDataPath.js";
 import { readHead, startConfigurationPoll } from "./configuration/commands/pollConfiguration.js";
+import { createDataPath } from "./model/dataPath.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
 import { serveOperators } from "./operators/commands/serveOperators.js";
@@ -17,13 +21,21 @@
 
 /** Starts a host. Rejects if an address cannot be bound. */
 export async function startHost(settings: HostSettings): Promise<RunningHost> {
+    const incarnation = createIncarnationId();
     const context: HostContext = {
+        ...createDataPath({
+            settings,
+            incarnation,
+            owners: createSoleOwner(incarnation, () => context),
+            getStops: () => ({}),
+            getContext: () => context,
+        }),
         settings,
-        incarnation: createIncarnationId(),
+        incarnation,
         log: bunyan.createLogger({ name: "currantrilld", host: settings.host_id, level: settings.log_level }),
         metrics: createHostMetrics(),
         tables: createTableClient({ url: settings.platform.url, timeoutMs: settings.platform.timeout_ms }),
-        configuration: { current: emptyConfiguration, confirmedAtMs: undefined },
+        configuration: { current: emptyConfiguration, confirmedAt: undefined },
         inFlight: new Set(),
         draining: false,
     };
@@ -31,16 +43,18 @@
         context.log.warn({ err: error }, "configuration: platform not reachable")
     );
     const poll = startConfigurationPoll(context);
+    const stopDataPath = startDataPath(context);
     const operators = await serveOperators(context);
     const callers = await serveCallers(context);
     context.log.info({ settings: settings.listen }, "host: started");
     const drain = async (): Promise<void> => {
         context.draining = true;
-        context.log.info({ inFlight: context.inFlight.size }, "host: draining");
-        await callers.drain();
+        await drainRequests(context, callers);
         clearInterval(poll);
+        await stopDataPath();
         await operators.close();
         context.log.info("host: stopped");
     };
-    return { context, drain };
+    let drained: Promise<void> | undefined;
+    return { context, drain: () => drained ??= drain() };
 }
--- a/packages/http/src/createConnections.ts
+++ b/packages/http/src/createConnections.ts
@@ -20,14 +20,17 @@
 /** Creates connections to an origin such as `http://10.0.0.1:8000`. They have no limit on time except to connect. */
 export function createConnections(origin: string): Connections {
     let pool = createPool(origin);
+    let closed: Promise<void> | undefined;
     return {
         origin,
         getDispatcher: () => pool,
         renew: () => {
-            void pool.close();
-            pool = createPool(origin);
+            if (closed === undefined) {
+                void pool.close();
+                pool = createPool(origin);
+            }
         },
-        close: () => pool.close(),
+        close: () => closed ??= pool.close(),
     };
 }
 
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -3,7 +3,9 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
 import polka from "polka";
+import { readRawBody } from "./readRawBody.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
 
@@ -36,10 +38,24 @@
     readonly middleware?: readonly HttpMiddleware[];
     readonly bodyLimitBytes?: number;
     readonly maxHeaderBytes?: number;
-    /** `json` parses each body as JSON; `raw` keeps the bytes. */
+    /** Longest time for a whole request to arrive, in milliseconds. */
+    readonly requestTimeoutMs?: number;
+    /** `json` parses each body as JSON; `raw` keeps the bytes as they arrived, also of a compressed body. */
     readonly bodies?: "json" | "raw";
     /** Called for a body that could not be read, and for a handler that threw. */
     readonly handleError?: (error: HttpError, request: IncomingMessage, response: ServerResponse) => void;
+    /** Called for a path without a route. */
+    readonly handleNoRoute?: (request: IncomingMessage, response: ServerResponse) => void;
+    /** Builds the JSON answer to bytes that are not an acceptable HTTP request. */
+    readonly describeBadRequest?: (status: BadRequestStatus) => BadRequestAnswer;
+}
+
+/** 400 not HTTP, 408 not received in time, 431 headers too large. */
+export type BadRequestStatus = 400 | 408 | 431;
+
+export interface BadRequestAnswer {
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: unknown;
 }
 
 /** Error with the HTTP status that fits it. */
@@ -49,13 +65,26 @@
     readonly type?: string;
 }
 
+const badRequestReasons: Record<BadRequestStatus, string> = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    431: "Request Header Fields Too Large",
+};
+
 const defaultOptions = {
     middleware: [],
     bodyLimitBytes: 16 * 1024 * 1024,
     maxHeaderBytes: 16 * 1024,
+    requestTimeoutMs: 60_000,
     bodies: "json",
     handleError: (error: HttpError, _request: IncomingMessage, response: ServerResponse): void =>
         sendJson(response, error.status ?? 500, { error: error.message }),
+    handleNoRoute: (_request: IncomingMessage, response: ServerResponse): void =>
+        sendJson(response, 404, { error: "no such path" }),
+    describeBadRequest: (status: BadRequestStatus): BadRequestAnswer => ({
+        headers: {},
+        body: { error: badRequestReasons[status] },
+    }),
 } satisfies Partial<ServeHttpOptions>;
 
 export interface RunningServer {
@@ -81,15 +110,20 @@
 /** Starts a server. Rejects if the address cannot be bound. */
 export async function serveHttp(options: ServeHttpOptions): Promise<RunningServer> {
     const settings = { ...defaultOptions, ...options };
-    const server = createServer({ maxHeaderSize: settings.maxHeaderBytes });
+    const server = createServer({
+        maxHeaderSize: settings.maxHeaderBytes,
+        requestTimeout: settings.requestTimeoutMs,
+        headersTimeout: settings.requestTimeoutMs,
+    });
+    server.on("clientError", (error, socket) => sendBadRequest(error, socket, settings.describeBadRequest));
     // The types of polka describe Express requests, so the application is used through this narrower view.
-    const app = polka({ server, onError: reportError }) as unknown as PolkaView;
+    const app = polka({ server, onError: reportError, onNoMatch: settings.handleNoRoute }) as unknown as PolkaView;
     function reportError(error: unknown, request: IncomingMessage, response: ServerResponse): void {
         settings.handleError(error as HttpError, request, response);
     }
     const parseBody = settings.bodies === "json"
         ? bodyParser.json({ limit: settings.bodyLimitBytes, strict: false, type: () => true })
-        : bodyParser.raw({ limit: settings.bodyLimitBytes, type: () => true });
+        : createRawParser(settings.bodyLimitBytes);
     app.use(parseBody, ...settings.middleware);
     for (const route of settings.routes) {
         addRoute(app, route, reportError);
@@ -103,6 +137,48 @@
     };
 }
 
+function createRawParser(limitBytes: number): HttpMiddleware {
+    return (request, _response, next) => {
+        readRawBody(request, limitBytes).then(
+            bytes => {
+                Object.assign(request, { body: bytes });
+                next();
+            },
+            (error: unknown) => next(error as Error),
+        );
+    };
+}
+
+const badRequestStatuses: Readonly<Record<string, BadRequestStatus>> = {
+    HPE_HEADER_OVERFLOW: 431,
+    ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/** Answers bytes that the HTTP parser rejects; without it the connection would close without a reason. */
+function sendBadRequest(
+    error: Error & { code?: string; },
+    socket: Duplex,
+    describe: (status: BadRequestStatus) => BadRequestAnswer,
+): void {
+    if (error.code === "ECONNRESET" || !socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const status = badRequestStatuses[error.code ?? ""] ?? 400;
+    const { headers, body } = describe(status);
+    const text = JSON.stringify(body);
+    const lines = [
+        `HTTP/1.1 ${status} ${badRequestReasons[status]}`,
+        "content-type: application/json",
+        `content-length: ${Buffer.byteLength(text)}`,
+        "connection: close",
+        ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    ];
+    socket.end(`${lines.join("\r\n")}\r\n\r\n${text}`);
+}
+
+const IDLE_CHECK_MS = 20;
+
 interface PolkaView {
     use(...middleware: HttpMiddleware[]): void;
     add(method: string, path: string, handler: (request: HttpRequest, response: ServerResponse) => void): void;
@@ -137,8 +213,12 @@
 
 function drainServer(server: Server): Promise<void> {
     return new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
+        // A connection becomes idle when its last response has ended, which is later than the start of the drain.
+        const timer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MS);
+        server.close(() => {
+            clearInterval(timer);
+            resolve();
+        });
     });
 }
 
--- a/packages/protocol/src/engineApi.ts
+++ b/packages/protocol/src/engineApi.ts
@@ -18,11 +18,17 @@
     allocation_id: z.string().optional(),
     /** The other engines of a prompt that needs several. */
     members: z.array(gangMemberSchema).default([]),
-    /** Hashes of the prompt's prefixes, shortest first, for the prefix cache. */
+    /** Hashes of the prompt's prefixes, shortest first. Prefix `i` covers `getPrefixTokens(i)` tokens. */
     prefix_hashes: z.array(z.string()).default([]),
 });
 export type GenerateRequest = z.infer<typeof generateRequestSchema>;
 
+/** Tokens of the shortest prefix that the prefix cache tells apart. */
+export const SHORTEST_PREFIX_TOKENS = 1_024;
+
+/** Length of the prefix with this index: each is twice as long as the one before, which keeps the list short. */
+export const getPrefixTokens = (index: number): number => SHORTEST_PREFIX_TOKENS * 2 ** index;
+
 export const generatedTokenSchema = z.object({
     index: z.number().int(),
     text: z.string(),
@@ -87,3 +93,12 @@
     role: engineRoleSchema.optional(),
 });
 export type EngineOrder = z.infer<typeof engineOrderSchema>;
+
+/** Answer to `POST /v1/kv/export {attempt_id}`, and the body of `POST /v1/kv/import`. */
+export const kvStateSchema = z.object({
+    request_id: z.string(),
+    model: z.string(),
+    /** Prompt tokens whose prefill is done. */
+    tokens: z.number().int().min(0),
+});
+export type KvState = z.infer<typeof kvStateSchema>;
--- a/packages/settings/src/model/hostSettings.ts
+++ b/packages/settings/src/model/hostSettings.ts
@@ -19,8 +19,21 @@
         default_timeout_ms: milliseconds(30_000),
         max_timeout_ms: milliseconds(3_600_000),
         max_body_bytes: z.number().int().min(1_024).default(16_777_216),
+        max_header_bytes: z.number().int().min(1_024).default(16_384),
         allow_synthetic_prompts: z.boolean().default(false),
     }).prefault({}),
+    /** Longest silence of a connection before it is dropped and a new one is tried. */
+    progress: z.strictObject({
+        /** Until the first token, in addition to the time that the prefill is expected to take. */
+        first_token_ms: milliseconds(10_000),
+        between_tokens_ms: milliseconds(5_000),
+        /** Until the answer to a service call that may be repeated. */
+        service_ms: milliseconds(10_000),
+    }).prefault({}),
+    drain: z.strictObject({
+        /** Time between the report of not ready and the end of accepting connections, for the load balancer to notice. */
+        notice_ms: z.number().int().min(0).max(600_000).default(5_000),
+    }).prefault({}),
     routing: z.strictObject({
         policy: z.enum(["random", "least-loaded", "adaptive"]).default("adaptive"),
         /** Weight of the slowdown of short requests against time to first token across lengths, from 0 to 1. */
