--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./configuration/commands/advanceTicket.js";
 export * from "./configuration/model/ticketMachine.js";
 export * from "./configuration/model/ticketRows.js";
+export * from "./configuration/queries/diffConfiguration.js";
 export * from "./configuration/queries/planTicket.js";
 export * from "./gang/commands/advanceGang.js";
 export * from "./gang/model/gangAttempt.js";
--- a/packages/host/src/calls/commands/runRecordedCall.ts
+++ b/packages/host/src/calls/commands/runRecordedCall.ts
@@ -19,7 +19,7 @@
 import type { AttemptId, EndpointId, IdempotencyKey, JsonValue } from "@currantrill/protocol";
 import { CallerError } from "../../callers/model/callerError.js";
 import { getRemainingMs } from "../../callers/model/requestScope.js";
-import { readClocks } from "../../lending/model/lendingWatch.js";
+import { readClocks } from "../../configuration/model/configurationHolder.js";
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
 import type { ServiceAnswer, ServiceCall } from "../model/serviceCall.js";
 import { computeFingerprint } from "../queries/computeFingerprint.js";
--- a/packages/host/src/commands/drainRequests.ts
+++ b/packages/host/src/commands/drainRequests.ts
@@ -10,7 +10,6 @@
  * connections, and resolves when the requests in flight, the recorded calls and the releases of memory have ended.
  */
 export async function drainRequests(context: HostContext, callers: RunningServer): Promise<void> {
-    context.log.info({ inFlight: context.inFlight.size }, "host: draining");
     await waitMs(context.settings.drain.notice_ms);
     await callers.drain();
     await Promise.all(context.openCalls);
--- a/packages/host/src/commands/startDataPath.ts
+++ b/packages/host/src/commands/startDataPath.ts
@@ -1,7 +1,6 @@
 /** Starts the parts of the data path that act without a request. */
 import { lengthClasses } from "@currantrill/core";
 import { startSweeper } from "../allocations/commands/sweepOrphans.js";
-import { startReportPoll } from "../endpoints/commands/pollReports.js";
 import { startLending } from "../lending/commands/handleReclaims.js";
 import type { HostContext } from "../model/hostContext.js";
 
@@ -9,8 +8,8 @@
 
 /** Returns the function that stops them and closes the connections to endpoints. */
 export function startDataPath(context: HostContext): () => Promise<void> {
+    connectFleet(context);
     const timers = [
-        startReportPoll(context),
         startLending(context),
         startSweeper(context),
         setInterval(() => setQueueMetrics(context), QUEUE_METRIC_MS),
@@ -23,6 +22,26 @@
     };
 }
 
+/** Feeds what the fleet tells about endpoints into the decisions of the data path. */
+function connectFleet(context: HostContext): void {
+    const { allocations, beliefs, configuration, endpointViews, fleet, lending } = context;
+    fleet.listAliveAttempts = attempts => allocations.listAlive(attempts);
+    fleet.listeners.add(({ fact }) => {
+        if (fact.kind === "endpoint") {
+            beliefs.applyDigest(fact, performance.now());
+        }
+        if (fact.kind === "stop") {
+            lending.addStop(fact);
+            lending.refresh();
+        }
+    });
+    configuration.listeners.add(current => {
+        lending.dropStops(current);
+        lending.refresh();
+    });
+    endpointViews.cacheListeners.add(({ endpoint, events }) => beliefs.applyCacheEvents(endpoint, events));
+}
+
 function setQueueMetrics({ metrics, queue }: HostContext): void {
     const waiting = queue.countWaiting();
     lengthClasses.forEach(name => metrics.queueLength.set({ length_class: name }, waiting[name]));
--- a/packages/host/src/lending/commands/handleReclaims.ts
+++ b/packages/host/src/lending/commands/handleReclaims.ts
@@ -2,9 +2,9 @@
 import { decideInFlight, findObject, measureElapsed, type ReclaimTimes } from "@currantrill/core";
 import { requestJson } from "@currantrill/http";
 import { type AttemptId, type EndpointId, kvStateSchema } from "@currantrill/protocol";
+import { readClocks } from "../../configuration/model/configurationHolder.js";
 import type { RunningAttempt } from "../../endpoints/model/runningAttempt.js";
 import type { HostContext } from "../../model/hostContext.js";
-import { readClocks } from "../model/lendingWatch.js";
 
 const REFRESH_MS = 100;
 const KV_TIMEOUT_MS = 5_000;
--- a/packages/protocol/src/engineApi.ts
+++ b/packages/protocol/src/engineApi.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 
 export const gangMemberSchema = z.object({ url: z.string(), allocation_id: z.string() });
+export type GangMember = z.infer<typeof gangMemberSchema>;
 
 export const generateRequestSchema = z.object({
     request_id: z.string(),
@@ -102,3 +103,6 @@
     tokens: z.number().int().min(0),
 });
 export type KvState = z.infer<typeof kvStateSchema>;
+
+/** Body of `PUT /owner/lending`, which only the owner of the engine calls. */
+export const ownerLendingSchema = z.object({ lending: engineReportSchema.shape.lending });
