--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -3,9 +3,12 @@
 import type { HostSettings } from "@currantrill/settings";
 import bunyan from "bunyan";
 import { serveCallers } from "./callers/commands/serveCallers.js";
+import { drainRequests } from "./commands/drainRequests.js";
+import { startDataPath } from "./commands/startDataPath.js";
 import { readHead, startConfigurationPoll } from "./configuration/commands/pollConfiguration.js";
 import { shareConfiguration } from "./configuration/commands/shareConfiguration.js";
 import { createConfigurationHolder } from "./configuration/model/configurationHolder.js";
+import { createDataPath } from "./model/dataPath.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
 import { serveOperators } from "./operators/commands/serveOperators.js";
@@ -27,6 +30,7 @@
     const incarnation = createIncarnationId();
     const platform = { url: settings.platform.url, timeoutMs: settings.platform.timeout_ms };
     const context: HostContext = {
+        ...createDataPath({ settings, incarnation, getContext: () => context }),
         settings,
         incarnation,
         log: bunyan.createLogger({ name: "currantrilld", host: settings.host_id, level: settings.log_level }),
@@ -39,6 +43,7 @@
         inFlight: new Set(),
         draining: false,
     };
+    const stopDataPath = startDataPath(context);
     const watching = startWatching(context);
     const peers = await startPeers(context);
     context.configuration.listeners.add(() => {
@@ -58,12 +63,14 @@
         context.log.info({ inFlight: context.inFlight.size }, "host: draining");
         peers.leave();
         await hostList.leave();
-        await callers.drain();
+        await drainRequests(context, callers);
         [poll, ...watching].forEach(timer => clearInterval(timer));
         await hostList.stop();
         await peers.stop();
+        await stopDataPath();
         await operators.close();
         context.log.info("host: stopped");
     };
-    return { context, drain };
+    let drained: Promise<void> | undefined;
+    return { context, drain: () => drained ??= drain() };
 }
