--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -2,3 +2,4 @@
 export * from "./model/ticketSchema.js";
 export * from "./queries/parseHostSettings.js";
 export * from "./queries/parseTicket.js";
+export * from "./queries/parseWithSchema.js";
--- a/packages/settings/src/model/hostSettings.ts
+++ b/packages/settings/src/model/hostSettings.ts
@@ -1,8 +1,11 @@
 /** Settings of one host, read from a TOML file at start. */
 import { z } from "zod";
 
-const IP_AND_PORT = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
-const address = z.string().regex(IP_AND_PORT, "an IP address and port such as 10.0.0.1:7100");
+const OCTET = "(25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+const IP_AND_PORT = new RegExp(`^(${OCTET}\\.){3}${OCTET}:([1-9]\\d{0,4})$`);
+const address = z.string()
+    .regex(IP_AND_PORT, "an IP address and port such as 10.0.0.1:7100")
+    .refine(text => Number(text.split(":")[1] ?? 0) < 65_536, "a port of at most 65535");
 const milliseconds = (value: number) => z.number().int().min(1).max(86_400_000).default(value);
 
 export const hostSettingsSchema = z.strictObject({
@@ -19,14 +22,36 @@
         default_timeout_ms: milliseconds(30_000),
         max_timeout_ms: milliseconds(3_600_000),
         max_body_bytes: z.number().int().min(1_024).default(16_777_216),
+        max_header_bytes: z.number().int().min(1_024).default(16_384),
         allow_synthetic_prompts: z.boolean().default(false),
     }).prefault({}),
+    /** Longest silence of a connection before it is dropped and a new one is tried. */
+    progress: z.strictObject({
+        /** Until the first token, in addition to the time that the prefill is expected to take. */
+        first_token_ms: milliseconds(10_000),
+        between_tokens_ms: milliseconds(5_000),
+        /** Until the answer to a service call that may be repeated. */
+        service_ms: milliseconds(10_000),
+    }).prefault({}),
+    drain: z.strictObject({
+        /** Time between the report of not ready and the end of accepting connections, for the load balancer to notice. */
+        notice_ms: z.number().int().min(0).max(600_000).default(5_000),
+    }).prefault({}),
     routing: z.strictObject({
         policy: z.enum(["random", "least-loaded", "adaptive"]).default("adaptive"),
         /** Weight of the slowdown of short requests against time to first token across lengths, from 0 to 1. */
         short_request_weight: z.number().min(0).max(1).default(0.5),
     }).prefault({}),
     log_level: z.enum(["debug", "info", "warn", "error"]).default("info"),
+}).superRefine((settings, context) => {
+    const { callers, operators, peers } = settings.listen;
+    if (new Set([callers, operators, peers]).size < 3) {
+        context.addIssue({ code: "custom", path: ["listen"], message: "three different addresses" });
+    }
+    if (settings.limits.default_timeout_ms > settings.limits.max_timeout_ms) {
+        const message = `at most max_timeout_ms, ${settings.limits.max_timeout_ms}`;
+        context.addIssue({ code: "custom", path: ["limits", "default_timeout_ms"], message });
+    }
 });
 
 export type HostSettings = z.infer<typeof hostSettingsSchema>;
--- a/packages/settings/src/queries/parseTicket.ts
+++ b/packages/settings/src/queries/parseTicket.ts
@@ -1,7 +1,7 @@
 import type { ConfigurationObject, Ticket, TicketObject } from "@currantrill/core";
 import { toTicketNumber } from "@currantrill/protocol";
 import { type TicketDocument, ticketSchema } from "../model/ticketSchema.js";
-import { type ParseResult, parseWithSchema } from "./parseHostSettings.js";
+import { type ParseResult, parseWithSchema } from "./parseWithSchema.js";
 
 /** Checks the form of a ticket. Whether it fits what is in force is decided by `planTicket` of the core. */
 export function parseTicket(text: string, source: string): ParseResult<Ticket> {
