Complete the operator command

Cause: only ticket apply existed, and its exit code did not tell a conflict from an unreachable host. Ruled out: asking one host only (a stop has to work from any host that can be reached; tickets and stops take effect once, so asking the next host is safe).

--- /dev/null
+++ b/packages/cli/src/commands/checkFiles.ts
@@ -0,0 +1,35 @@
+import { parseHostSettings, parseTicket } from "@currantrill/settings";
+import { readFileSync } from "node:fs";
+import { createFindingsReport, exitCodes, type Report } from "../model/report.js";
+
+const parsers = { settings: parseHostSettings, ticket: parseTicket } as const;
+
+/** Reads a file; `undefined` if it cannot be read. */
+export function readText(file: string): string | undefined {
+    try {
+        return readFileSync(file, "utf8");
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Reports a file that cannot be read. */
+export const createMissingFileReport = (file: string): Report =>
+    createFindingsReport([{ source: file, path: "", found: "no readable file", expected: "a TOML file" }]);
+
+/** Checks the form of settings or tickets without a host. All findings of all files are reported together. */
+export function checkFiles(kind: keyof typeof parsers, files: readonly string[]): Report {
+    const findings = files.flatMap(file => {
+        const text = readText(file);
+        const parsed = text === undefined ? undefined : parsers[kind](text, file);
+        if (parsed === undefined) {
+            return [{ source: file, path: "", found: "no readable file", expected: "a TOML file" }];
+        }
+        return parsed.ok ? [] : parsed.findings;
+    });
+    if (findings.length > 0) {
+        return createFindingsReport(findings);
+    }
+    return { exitCode: exitCodes.done, data: { files, findings }, text: files.map(file => `${file}: ok`).join("\n") };
+}
--- /dev/null
+++ b/packages/cli/src/commands/runApplication.ts
@@ -0,0 +1,135 @@
+/** The commands, their arguments and their help. */
+import { command, option, positional, restPositionals, runSafely, string, subcommands } from "cmd-ts";
+import { hosts, json, key, optionalNumber, wholeNumber } from "../model/arguments.js";
+import { exitCodes, type Report } from "../model/report.js";
+import { checkFiles } from "./checkFiles.js";
+import { listHosts } from "./listHosts.js";
+import { reclaimEndpoint } from "./reclaimEndpoint.js";
+import { applyTicketFile, describeTicketStatus, listTickets, planTicketFile } from "./runTicketCommands.js";
+
+const DEFAULT_WAIT_SECONDS = 16;
+const EXIT_CODES = "Exit codes: 0 done, 1 refused or conflict, 2 invalid input, 3 host or platform not reachable, "
+    + "4 outcome unknown (send the same ticket again to find out).";
+
+const host = { hosts, key, json };
+const file = positional({ type: string, displayName: "file", description: "ticket in TOML" });
+const files = restPositionals({ type: string, displayName: "file", description: "files in TOML" });
+
+/** Prints a report and sets the exit code of the process. */
+function printReport(report: Report, args: { readonly json: boolean; }): void {
+    const output = args.json ? JSON.stringify(report.data, undefined, 2) : report.text;
+    (report.exitCode === 0 || args.json ? process.stdout : process.stderr).write(`${output}\n`);
+    process.exitCode = report.exitCode;
+}
+
+const ticketCommands = {
+    check: command({
+        name: "check",
+        description: "Check the form of tickets, without a host. Every finding names the file and the line.",
+        args: { files, json },
+        handler: args => printReport(checkFiles("ticket", args.files), args),
+    }),
+    plan: command({
+        name: "plan",
+        description: "Show what a ticket would change in what is in force, and change nothing.",
+        args: { ...host, file },
+        handler: async args => printReport(await planTicketFile(args, args.file), args),
+    }),
+    apply: command({
+        name: "apply",
+        description: `Apply a ticket as a whole, or not at all. ${EXIT_CODES}`,
+        args: {
+            ...host,
+            file,
+            waitSeconds: option({
+                long: "wait-seconds",
+                type: wholeNumber,
+                defaultValue: () => DEFAULT_WAIT_SECONDS,
+                description: "longest wait until the ticket is in force on all live hosts; 0 does not wait",
+            }),
+        },
+        handler: async args => printReport(await applyTicketFile(args, args.file), args),
+    }),
+    status: command({
+        name: "status",
+        description: "Show on which hosts a ticket is in force.",
+        args: { ...host, ticket: positional({ type: wholeNumber, displayName: "number" }) },
+        handler: async args => printReport(await describeTicketStatus(args, args.ticket), args),
+    }),
+    history: command({
+        name: "history",
+        description: "List the newest tickets.",
+        args: {
+            ...host,
+            limit: option({
+                long: "limit",
+                type: wholeNumber,
+                defaultValue: () => 20,
+                description: "tickets to list, at most 200",
+            }),
+        },
+        handler: async args => printReport(await listTickets(args, args.limit), args),
+    }),
+};
+
+const reclaim = command({
+    name: "reclaim",
+    description: "Stop new work on an endpoint at once on every reachable host, and record it with a ticket.",
+    args: {
+        ...host,
+        endpoint: positional({ type: string, displayName: "endpoint" }),
+        reason: option({ long: "reason", type: string, description: "kept with the stop and in the ticket's summary" }),
+        ticket: option({
+            long: "ticket",
+            type: optionalNumber,
+            description: "number of the ticket that makes the reclaim permanent",
+        }),
+    },
+    handler: async args => printReport(await reclaimEndpoint(args), args),
+});
+
+const application = subcommands({
+    name: "currantrill",
+    description: `Operate a currantrill deployment. ${EXIT_CODES}`,
+    cmds: {
+        ticket: subcommands({
+            name: "ticket",
+            description: "Check, plan and apply change tickets, and see what became of them.",
+            cmds: ticketCommands,
+        }),
+        settings: subcommands({
+            name: "settings",
+            description: "Host settings.",
+            cmds: {
+                check: command({
+                    name: "check",
+                    description: "Check host settings. Every finding names the file and the line.",
+                    args: { files, json },
+                    handler: args => printReport(checkFiles("settings", args.files), args),
+                }),
+            },
+        }),
+        endpoint: subcommands({ name: "endpoint", description: "Borrowed endpoints.", cmds: { reclaim } }),
+        hosts: command({
+            name: "hosts",
+            description: "List the hosts with their state and configuration revision.",
+            args: host,
+            handler: async args => printReport(await listHosts(args), args),
+        }),
+    },
+});
+
+/** What the argument parser ends with in place of a command's result. */
+interface Exit {
+    readonly config: { readonly exitCode: number; readonly message: string; };
+}
+
+/** Runs the command with its arguments. Prints the result and sets the exit code of the process. */
+export async function runApplication(args: readonly string[]): Promise<void> {
+    const result = await runSafely(application, [...args]);
+    if (result._tag === "error") {
+        const { exitCode, message } = (result.error as unknown as Exit).config;
+        (exitCode === 0 ? process.stdout : process.stderr).write(`${message}\n`);
+        process.exitCode = exitCode === 0 ? exitCodes.done : exitCodes.invalid;
+    }
+}
--- /dev/null
+++ b/packages/cli/src/commands/runTicketCommands.ts
@@ -0,0 +1,117 @@
+/** The commands that send tickets to a host or ask about them. */
+import type { ApplyAnswer, PlanAnswer, TicketHistory, TicketStatus } from "@currantrill/protocol";
+import { exitCodes, type Report } from "../model/report.js";
+import { formatTable } from "../queries/formatTable.js";
+import { createMissingFileReport, readText } from "./checkFiles.js";
+import { type HostOptions, sendToHost } from "./sendToHost.js";
+
+const WAIT_POLL_MS = 500;
+const MS_PER_SECOND = 1_000;
+
+const createReport = (data: unknown, text: string): Report => ({ exitCode: exitCodes.done, data, text });
+
+/** Shows what a ticket would change. */
+export async function planTicketFile(options: HostOptions, file: string): Promise<Report> {
+    const text = readText(file);
+    if (text === undefined) {
+        return createMissingFileReport(file);
+    }
+    const result = await sendToHost<PlanAnswer>(options, {
+        method: "POST",
+        path: "/tickets/plan",
+        body: { text, source: file },
+    });
+    return result.ok ? createReport(result.answer, formatPlan(result.answer)) : result.report;
+}
+
+function formatPlan({ ticket, base, appliedAs, changes }: PlanAnswer): string {
+    if (appliedAs !== undefined) {
+        return `ticket ${ticket} has been applied as revision ${appliedAs}; applying it again changes nothing`;
+    }
+    const rows = changes.flatMap(({ key, action, fields }) =>
+        fields.map(({ field, before, after }) => [action, key, field, before, after])
+    );
+    return [
+        `ticket ${ticket} on revision ${base}: ${changes.length} objects change`,
+        formatTable(["ACTION", "OBJECT", "FIELD", "IN FORCE", "AFTER"], rows),
+    ].join("\n");
+}
+
+export interface ApplyOptions extends HostOptions {
+    /** Time to wait until the ticket is in force on all live hosts; 0 does not wait. */
+    readonly waitSeconds: number;
+}
+
+/** Applies a ticket. */
+export async function applyTicketFile(options: ApplyOptions, file: string): Promise<Report> {
+    const text = readText(file);
+    return text === undefined ? createMissingFileReport(file) : applyTicketText(options, text, file);
+}
+
+/** Applies a ticket given as text. */
+export async function applyTicketText(options: ApplyOptions, text: string, source: string): Promise<Report> {
+    const result = await sendToHost<ApplyAnswer>(options, { method: "POST", path: "/tickets", body: { text, source } });
+    if (!result.ok) {
+        return result.report;
+    }
+    const { ticket, revision, alreadyApplied } = result.answer;
+    const status = options.waitSeconds > 0 ? await waitInForce(options, ticket) : undefined;
+    const lines = [
+        `ticket ${ticket} ${alreadyApplied ? "was already applied" : "applied"} as revision ${revision}`,
+        ...(status === undefined ? [] : [formatInForce(status)]),
+    ];
+    return createReport({ ...result.answer, ...(status === undefined ? {} : { status }) }, lines.join("\n"));
+}
+
+async function waitInForce(options: ApplyOptions, ticket: number): Promise<TicketStatus | undefined> {
+    const deadlineMs = performance.now() + options.waitSeconds * MS_PER_SECOND;
+    let status: TicketStatus | undefined;
+    do {
+        const result = await sendToHost<TicketStatus>(options, { method: "GET", path: `/tickets/${ticket}` });
+        status = result.ok ? result.answer : status;
+        if (status?.inForceEverywhere === true) {
+            return status;
+        }
+        await new Promise(resolve => setTimeout(resolve, WAIT_POLL_MS));
+    }
+    while (performance.now() < deadlineMs);
+    return status;
+}
+
+function formatInForce({ hosts }: TicketStatus): string {
+    const live = hosts.filter(host => host.state === "live");
+    return `in force on ${live.filter(host => host.inForce).length} of ${live.length} live hosts`;
+}
+
+/** Tells on which hosts a ticket is in force. */
+export async function describeTicketStatus(options: HostOptions, ticket: number): Promise<Report> {
+    const result = await sendToHost<TicketStatus>(options, { method: "GET", path: `/tickets/${ticket}` });
+    if (!result.ok) {
+        return result.report;
+    }
+    const { summary, revision, appliedAt, hosts } = result.answer;
+    const rows = hosts.map(host => [
+        host.host,
+        host.failureDomain,
+        host.state,
+        host.revision,
+        host.inForce ? "yes" : "no",
+    ]);
+    const text = [
+        `ticket ${ticket} "${summary}" applied at ${appliedAt} as revision ${revision}, ${
+            formatInForce(result.answer)
+        }`,
+        formatTable(["HOST", "DOMAIN", "STATE", "REVISION", "IN FORCE"], rows),
+    ];
+    return createReport(result.answer, text.join("\n"));
+}
+
+/** Lists the newest tickets. */
+export async function listTickets(options: HostOptions, limit: number): Promise<Report> {
+    const result = await sendToHost<TicketHistory>(options, { method: "GET", path: `/tickets?limit=${limit}` });
+    if (!result.ok) {
+        return result.report;
+    }
+    const rows = result.answer.tickets.map(entry => [entry.ticket, entry.revision, entry.appliedAt, entry.summary]);
+    return createReport(result.answer, formatTable(["TICKET", "REVISION", "APPLIED AT", "SUMMARY"], rows));
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export * from "./commands/applyTicket.js";
+export * from "./commands/runApplication.js";
+export * from "./model/report.js";
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./model/hostSettings.js";
 export * from "./model/ticketSchema.js";
+export * from "./queries/formatTicket.js";
 export * from "./queries/parseHostSettings.js";
 export * from "./queries/parseTicket.js";
 export * from "./queries/parseWithSchema.js";
--- /dev/null
+++ b/packages/settings/src/queries/formatTicket.ts
@@ -0,0 +1,29 @@
+import type { ConfigurationObject, Ticket } from "@currantrill/core";
+import { stringify } from "smol-toml";
+
+const sections: Record<ConfigurationObject["kind"], string> = {
+    pool: "pools",
+    endpoint: "endpoints",
+    workspace: "workspaces",
+    rule: "rules",
+    model: "models",
+    service: "services",
+};
+
+/** Formats a ticket in TOML, so that `parseTicket` reads the same ticket from it. */
+export function formatTicket(ticket: Ticket): string {
+    const document: Record<string, unknown> = { ticket: ticket.number, summary: ticket.summary };
+    for (const { body, replaces } of ticket.objects) {
+        const { kind, ...fields } = body;
+        const entries = Object.entries(fields).map(([key, value]) => [toSnakeCase(key), value] as const);
+        const section = sections[kind];
+        const earlier = (document[section] ?? []) as unknown[];
+        document[section] = [...earlier, { ...Object.fromEntries(entries), replaces }];
+    }
+    if (ticket.removals.length > 0) {
+        document["remove"] = ticket.removals;
+    }
+    return stringify(document);
+}
+
+const toSnakeCase = (key: string): string => key.replace(/[A-Z]/g, part => `_${part.toLowerCase()}`);
--- a/packages/settings/src/queries/listKeyLines.ts
+++ b/packages/settings/src/queries/listKeyLines.ts
@@ -48,6 +48,9 @@
         scan.elements.set(tableArray, index + 1);
         scan.prefix = `${tableArray}.${index}.`;
         scan.lines.set(`${tableArray}.${index}`, number);
+        if (index === 0) {
+            scan.lines.set(tableArray, number);
+        }
         return;
     }
     const table = TABLE.exec(bare)?.[1]?.trim();
