--- a/packages/core/src/routing/queries/buildDecision.ts
+++ b/packages/core/src/routing/queries/buildDecision.ts
@@ -2,12 +2,12 @@
 import type { RandomState } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput, ScoredEndpoint } from "../model/routing.js";
 import { estimateFirstToken } from "./estimateFirstToken.js";
-import { getEnginePriority } from "./getEnginePriority.js";
 import type { CandidateList } from "./listCandidates.js";
 
 export interface ChosenEndpoint {
     readonly view: EndpointView;
     readonly considered: readonly ScoredEndpoint[];
+    readonly enginePriority: number;
     readonly reason: string;
     readonly random: RandomState;
 }
@@ -18,24 +18,36 @@
     return {
         outcome: tooLarge ? { kind: "gang" } : { kind: "refuse", reason: "no_endpoint" },
         considered: [],
-        candidateCount: candidates.available,
+        candidateCount: input.candidates.length,
         reason: tooLarge ? "prompt larger than any endpoint" : "no endpoint serves the model now",
         random: input.random,
     };
 }
 
+/** Decision for a request that finds every suitable endpoint full. */
+export function waitForRoom(input: RoutingInput, candidates: CandidateList): RoutingDecision {
+    const expected = candidates.fitting.map(view => estimateFirstToken(input, view));
+    return {
+        outcome: { kind: "wait", expectedFirstTokenMs: Math.min(...expected) },
+        considered: [],
+        candidateCount: input.candidates.length,
+        reason: "every suitable endpoint is full",
+        random: input.random,
+    };
+}
+
 /** Decision for a request that a policy sends to one endpoint. */
-export function sendRoute(input: RoutingInput, candidates: CandidateList, chosen: ChosenEndpoint): RoutingDecision {
+export function sendRoute(input: RoutingInput, chosen: ChosenEndpoint): RoutingDecision {
     return {
         outcome: {
             kind: "send",
             endpoint: chosen.view,
             expectedFirstTokenMs: estimateFirstToken(input, chosen.view),
-            enginePriority: getEnginePriority(input.request),
+            enginePriority: chosen.enginePriority,
             cachedTokens: input.request.prefixHits.get(chosen.view.endpoint) ?? 0,
         },
         considered: chosen.considered,
-        candidateCount: candidates.fitting.length,
+        candidateCount: input.candidates.length,
         reason: chosen.reason,
         random: chosen.random,
     };
