Handle a full fleet and new routing types in the data path

Change: a prompt stays queued while every suitable endpoint is full, and the admission estimate uses the slowest candidate.

--- a/packages/host/src/endpoints/model/endpointBeliefs.ts
+++ b/packages/host/src/endpoints/model/endpointBeliefs.ts
@@ -123,7 +123,7 @@
         const fresh = createEndpointView(endpoint, pool.owner, declared);
         const old = known.get(endpoint.name);
         const { report, ownWork, ownLoad, suspectUntilMs } = old ?? fresh;
-        const reported = old !== undefined && old.report.sequence > 0 ? old.models : declared;
+        const reported = old !== undefined && old.report.sequence > 0 ? old.models : new Set<string>(declared);
         views.set(endpoint.name, { ...fresh, models: reported, report, ownWork, ownLoad, suspectUntilMs });
     }
     return views;
--- a/packages/host/src/model/dataPath.ts
+++ b/packages/host/src/model/dataPath.ts
@@ -1,5 +1,5 @@
 /** The parts of a host that serve prompts and calls. */
-import { type Configuration, findObject } from "@currantrill/core";
+import { type Configuration, findObject, type RoutingOutcome } from "@currantrill/core";
 import { createObjectClient, type ObjectClient } from "@currantrill/platform";
 import { type AttemptId, type IncarnationId, toHostId } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
@@ -40,6 +40,9 @@
     readonly getContext: () => HostContext;
 }
 
+/** Outcomes with which a prompt leaves the queue. With the others it waits until an endpoint has room. */
+const startable: ReadonlySet<RoutingOutcome["kind"]> = new Set(["send", "gang"]);
+
 /** Creates the data path. It does nothing until `startDataPath`. */
 export function createDataPath(sources: DataPathSources): DataPath {
     const { settings, incarnation, getContext } = sources;
@@ -60,7 +63,7 @@
         attempts,
         prompts: createPromptState(),
         queue: createPromptQueue({
-            canStart: job => routePrompt(getContext(), job).outcome.kind !== "refuse",
+            canStart: job => startable.has(routePrompt(getContext(), job).outcome.kind),
             getKind: ({ scope, request }) => `${scope.workspace.name}/${request.model}/${request.lengthClass}`,
         }),
         allocations: createAllocationKeeper({
--- a/packages/host/src/prompts/commands/admitPrompt.ts
+++ b/packages/host/src/prompts/commands/admitPrompt.ts
@@ -43,6 +43,9 @@
     if (outcome.kind === "gang") {
         return estimateGang(context, job);
     }
+    if (outcome.kind === "wait") {
+        return estimateWaiting(context, job, outcome.expectedFirstTokenMs);
+    }
     const { endpoint: view } = outcome;
     return {
         firstTokenMs: outcome.expectedFirstTokenMs + estimateQueueMs(context, job),
@@ -52,9 +55,20 @@
     };
 }
 
+/** Every suitable endpoint is full: the speed is that of the slowest, the wait that of the router. */
+function estimateWaiting(context: HostContext, job: PromptJob, firstTokenMs: number): ServiceEstimate {
+    const { candidates } = buildRoutingInput(context, job);
+    const prefillRate = Math.max(1, Math.min(...candidates.map(view => view.prefillTokensPerSecond)));
+    return {
+        firstTokenMs: firstTokenMs + estimateQueueMs(context, job),
+        idleFirstTokenMs: job.request.promptTokens / prefillRate * MS_PER_SECOND,
+        decodeTokensPerSecond: Math.max(1, Math.min(...candidates.map(view => view.decodeTokensPerSecond))),
+    };
+}
+
 function estimateGang(context: HostContext, job: PromptJob): ServiceEstimate {
     const input = buildRoutingInput(context, job);
-    if (planGang(context.settings.routing.policy, input).kind === "too_large") {
+    if (planGang(context.settings.routing.policy, input).plan.kind === "too_large") {
         throw new CallerError("no_endpoint", {
             message: "The prompt needs more memory than all its endpoints have together now.",
         });
