--- a/packages/host/src/operators/commands/applyTicket.ts
+++ b/packages/host/src/operators/commands/applyTicket.ts
@@ -1,42 +1,143 @@
-import { type Configuration, type Finding, planTicket, type Ticket } from "@currantrill/core";
-import type { JsonValue } from "@currantrill/protocol";
+/** Carries out the effects of the state machine that applies a ticket. */
 import {
-    adoptConfiguration,
-    CONFIG_TABLE,
-    HEAD_KEY,
-    readHead,
-} from "../../configuration/commands/pollConfiguration.js";
+    advanceTicket,
+    beginTicket,
+    type Configuration,
+    CONFIGURATION_TABLE,
+    emptyConfiguration,
+    formatRevisionKey,
+    formatTicketKey,
+    HEAD_ROW_KEY,
+    type HeadRow,
+    type PlatformConfiguration,
+    type Ticket,
+    type TicketEffect,
+    type TicketEvent,
+    type TicketResult,
+    type TicketRow,
+    type TicketStep,
+} from "@currantrill/core";
+import { isStoreAnswerLost } from "@currantrill/platform";
+import { type JsonValue, type Revision, toRevision } from "@currantrill/protocol";
+import { adoptConfiguration } from "../../configuration/commands/adoptConfiguration.js";
+import { readConfigurationRow } from "../../configuration/commands/pollConfiguration.js";
+import { readClocks } from "../../configuration/model/configurationHolder.js";
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
+import { formatHistoryKey } from "../model/historyRow.js";
 
-export type ApplyResult =
-    | { readonly ok: true; readonly revision: number; }
-    | { readonly ok: false; readonly findings: readonly Finding[]; };
+const TICKET_TIMEOUT_MS = 10_000;
+/** Revisions kept in the table. Nothing reads an old one; they are kept for inspection by hand. */
+const REVISIONS_KEPT = 20;
 
-/** Applies a ticket in one transaction of the table service. */
-export async function applyTicket(context: HostContext, ticket: Ticket): Promise<ApplyResult> {
-    const version = await readHead(context);
-    const plan = planTicket(context.configuration.current, ticket);
-    if (!plan.ok) {
-        return plan;
-    }
-    const result = await context.tables.transact({
-        attemptId: createAttemptId(),
-        conditions: [{ table: CONFIG_TABLE, key: HEAD_KEY, version }],
-        writes: [{ table: CONFIG_TABLE, key: HEAD_KEY, value: toJson(plan.next) }],
-    });
-    if (!result.committed) {
-        return {
-            ok: false,
-            findings: [{
-                source: `ticket ${ticket.number}`,
-                path: "",
-                found: "another ticket won",
-                expected: "a new plan",
-            }],
+type WriteEffect = Extract<TicketEffect, { type: "writeTicket"; }>;
+
+/** Applies a ticket. Never rejects; a result that cannot be found out in time is `outcome_unknown`. */
+export function applyTicket(context: HostContext, ticket: Ticket): Promise<TicketResult> {
+    const request = { ticket, attempt: createAttemptId(), timeoutMs: TICKET_TIMEOUT_MS };
+    const timers = new Set<NodeJS.Timeout>();
+    return new Promise(resolve => {
+        const first = beginTicket(request, readClocks());
+        let { state } = first;
+        const advance = (event: TicketEvent): void => {
+            const step = advanceTicket(state, event, readClocks());
+            state = step.state;
+            runEffects(step.effects);
         };
+        const runEffects = (effects: TicketStep["effects"]): void => effects.forEach(runEffect);
+        const runEffect = (effect: TicketEffect): void => {
+            switch (effect.type) {
+                case "readPlatform":
+                    void readPlatform(context, ticket, effect.operation).then(advance);
+                    return;
+                case "writeTicket":
+                    void writeTicket(context, effect).then(advance);
+                    return;
+                case "wait":
+                    timers.add(
+                        setTimeout(() => advance({ type: "timerFired", operation: effect.operation }), effect.delayMs),
+                    );
+                    return;
+                case "adopt":
+                    adoptConfiguration(context, effect.configuration);
+                    return;
+                case "answerOperator":
+                    timers.forEach(timer => clearTimeout(timer));
+                    resolve(effect.result);
+            }
+        };
+        runEffects(first.effects);
+    });
+}
+
+async function readPlatform(context: HostContext, ticket: Ticket, operation: number): Promise<TicketEvent> {
+    try {
+        return { type: "platformRead", operation, platform: await readPlatformConfiguration(context, ticket) };
+    }
+    catch (error) {
+        context.log.warn({ err: error, ticket: ticket.number }, "operators: platform not reachable");
+        return { type: "readFailed", operation };
+    }
+}
+
+/** Reads `head` first and the ticket's row last, as the state machine requires. Rejects with `StoreUnavailable`. */
+export async function readPlatformConfiguration(context: HostContext, ticket: Ticket): Promise<PlatformConfiguration> {
+    const head = await readConfigurationRow(context, HEAD_ROW_KEY);
+    const headRevision = (head?.value as HeadRow | undefined)?.revision;
+    const configuration = headRevision === undefined
+        ? emptyConfiguration
+        : await findConfiguration(context, headRevision);
+    const ticketRow = await readConfigurationRow(context, formatTicketKey(ticket.number));
+    return {
+        headVersion: head?.version ?? 0,
+        configuration,
+        ticketRow: ticketRow?.value as unknown as TicketRow | undefined,
+    };
+}
+
+/** Takes the configuration from memory if this host has the revision, and reads it otherwise. */
+async function findConfiguration(context: HostContext, revision: Revision): Promise<Configuration> {
+    const { current } = context.configuration;
+    if (current.revision === revision) {
+        return current;
     }
-    adoptConfiguration(context, plan.next);
-    return { ok: true, revision: plan.next.revision };
+    const row = await readConfigurationRow(context, formatRevisionKey(revision));
+    return (row?.value as Configuration | undefined) ?? emptyConfiguration;
 }
 
-const toJson = (configuration: Configuration): JsonValue => JSON.parse(JSON.stringify(configuration)) as JsonValue;
+async function writeTicket(context: HostContext, effect: WriteEffect): Promise<TicketEvent> {
+    const { operation, headVersion, next, row } = effect;
+    const { ticket, revision, appliedAtMs } = row;
+    const history = { ticket: ticket.number, summary: ticket.summary, revision, appliedAtMs };
+    const writes = [
+        createWrite(HEAD_ROW_KEY, { revision }),
+        createWrite(formatRevisionKey(revision), next),
+        createWrite(formatTicketKey(ticket.number), row),
+        createWrite(formatHistoryKey(revision), history),
+        ...listPrunedWrites(revision),
+    ];
+    context.metrics.platformRequests.inc({ use: "configuration", operation: "write" });
+    try {
+        const result = await context.tables.transact({
+            attemptId: row.attempt,
+            conditions: [
+                { table: CONFIGURATION_TABLE, key: HEAD_ROW_KEY, version: headVersion },
+                { table: CONFIGURATION_TABLE, key: formatTicketKey(ticket.number), version: 0 },
+            ],
+            writes,
+        });
+        return { type: result.committed ? "ticketWritten" : "ticketConflict", operation };
+    }
+    catch (error) {
+        context.log.warn({ err: error, ticket: ticket.number }, "operators: ticket not written");
+        return { type: isStoreAnswerLost(error) ? "writeLost" : "writeRefused", operation };
+    }
+}
+
+const createWrite = (key: string, value: unknown) => ({
+    table: CONFIGURATION_TABLE,
+    key,
+    value: JSON.parse(JSON.stringify(value)) as JsonValue,
+});
+
+const listPrunedWrites = (revision: Revision) =>
+    revision > REVISIONS_KEPT ? [createWrite(formatRevisionKey(toRevision(revision - REVISIONS_KEPT)), null)] : [];
--- /dev/null
+++ b/packages/host/src/operators/commands/handleStop.ts
@@ -0,0 +1,28 @@
+import { findObject, listLiveHosts } from "@currantrill/core";
+import type { HttpRequest } from "@currantrill/http";
+import { type StopAnswer, stopBodySchema } from "@currantrill/protocol";
+import type { HostContext } from "../../model/hostContext.js";
+import { publishFact } from "../../peers/commands/publishFact.js";
+import { OperatorFailure } from "../model/operatorError.js";
+
+/** Stops an endpoint at once, on this host and on every host that it can reach. Needs no platform. */
+export function handleStop(context: HostContext, request: HttpRequest): StopAnswer {
+    const body = stopBodySchema.safeParse(request.body);
+    if (!body.success) {
+        const findings = body.error.issues.map(issue => ({
+            source: "request",
+            path: issue.path.map(String).join("."),
+            found: issue.code,
+            expected: issue.message,
+        }));
+        throw new OperatorFailure("invalid", findings);
+    }
+    const endpoint = findObject(context.configuration.current, "endpoint", body.data.endpoint);
+    if (endpoint === undefined) {
+        throw new OperatorFailure("not_found", [], `No endpoint ${body.data.endpoint} is configured on this host.`);
+    }
+    const { name, lendEpoch } = endpoint;
+    publishFact(context, { kind: "stop", endpoint: name, lendEpoch, reason: body.data.reason });
+    context.log.info({ endpoint: name, lendEpoch, reason: body.data.reason }, "operators: endpoint stopped");
+    return { endpoint: name, lendEpoch, hosts: listLiveHosts(context.fleet.membership, performance.now()).length };
+}
