--- a/packages/core/src/beliefs/commands/recordWork.ts
+++ b/packages/core/src/beliefs/commands/recordWork.ts
@@ -1,7 +1,7 @@
 /** Changes of a view by the host's own requests. */
 import type { AttemptId } from "@currantrill/protocol";
 import type { EndpointView, OwnWork } from "../model/endpointView.js";
-import { sumOwnLoad } from "../queries/sumOwnLoad.js";
+import { estimateLoad } from "../queries/estimateLoad.js";
 
 /** Records a request sent to the endpoint. */
 export function recordSend(view: EndpointView, work: Omit<OwnWork, "inPrefill">): EndpointView {
@@ -42,5 +42,5 @@
 }
 
 function setOwnWork(view: EndpointView, ownWork: readonly OwnWork[]): EndpointView {
-    return { ...view, ownWork, ownLoad: sumOwnLoad(ownWork, view.report.observedAtMs) };
+    return { ...view, ownWork, ...estimateLoad(view, view.report, ownWork) };
 }
--- a/packages/core/src/beliefs/model/endpointView.ts
+++ b/packages/core/src/beliefs/model/endpointView.ts
@@ -26,27 +26,21 @@
     readonly inPrefill: boolean;
 }
 
-/** Sums over the host's own work, kept up to date so that a decision among many endpoints reads only numbers. */
-export interface OwnLoad {
-    readonly requests: number;
-    /** Tokens of requests whose first token has not arrived. */
-    readonly prefillTokens: number;
-    /** The part of `prefillTokens` that belongs to short requests. */
-    readonly shortPrefillTokens: number;
-    /** The part of `prefillTokens` that belongs to short and medium requests. */
-    readonly urgentPrefillTokens: number;
-    /** Requests of the classes `long` and `huge` in prefill. */
-    readonly longPrefills: number;
-    /** Time of the oldest request in prefill; `Infinity` if there is none. */
-    readonly oldestPrefillAtMs: number;
-    readonly requestsSinceReport: number;
-    readonly prefillTokensSinceReport: number;
-    readonly memoryTokensSinceReport: number;
-    /** Time of the first send that the report does not include; `Infinity` if there is none. */
-    readonly firstSinceReportAtMs: number;
+/** Numbers derived from the report and the host's own work at each change, so that a decision only reads them. */
+export interface LoadEstimate {
+    /** Time at which the queued prefill work is expected to be finished, on the host's clock. */
+    readonly drainedAtMs: number;
+    readonly freeMemoryTokens: number;
+    readonly freeSlots: number;
+    /** Tokens of the host's own short requests in prefill. */
+    readonly ownShortTokens: number;
+    /** Tokens of the host's own short and medium requests in prefill. */
+    readonly ownUrgentTokens: number;
+    /** The host's own requests of the classes `long` and `huge` in prefill. */
+    readonly ownLongPrefills: number;
 }
 
-export interface EndpointView {
+export interface EndpointView extends LoadEstimate {
     readonly endpoint: EndpointId;
     readonly pool: PoolId;
     readonly poolOwner: WorkspaceId;
@@ -65,7 +59,6 @@
     readonly suspectUntilMs: number;
     readonly report: LoadReport;
     readonly ownWork: readonly OwnWork[];
-    readonly ownLoad: OwnLoad;
 }
 
 export const emptyReport: LoadReport = {
@@ -75,16 +68,3 @@
     runningRequests: 0,
     memoryUsedTokens: 0,
 };
-
-export const emptyOwnLoad: OwnLoad = {
-    requests: 0,
-    prefillTokens: 0,
-    shortPrefillTokens: 0,
-    urgentPrefillTokens: 0,
-    longPrefills: 0,
-    oldestPrefillAtMs: Infinity,
-    requestsSinceReport: 0,
-    prefillTokensSinceReport: 0,
-    memoryTokensSinceReport: 0,
-    firstSinceReportAtMs: Infinity,
-};
--- a/packages/core/src/gang/queries/planGang.ts
+++ b/packages/core/src/gang/queries/planGang.ts
@@ -80,8 +80,7 @@
 
 /** Memory that the host believes to be free on an endpoint, in tokens, with headroom. */
 export function estimateFreeMemory(view: EndpointView): number {
-    const used = view.report.memoryUsedTokens + view.ownLoad.memoryTokensSinceReport;
-    return Math.max(0, Math.floor((view.memoryTokens - used) * (1 - MEMORY_HEADROOM)));
+    return Math.max(0, Math.floor(view.freeMemoryTokens * (1 - MEMORY_HEADROOM)));
 }
 
 /** Largest share such that the shares, each cut at its member's limit, add up to `needed`. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./beliefs/commands/recordWork.js";
 export * from "./beliefs/model/endpointView.js";
 export * from "./beliefs/model/prefixIndex.js";
+export * from "./beliefs/queries/estimateLoad.js";
 export * from "./beliefs/queries/estimateQueuedPrefill.js";
 export * from "./beliefs/queries/findPrefixHits.js";
 export * from "./calls/commands/advanceCall.js";
--- a/packages/core/src/routing/queries/estimateFirstToken.ts
+++ b/packages/core/src/routing/queries/estimateFirstToken.ts
@@ -25,10 +25,10 @@
     switch (input.request.lengthClass) {
         case "short":
             // Short prompts of other hosts are finished before a report about them arrives.
-            return restOfStep + view.ownLoad.shortPrefillTokens;
+            return restOfStep + view.ownShortTokens;
         case "medium":
-            return input.lanes.longLane.has(view.endpoint) || view.ownLoad.longPrefills > 0
-                ? restOfStep + view.ownLoad.urgentPrefillTokens
+            return input.lanes.longLane.has(view.endpoint) || view.ownLongPrefills > 0
+                ? restOfStep + view.ownUrgentTokens
                 : queued;
         case "long":
         case "huge":
--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -57,16 +57,16 @@
  * endpoint cannot take the request. The numbers come first: they rule out most of the endpoints without a look-up.
  */
 function scoreEndpoint(input: RoutingInput, view: EndpointView, limit: number): number {
-    const firstTokenMs = estimateFirstToken(input, view);
-    if (firstTokenMs > limit || !hasRoom(input, view)) {
+    const { request, settings, withheld } = input;
+    const withoutLookups = estimateFirstToken(input, view)
+        + (view.poolOwner === request.workspace ? 0 : settings.borrowedPenaltyMs)
+        + (view.failureDomain === input.failureDomain ? 0 : settings.remotePenaltyMs);
+    if (withoutLookups > limit || !hasRoom(input, view)) {
         return Infinity;
     }
-    const score = firstTokenMs
-        + (view.poolOwner === input.request.workspace ? 0 : input.settings.borrowedPenaltyMs)
-        + (view.failureDomain === input.failureDomain ? 0 : input.settings.remotePenaltyMs)
-        + scoreLane(input, view)
-        + (input.withheld.size > 0 && input.withheld.has(view.endpoint) ? WITHHELD_PENALTY_MS : 0);
-    return score <= limit && isAvailable(view, input.request.model, input.now) ? score : Infinity;
+    const isWithheld = withheld.size > 0 && withheld.has(view.endpoint);
+    const score = withoutLookups + scoreLane(input, view) + (isWithheld ? WITHHELD_PENALTY_MS : 0);
+    return score <= limit && isAvailable(view, request.model, input.now) ? score : Infinity;
 }
 
 /** Cost of crossing lanes: long work on the lane of short requests, or short requests behind long prefills. */
@@ -82,10 +82,10 @@
 /** Whether the endpoint has a free slot and enough free memory, as far as the host knows. */
 function hasRoom(input: RoutingInput, view: EndpointView): boolean {
     const { request } = input;
-    const used = view.report.memoryUsedTokens + view.ownLoad.memoryTokensSinceReport;
-    const free = view.memoryTokens - used - request.promptTokens - request.maxTokens;
-    const reserve = isLongClass(request.lengthClass) && used > 0 ? view.memoryTokens * SHORT_MEMORY_RESERVE : 0;
-    return free >= reserve && view.report.runningRequests + view.ownLoad.requestsSinceReport < view.slots;
+    const free = view.freeMemoryTokens - request.promptTokens - request.maxTokens;
+    const isEmpty = view.freeMemoryTokens >= view.memoryTokens;
+    const reserve = isEmpty || !isLongClass(request.lengthClass) ? 0 : view.memoryTokens * SHORT_MEMORY_RESERVE;
+    return free >= reserve && view.freeSlots > 0;
 }
 
 /** Power of two choices among near-equal endpoints, so that hosts with the same report do not all pick the same one. */
--- a/packages/measure/src/commands/measureDecisions.ts
+++ b/packages/measure/src/commands/measureDecisions.ts
@@ -25,6 +25,11 @@
 
 const TARGET_ENDPOINTS = 780;
 const TARGET_DOMAINS = 6;
+const TARGET_POOLS = 20;
+/** Names are shared between endpoints, as they are in a parsed configuration. */
+const DOMAINS = Array.from({ length: TARGET_DOMAINS }, (_, position) => toFailureDomainId(`domain-${position}`));
+const OWNERS = Array.from({ length: TARGET_POOLS }, (_, position) => toWorkspaceId(`workspace-${position}`));
+const MODELS = Array.from({ length: 8 }, (_, position) => toModelId(`model-${position}`));
 const WARM_UP_DECISIONS = 2_000;
 const DECISIONS = 5_000;
 
@@ -57,14 +62,22 @@
     return { policy, endpoints: candidates.length, decisions: DECISIONS, p50Us: p50, p99Us: p99 };
 }
 
+function getAt<T>(values: readonly T[], position: number): T {
+    const value = values[position % values.length];
+    if (value === undefined) {
+        throw new RangeError("the list is empty");
+    }
+    return value;
+}
+
 function createLoadedView(position: number): EndpointView {
     const view = createEndpointView(
         {
             kind: "endpoint",
             name: toEndpointId(`engine-${position}`),
-            pool: toPoolId(`pool-${position % 20}`),
+            pool: toPoolId(`pool-${position % TARGET_POOLS}`),
             url: "",
-            failureDomain: toFailureDomainId(`domain-${position % TARGET_DOMAINS}`),
+            failureDomain: getAt(DOMAINS, position),
             lending: "lent",
             lendEpoch: 0,
             maxSilenceMs: 0,
@@ -75,8 +88,8 @@
             prefillTokensPerSecond: ENGINE.prefillTokensPerSecond,
             decodeTokensPerSecond: 1_000 / ENGINE.stepMs,
         },
-        toWorkspaceId(`workspace-${position % 20}`),
-        Array.from({ length: 8 }, (_, model) => toModelId(`model-${model}`)),
+        getAt(OWNERS, position),
+        MODELS,
     );
     return applyReport(view, {
         sequence: 1,
@@ -92,8 +105,8 @@
     return {
         request: {
             request: toRequestId("request"),
-            workspace: toWorkspaceId("workspace-1"),
-            model: toModelId("model-3"),
+            workspace: getAt(OWNERS, 1),
+            model: getAt(MODELS, 3),
             lengthClass: "short",
             promptTokens: 2_000,
             maxTokens: 100,
@@ -102,7 +115,7 @@
             prefixHits: new Map([[toEndpointId("engine-17"), 1_000]]),
         },
         candidates,
-        failureDomain: toFailureDomainId("domain-0"),
+        failureDomain: getAt(DOMAINS, 0),
         lanes: planLanes(candidates, { shortTokensPerSecond: 3e6, longTokensPerSecond: 8e6 }),
         withheld: new Set(),
         hostOrder: createHostOrder(toHostId("host-0"), endpoints, text => text.length),
