--- a/packages/host/src/model/hostContext.ts
+++ b/packages/host/src/model/hostContext.ts
@@ -8,9 +8,10 @@
 import type { ConfigurationHolder } from "../configuration/model/configurationHolder.js";
 import type { Fleet } from "../peers/model/fleet.js";
 import type { EndpointViews } from "../watching/model/endpointViews.js";
+import type { DataPath } from "./dataPath.js";
 import type { HostMetrics } from "./hostMetrics.js";
 
-export interface HostContext {
+export interface HostContext extends DataPath {
     readonly settings: HostSettings;
     readonly incarnation: IncarnationId;
     readonly log: Logger;
