--- a/packages/host/src/endpoints/model/endpointBeliefs.ts
+++ b/packages/host/src/endpoints/model/endpointBeliefs.ts
@@ -11,6 +11,7 @@
     listObjects,
     type PrefixIndex,
     recordPrefix,
+    updateDescription,
 } from "@currantrill/core";
 import {
     type CacheEvent,
@@ -122,9 +123,7 @@
         const declared = models.filter(model => model.pools.includes(endpoint.pool)).map(model => model.name);
         const fresh = createEndpointView(endpoint, pool.owner, declared);
         const old = known.get(endpoint.name);
-        const { report, ownWork, ownLoad, suspectUntilMs } = old ?? fresh;
-        const reported = old !== undefined && old.report.sequence > 0 ? old.models : declared;
-        views.set(endpoint.name, { ...fresh, models: reported, report, ownWork, ownLoad, suspectUntilMs });
+        views.set(endpoint.name, old === undefined ? fresh : updateDescription(old, fresh));
     }
     return views;
 }
--- a/packages/host/src/lending/commands/handleReclaims.ts
+++ b/packages/host/src/lending/commands/handleReclaims.ts
@@ -74,7 +74,7 @@
         .map(id => views.get(id))
         .filter(view => view !== undefined)
         .filter(view => view.endpoint !== attempt.endpoint && view.usable && view.suspectUntilMs <= now)
-        .filter(view => view.models.includes(attempt.model))
+        .filter(view => view.models.has(attempt.model))
         .sort((a, b) =>
             Number(a.failureDomain !== source?.failureDomain) - Number(b.failureDomain !== source?.failureDomain)
             || a.report.runningRequests - b.report.runningRequests
--- a/packages/host/src/model/dataPath.ts
+++ b/packages/host/src/model/dataPath.ts
@@ -60,7 +60,7 @@
         attempts,
         prompts: createPromptState(),
         queue: createPromptQueue({
-            canStart: job => routePrompt(getContext(), job).outcome.kind !== "refuse",
+            canStart: job => ["send", "gang"].includes(routePrompt(getContext(), job).outcome.kind),
             getKind: ({ scope, request }) => `${scope.workspace.name}/${request.model}/${request.lengthClass}`,
         }),
         allocations: createAllocationKeeper({
--- a/packages/host/src/prompts/commands/admitPrompt.ts
+++ b/packages/host/src/prompts/commands/admitPrompt.ts
@@ -43,6 +43,12 @@
     if (outcome.kind === "gang") {
         return estimateGang(context, job);
     }
+    if (outcome.kind === "wait") {
+        return {
+            ...estimateIdle(context, job),
+            firstTokenMs: outcome.expectedFirstTokenMs + estimateQueueMs(context, job),
+        };
+    }
     const { endpoint: view } = outcome;
     return {
         firstTokenMs: outcome.expectedFirstTokenMs + estimateQueueMs(context, job),
@@ -52,9 +58,19 @@
     };
 }
 
+/** Time on an idle engine, for a prompt that waits for room. */
+function estimateIdle(context: HostContext, job: PromptJob): Omit<ServiceEstimate, "firstTokenMs"> {
+    const { candidates } = buildRoutingInput(context, job);
+    const prefillRate = Math.max(1, Math.min(...candidates.map(view => view.prefillTokensPerSecond)));
+    return {
+        idleFirstTokenMs: job.request.promptTokens / prefillRate * MS_PER_SECOND,
+        decodeTokensPerSecond: Math.max(1, Math.min(...candidates.map(view => view.decodeTokensPerSecond))),
+    };
+}
+
 function estimateGang(context: HostContext, job: PromptJob): ServiceEstimate {
     const input = buildRoutingInput(context, job);
-    if (planGang(context.settings.routing.policy, input).kind === "too_large") {
+    if (planGang(context.settings.routing.policy, input).plan.kind === "too_large") {
         throw new CallerError("no_endpoint", {
             message: "The prompt needs more memory than all its endpoints have together now.",
         });
--- a/packages/host/src/prompts/commands/runGang.ts
+++ b/packages/host/src/prompts/commands/runGang.ts
@@ -59,7 +59,8 @@
 }
 
 function planMembers(context: HostContext, job: PromptJob): GangEvent {
-    const plan = planGang(context.settings.routing.policy, buildRoutingInput(context, job));
+    const { plan, random } = planGang(context.settings.routing.policy, buildRoutingInput(context, job));
+    context.prompts.random = random;
     return { kind: "planned", members: plan.kind === "members" ? plan.members : undefined };
 }
 
