--- a/packages/core/src/beliefs/model/endpointView.ts
+++ b/packages/core/src/beliefs/model/endpointView.ts
@@ -33,6 +33,8 @@
     readonly prefillTokens: number;
     /** The part of `prefillTokens` that belongs to short requests. */
     readonly shortPrefillTokens: number;
+    /** The part of `prefillTokens` that belongs to short and medium requests. */
+    readonly urgentPrefillTokens: number;
     /** Requests of the classes `long` and `huge` in prefill. */
     readonly longPrefills: number;
     /** Time of the oldest request in prefill; `Infinity` if there is none. */
@@ -50,13 +52,15 @@
     readonly poolOwner: WorkspaceId;
     readonly failureDomain: FailureDomainId;
     /** Names of loaded models. */
-    readonly models: readonly string[];
+    readonly models: ReadonlySet<string>;
     readonly memoryTokens: number;
     readonly slots: number;
     readonly prefillTokensPerSecond: number;
     readonly decodeTokensPerSecond: number;
     /** Whether the lending rules allow new work now. */
     readonly usable: boolean;
+    /** Whether the endpoint's watchers reach it. */
+    readonly reachable: boolean;
     /** No new work before this time, after a failure seen by this host. */
     readonly suspectUntilMs: number;
     readonly report: LoadReport;
@@ -76,6 +80,7 @@
     requests: 0,
     prefillTokens: 0,
     shortPrefillTokens: 0,
+    urgentPrefillTokens: 0,
     longPrefills: 0,
     oldestPrefillAtMs: Infinity,
     requestsSinceReport: 0,
--- a/packages/settings/src/model/hostSettings.ts
+++ b/packages/settings/src/model/hostSettings.ts
@@ -1,8 +1,11 @@
 /** Settings of one host, read from a TOML file at start. */
 import { z } from "zod";
 
-const IP_AND_PORT = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
-const address = z.string().regex(IP_AND_PORT, "an IP address and port such as 10.0.0.1:7100");
+const OCTET = "(25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+const IP_AND_PORT = new RegExp(`^(${OCTET}\\.){3}${OCTET}:([1-9]\\d{0,4})$`);
+const address = z.string()
+    .regex(IP_AND_PORT, "an IP address and port such as 10.0.0.1:7100")
+    .refine(text => Number(text.split(":")[1] ?? 0) < 65_536, "a port of at most 65535");
 const milliseconds = (value: number) => z.number().int().min(1).max(86_400_000).default(value);
 
 export const hostSettingsSchema = z.strictObject({
@@ -40,6 +43,15 @@
         short_request_weight: z.number().min(0).max(1).default(0.5),
     }).prefault({}),
     log_level: z.enum(["debug", "info", "warn", "error"]).default("info"),
+}).superRefine((settings, context) => {
+    const { callers, operators, peers } = settings.listen;
+    if (new Set([callers, operators, peers]).size < 3) {
+        context.addIssue({ code: "custom", path: ["listen"], message: "three different addresses" });
+    }
+    if (settings.limits.default_timeout_ms > settings.limits.max_timeout_ms) {
+        const message = `at most max_timeout_ms, ${settings.limits.max_timeout_ms}`;
+        context.addIssue({ code: "custom", path: ["limits", "default_timeout_ms"], message });
+    }
 });
 
 export type HostSettings = z.infer<typeof hostSettingsSchema>;
