Split entitlements over hosts by demand

Cause: every host would have used a workspace's whole entitlement. Ruled out: publishing every active workspace's demand (at 930 workspaces and 340 hosts more bytes than the whole control budget); splitting by demand alone in a partition (each side would grow into the other's part). Change: core area limits with fractions by demand above a floor, growth after one exchange interval, unreachable scopes charged with their last fraction, token bucket, concurrency, charge of retries, demand published only where it differs from the equal share.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -35,6 +35,7 @@
 export * from "./lending/model/lending.js";
 export * from "./lending/queries/decideInFlight.js";
 export * from "./lending/queries/decideLending.js";
+export * from "./limits/index.js";
 export * from "./membership/index.js";
 export * from "./memory/commands/sweepAllocations.js";
 export * from "./memory/commands/trackAllocations.js";
--- /dev/null
+++ b/packages/core/src/limits/commands/admitUse.ts
@@ -0,0 +1,55 @@
+import type { WorkspaceObject } from "../../model/configuration.js";
+import { createTokenBucket, type TokenBucket } from "../model/tokenBucket.js";
+import type { HostLimits, WorkspaceUse } from "../model/workspaceUse.js";
+import { spendTokens, takeTokens, updateBucket } from "./spendTokens.js";
+
+/** Time after which a request refused for concurrency is worth another try. */
+const CONCURRENCY_RETRY_MS = 1_000;
+
+/** Splits off the part of a workspace's entitlement that this host may use. One request may always run. */
+export function splitLimits(workspace: WorkspaceObject, fraction: number): HostLimits {
+    return {
+        tokensPerSecond: workspace.tokensPerSecond * fraction,
+        burstTokens: workspace.burstTokens * fraction,
+        maxConcurrent: Math.max(1, Math.floor(workspace.maxConcurrent * fraction)),
+    };
+}
+
+export type UseDecision =
+    | { readonly admitted: true; readonly use: WorkspaceUse; }
+    | {
+        readonly admitted: false;
+        readonly use: WorkspaceUse;
+        readonly reason: "rate" | "concurrency";
+        readonly retryAfterMs: number;
+    };
+
+/** Admits a request of a workspace, or refuses it before anything is run. */
+export function admitUse(use: WorkspaceUse, limits: HostLimits, tokens: number, now: number): UseDecision {
+    if (use.running >= limits.maxConcurrent) {
+        return { admitted: false, use, reason: "concurrency", retryAfterMs: CONCURRENCY_RETRY_MS };
+    }
+    const spent = spendTokens(fitBucket(use, limits, now), tokens, now);
+    if (!spent.allowed) {
+        return {
+            admitted: false,
+            use: { ...use, bucket: spent.bucket },
+            reason: "rate",
+            retryAfterMs: spent.retryAfterMs,
+        };
+    }
+    return { admitted: true, use: { bucket: spent.bucket, running: use.running + 1 } };
+}
+
+/** Counts the end of an admitted request. */
+export const endUse = (use: WorkspaceUse): WorkspaceUse => ({ ...use, running: Math.max(0, use.running - 1) });
+
+/** Charges the work of a retry to the workspace. It is not refused, because the request was admitted. */
+export function recordRetry(use: WorkspaceUse, limits: HostLimits, tokens: number, now: number): WorkspaceUse {
+    return { ...use, bucket: takeTokens(fitBucket(use, limits, now), tokens, now) };
+}
+
+function fitBucket(use: WorkspaceUse, limits: HostLimits, now: number): TokenBucket {
+    const size = { capacity: limits.burstTokens, tokensPerSecond: limits.tokensPerSecond };
+    return use.bucket === undefined ? createTokenBucket(size, now) : updateBucket(use.bucket, size, now);
+}
--- /dev/null
+++ b/packages/core/tests/limits/limits.test.ts
@@ -0,0 +1,90 @@
+import { toWorkspaceId } from "@currantrill/protocol";
+import { describe, expect, it } from "vitest";
+import {
+    admitUse,
+    choosePublishedDemand,
+    createTokenBucket,
+    type DemandMeter,
+    endUse,
+    measureDemand,
+    recordDemand,
+    recordRetry,
+    roundDemand,
+    spendTokens,
+    splitLimits,
+    unusedWorkspace,
+    type WorkspaceObject,
+} from "../../src/index.js";
+
+const workspace: WorkspaceObject = {
+    kind: "workspace",
+    name: toWorkspaceId("desk"),
+    keySha256: "",
+    tokensPerSecond: 100,
+    burstTokens: 1_000,
+    maxConcurrent: 4,
+    weight: 1,
+};
+const limits = splitLimits(workspace, 0.5);
+
+describe("spendTokens guards against more tokens than the bucket gives", () => {
+    const bucket = createTokenBucket({ capacity: 100, tokensPerSecond: 10 }, 0);
+    const empty = { ...bucket, level: 0 };
+    it.each([
+        { name: "full bucket", bucket, tokens: 100, now: 0, expected: { allowed: true, level: 0 } },
+        { name: "larger than the bucket", bucket, tokens: 250, now: 0, expected: { allowed: true, level: -150 } },
+        { name: "empty bucket", bucket: empty, tokens: 50, now: 0, expected: { allowed: false, retryAfterMs: 5_000 } },
+        { name: "refilled", bucket: empty, tokens: 50, now: 5_000, expected: { allowed: true, level: 0 } },
+        { name: "filled no further", bucket, tokens: 50, now: 60_000, expected: { allowed: true, level: 50 } },
+        {
+            name: "larger than the bucket, not full",
+            bucket: { ...bucket, level: 90 },
+            tokens: 250,
+            now: 0,
+            expected: { allowed: false, retryAfterMs: 1_000 },
+        },
+    ])("$name", ({ bucket: start, tokens, now, expected }) => {
+        const result = spendTokens(start, tokens, now);
+        const found = result.allowed
+            ? { allowed: true, level: result.bucket.level }
+            : { allowed: false, retryAfterMs: result.retryAfterMs };
+        expect(found).toEqual(expected);
+    });
+});
+
+describe("admitUse guards against use beyond the share", () => {
+    it("limits concurrency and frees it again", () => {
+        const one = admitUse(unusedWorkspace, limits, 1, 0).use;
+        const two = admitUse(one, limits, 1, 0).use;
+        expect(admitUse(two, limits, 1, 0)).toMatchObject({ admitted: false, reason: "concurrency" });
+        expect(admitUse(endUse(two), limits, 1, 0).admitted).toBe(true);
+    });
+
+    it("charges retries to the workspace", () => {
+        const { use } = admitUse(unusedWorkspace, limits, 300, 0);
+        const charged = recordRetry(use, limits, 300, 0);
+        expect(admitUse(charged, limits, 1, 0)).toMatchObject({ admitted: false, reason: "rate" });
+    });
+
+    it("a smaller share takes effect at once", () => {
+        const { use } = admitUse(unusedWorkspace, limits, 1, 0);
+        expect(admitUse(endUse(use), splitLimits(workspace, 0.1), 100, 0).use.bucket?.level).toBe(0);
+    });
+});
+
+describe("demand", () => {
+    it("guards against an average that does not decay", () => {
+        const meter: DemandMeter = recordDemand(new Map(), workspace.name, 1_000, 0);
+        expect(measureDemand(meter, workspace.name, 0)).toBeCloseTo(100);
+        expect(measureDemand(meter, workspace.name, 30_000)).toBeLessThan(6);
+    });
+
+    it.each([
+        { name: "within the equal share", demand: 80, isContended: false, expected: undefined },
+        { name: "above it", demand: 150, isContended: false, expected: roundDemand(150) },
+        { name: "low while others need more", demand: 10, isContended: true, expected: roundDemand(10) },
+        { name: "low without need", demand: 10, isContended: false, expected: undefined },
+    ])("guards against facts that say nothing: $name", ({ demand, isContended, expected }) => {
+        expect(choosePublishedDemand({ demand, equalShare: 100, isContended })).toBe(expected);
+    });
+});
