Treat members of other domains as live between their rarer host facts

Cause: host facts cross domains every 30 s, so members of other domains were suspect after 15 s and relays flapped. Change: a longer suspicion time for members of other domains. A host that starts takes at most the equal share.

--- a/packages/core/src/limits/model/demand.ts
+++ b/packages/core/src/limits/model/workspaceDemand.ts
@@ -9,4 +9,4 @@
     readonly updatedAtMs: number;
 }
 
-export type DemandMeter = ReadonlyMap<WorkspaceId, DemandEntry>;
+export type WorkspaceDemand = ReadonlyMap<WorkspaceId, DemandEntry>;
--- a/packages/core/src/limits/queries/getShare.ts
+++ b/packages/core/src/limits/queries/getShare.ts
@@ -1,12 +1,11 @@
-import { EXCHANGE_INTERVAL_MS, SHARE_FLOOR, type ShareState } from "../model/shares.js";
+import { EXCHANGE_INTERVAL_MS, type ShareState } from "../model/shares.js";
 
 /**
  * The own fraction in force: the smallest one computed within the last exchange interval, so that it shrinks at once and
- * grows only when the others have had the time to shrink. A host that has not been there for an interval takes its floor
- * of the `hosts` in the fleet.
+ * grows only when the others have had the time to shrink. A host that has not been there for an interval takes at most
+ * the equal share of the `hosts` in the fleet, which the others leave to it.
  */
 export function getShare(state: ShareState, hosts: number, startedAtMs: number, now: number): number {
-    const floor = SHARE_FLOOR / Math.max(1, hosts);
     const smallest = Math.min(...state.computed.map(entry => entry.fraction), 1);
-    return now - startedAtMs < EXCHANGE_INTERVAL_MS && hosts > 1 ? Math.min(floor, smallest) : smallest;
+    return now - startedAtMs < EXCHANGE_INTERVAL_MS ? Math.min(1 / Math.max(1, hosts), smallest) : smallest;
 }
--- a/packages/core/src/limits/queries/measureDemand.ts
+++ b/packages/core/src/limits/queries/measureWorkspaceDemand.ts
@@ -1,11 +1,11 @@
 import type { WorkspaceId } from "@currantrill/protocol";
-import { DEMAND_AVERAGE_MS, type DemandMeter } from "../model/demand.js";
+import { DEMAND_AVERAGE_MS, type WorkspaceDemand } from "../model/workspaceDemand.js";
 
 /** Ratio of neighbouring published values. A finer scale would publish changes that move no share noticeably. */
 const DEMAND_STEP = 1.5;
 
 /** Tokens per second that a workspace asks for now. */
-export function measureDemand(meter: DemandMeter, workspace: WorkspaceId, now: number): number {
+export function measureWorkspaceDemand(meter: WorkspaceDemand, workspace: WorkspaceId, now: number): number {
     const entry = meter.get(workspace);
     return entry === undefined
         ? 0
--- a/packages/core/src/membership/commands/mergeHostList.ts
+++ b/packages/core/src/membership/commands/mergeHostList.ts
@@ -9,10 +9,10 @@
 export function mergeHostList(membership: Membership, listed: readonly MemberInfo[], now: number): Membership {
     const members = new Map<HostId, Member>();
     for (const info of listed) {
-        members.set(info.host, mergeListed(membership.members.get(info.host), info, now));
+        members.set(info.host, mergeListed(membership, info, now));
     }
     for (const member of membership.members.values()) {
-        const stays = member.host === membership.self || isHeard(member, now);
+        const stays = member.host === membership.self || isHeard(membership, member, now);
         if (!members.has(member.host) && stays) {
             members.set(member.host, { ...member, listed: false });
         }
@@ -21,11 +21,12 @@
 }
 
 /** A member that is new in the list counts as heard of now, so that it gets the suspicion time to connect. */
-function mergeListed(known: Member | undefined, info: MemberInfo, now: number): Member {
+function mergeListed(membership: Membership, info: MemberInfo, now: number): Member {
+    const known = membership.members.get(info.host);
     if (known === undefined) {
         return { ...info, listed: true, heardAtMs: now };
     }
-    if (known.incarnation === info.incarnation || isHeard(known, now)) {
+    if (known.incarnation === info.incarnation || isHeard(membership, known, now)) {
         return { ...known, listed: true, leaving: known.leaving || (info.leaving && isSameRun(known, info)) };
     }
     return { ...info, listed: true, heardAtMs: now };
--- a/packages/core/src/membership/queries/listMembers.ts
+++ b/packages/core/src/membership/queries/listMembers.ts
@@ -1,17 +1,20 @@
 import type { FailureDomainId, HostId, IncarnationId } from "@currantrill/protocol";
-import { type Member, type Membership, SUSPICION_MS } from "../model/member.js";
+import { type Member, type Membership, REMOTE_SUSPICION_MS, SUSPICION_MS } from "../model/member.js";
 
 export type MemberState = "live" | "suspect" | "leaving";
 
 /** Whether the member was heard of within the suspicion time. */
-export const isHeard = (member: Member, now: number): boolean => now - member.heardAtMs <= SUSPICION_MS;
+export function isHeard(membership: Membership, member: Member, now: number): boolean {
+    const isOwnDomain = member.failureDomain === membership.failureDomain;
+    return now - member.heardAtMs <= (isOwnDomain ? SUSPICION_MS : REMOTE_SUSPICION_MS);
+}
 
 /** Describes the state of a member. The host itself is never suspect to itself. */
 export function describeMember(membership: Membership, member: Member, now: number): MemberState {
     if (member.leaving) {
         return "leaving";
     }
-    return member.host === membership.self || isHeard(member, now) ? "live" : "suspect";
+    return member.host === membership.self || isHeard(membership, member, now) ? "live" : "suspect";
 }
 
 /** Lists the hosts that are live, in a domain if one is given, in the order of their ids. */
