--- a/packages/proofs/src/checkers/checkReclaim.ts
+++ b/packages/proofs/src/checkers/checkReclaim.ts
@@ -50,7 +50,8 @@
         return reachability.isReachable(host, window);
     }
     const isHeldByPeer = [...unwanted.seenAtMs].some(([peer, times]) =>
-        peer !== host && times.some(seenAtMs =>
+        peer !== host
+        && times.some(seenAtMs =>
             seenAtMs <= window.fromMs && reachability.isRunning(peer, { fromMs: seenAtMs, toMs: atMs })
         )
     );
@@ -127,7 +128,9 @@
 /** From the withdrawal that the endpoint reports to its return. */
 function listByReport(history: History): Unwanted[] {
     return listEvents(history, "withdrawn").map(({ endpoint, atMs }): Unwanted => {
-        const toMs = listEvents(history, "returned").find(event => event.endpoint === endpoint && event.atMs >= atMs)?.atMs
+        const toMs = listEvents(history, "returned").find(event =>
+            event.endpoint === endpoint && event.atMs >= atMs
+        )?.atMs
             ?? Infinity;
         const seen = listEvents(history, "reclaimSeen").filter(event =>
             event.means === "report" && event.endpoint === endpoint && event.atMs >= atMs && event.atMs <= toMs
--- a/packages/proofs/src/cluster/clusterNode.ts
+++ b/packages/proofs/src/cluster/clusterNode.ts
@@ -1,9 +1,9 @@
 /** What one host process knows of configuration, stops and peers, and how it changes. Runs the core's functions. */
 import {
     addStop,
-    allLendingSafeguards,
     adoptConfiguration,
     advanceStart,
+    allLendingSafeguards,
     beginStart,
     type Clocks,
     closeQueue,
@@ -180,7 +180,12 @@
 }
 
 /** Counts the endpoint's own report. */
-export function receiveReport({ recorder }: NodeContext, node: ClusterNode, endpoint: EndpointId, withdrawn: boolean): void {
+export function receiveReport(
+    { recorder }: NodeContext,
+    node: ClusterNode,
+    endpoint: EndpointId,
+    withdrawn: boolean,
+): void {
     if (withdrawn && node.withdrawn.get(endpoint) !== true) {
         recorder.record({ type: "reclaimSeen", host: node.process.name, endpoint, means: "report", lendEpoch: 0 });
     }
--- a/packages/proofs/src/cluster/runCluster.ts
+++ b/packages/proofs/src/cluster/runCluster.ts
@@ -336,6 +336,8 @@
                 advanceNodeStart(world, back, { type: "snapshotReceived", peer: peerId, configuration });
             }));
     });
-    node.process.setTimer(PEER_SILENCE_MS, () =>
-        settle(() => advanceNodeStart(world, node, { type: "snapshotFailed", peer: peerId })));
+    node.process.setTimer(
+        PEER_SILENCE_MS,
+        () => settle(() => advanceNodeStart(world, node, { type: "snapshotFailed", peer: peerId })),
+    );
 }
--- a/packages/proofs/src/cluster/runTicket.ts
+++ b/packages/proofs/src/cluster/runTicket.ts
@@ -96,8 +96,11 @@
             done("failed");
             return;
         }
-        store.read(process, formatTicketKey(request.ticket.number), row =>
-            done(row === "failed" ? "failed" : { ...head, ticketRow: row?.value as TicketRow | undefined }));
+        store.read(
+            process,
+            formatTicketKey(request.ticket.number),
+            row => done(row === "failed" ? "failed" : { ...head, ticketRow: row?.value as TicketRow | undefined }),
+        );
     });
 }
 
