Add scenarios of kills, partitions, lost responses, races and reclaims

Cause: one scenario ran against real processes. Change: nine features with steps in small files; consecutive scenarios with the same options share one system, which is reset in between, and a scenario that changes the configuration gets a new one. Ruled out: a system for each scenario; a start takes about three seconds.

--- a/features/steps/engineLedgers.ts
+++ b/features/steps/engineLedgers.ts
@@ -22,3 +22,16 @@
     });
     return (await Promise.all(lists)).flat();
 }
+
+/** Name of the engine that runs a prompt now. */
+export async function findRunningEngine(world: SystemWorld): Promise<string | undefined> {
+    for (const engine of listEngines(world)) {
+        const { entries } = await readLedger(world.getSystem(), engine);
+        const prompts = entries.filter(entry => entry.action === "generate");
+        const started = prompts.filter(entry => entry.outcome === "started").length;
+        if (2 * started > prompts.length) {
+            return engine;
+        }
+    }
+    return undefined;
+}
--- a/features/steps/prompts.steps.ts
+++ b/features/steps/prompts.steps.ts
@@ -1,8 +1,17 @@
 /** Steps that send prompts. */
 import { Then, When } from "@cucumber/cucumber";
-import { DEMO_WORKSPACES, type PromptResult, readLedger, sendPrompt } from "@currantrill/demo";
+import {
+    DEMO_WORKSPACES,
+    killProcess,
+    type PromptResult,
+    readLedger,
+    sendPrompt,
+    setFault,
+    setFrozen,
+    setLinks,
+} from "@currantrill/demo";
 import assert from "node:assert/strict";
-import { listEngines, readStarts } from "./engineLedgers.js";
+import { findRunningEngine, listEngines, readStarts } from "./engineLedgers.js";
 import { type SystemWorld, waitFor } from "./systemWorld.js";
 
 const workspaceKey = DEMO_WORKSPACES[0].key;
@@ -53,17 +62,50 @@
     });
 });
 
-/** Name of the engine that runs a prompt now. */
-export async function findRunningEngine(world: SystemWorld): Promise<string | undefined> {
-    for (const engine of listEngines(world)) {
-        const { entries } = await readLedger(world.getSystem(), engine);
-        const prompts = entries.filter(entry => entry.action === "generate");
-        const started = prompts.filter(entry => entry.outcome === "started").length;
-        if (2 * started > prompts.length) {
-            return engine;
-        }
+When("the engine that runs the prompt is {word}", async function(this: SystemWorld, disturbance: string) {
+    const engine = await findRunningEngine(this);
+    assert.ok(engine, "no engine runs a prompt");
+    await injectFault(this, engine, disturbance);
+});
+
+When("the link between {word} and the engine that runs the prompt is cut", async function(
+    this: SystemWorld,
+    host: string,
+) {
+    const engine = await findRunningEngine(this);
+    assert.ok(engine, "no engine runs a prompt");
+    setLinks(this.getSystem(), [host], [engine], "stall");
+});
+
+When("an engine that holds memory without running the prompt is {word}", async function(
+    this: SystemWorld,
+    disturbance: string,
+) {
+    const lead = await findRunningEngine(this);
+    const holders = await listHolders(this);
+    const member = holders.find(engine => engine !== lead);
+    assert.ok(member, `no member beside the lead ${lead ?? "(none)"}; ${holders.join(", ")} hold memory`);
+    await injectFault(this, member, disturbance);
+});
+
+async function injectFault(world: SystemWorld, engine: string, disturbance: string): Promise<void> {
+    const system = world.getSystem();
+    switch (disturbance) {
+        case "killed":
+            return killProcess(system, engine);
+        case "frozen":
+            return setFrozen(system, engine, true);
+        case "silent":
+            return setFault(system, engine, { kind: "silent", durationMs: 600_000 });
+        default:
+            assert.fail(`unknown disturbance ${disturbance}`);
     }
-    return undefined;
+}
+
+async function listHolders(world: SystemWorld): Promise<string[]> {
+    const engines = listEngines(world);
+    const ledgers = await Promise.all(engines.map(engine => readLedger(world.getSystem(), engine)));
+    return engines.filter((_engine, index) => (ledgers[index]?.held.length ?? 0) > 0);
 }
 
 const getPrompt = (world: SystemWorld, name: string): Promise<PromptResult> => {
--- a/features/steps/system.steps.ts
+++ b/features/steps/system.steps.ts
@@ -95,6 +95,15 @@
     await setFault(this.getSystem(), name, { kind, count, path, durationMs: FAULT_DURATION_MS });
 });
 
+When("{word} delays each request to {word} by {int} ms", async function(
+    this: SystemWorld,
+    name: string,
+    path: string,
+    delayMs: number,
+) {
+    await setFault(this.getSystem(), name, { kind: "slow", path, delayMs, durationMs: FAULT_DURATION_MS });
+});
+
 When("{word} ends its fault", async function(this: SystemWorld, name: string) {
     await setFault(this.getSystem(), name, { kind: "outage", durationMs: 0 });
 });
@@ -107,10 +116,12 @@
     const { child } = getProcess(this.getSystem(), name);
     await stopProcess(child, "SIGTERM");
     this.exits.push({ name, code: child.exitCode });
+    this.keepsSystem = false;
 });
 
 When("the system stops gracefully", async function(this: SystemWorld) {
     this.exits = await this.getSystem().stop();
+    this.keepsSystem = false;
 });
 
 Then("every host that stopped exited with code 0", function(this: SystemWorld) {
--- a/features/steps/systemWorld.ts
+++ b/features/steps/systemWorld.ts
@@ -3,6 +3,7 @@
 import { getUrl, type HostExit, type PromptResult, type RunningSystem, type TicketAnswer } from "@currantrill/demo";
 import type { JsonResponse } from "@currantrill/http";
 import assert from "node:assert/strict";
+import type { PromptStart } from "./engineLedgers.js";
 import { endSharedSystem, resetSystem } from "./sharedSystem.js";
 
 const STEP_TIMEOUT_MS = 60_000;
@@ -16,8 +17,10 @@
     readonly calls = new Map<string, Promise<JsonResponse>>();
     tickets: TicketAnswer[] = [];
     exits: HostExit[] = [];
-    /** Ledger lengths of the engines at a moment that the scenario chose. */
-    ledgerMarks = new Map<string, number>();
+    /** Starts of prompts up to a moment that the scenario chose. */
+    notedStarts: PromptStart[] = [];
+    /** Whether the next scenario can use the system; not after a change of its configuration or the end of a host. */
+    keepsSystem = true;
 
     getSystem(): RunningSystem {
         assert.ok(this.system, "the scenario has not started a system");
@@ -34,7 +37,7 @@
 
 After(async function(this: SystemWorld, { result }) {
     await Promise.allSettled([...this.prompts.values(), ...this.calls.values()]);
-    if (result?.status !== Status.PASSED || this.exits.length > 0) {
+    if (result?.status !== Status.PASSED || !this.keepsSystem) {
         await endSharedSystem();
     }
     else if (this.system !== undefined) {
--- a/packages/demo/src/commands/applyTicket.ts
+++ b/packages/demo/src/commands/applyTicket.ts
@@ -20,6 +20,16 @@
     });
 }
 
+/** Stops the use of an endpoint through a host's operator interface. */
+export function sendStop(system: RunningSystem, host: string, endpoint: string): Promise<TicketAnswer> {
+    return requestJson(`${getOperatorUrl(system, host)}/admin/stops`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${OPERATOR_KEY}` },
+        body: { endpoint, reason: "the owner needs it" },
+        timeoutMs: TICKET_TIMEOUT_MS,
+    });
+}
+
 /** Applies a ticket through the first host. Returns its revision. Rejects if the ticket is refused. */
 export async function applyTicket(system: RunningSystem, ticket: Fields): Promise<number> {
     const answer = await sendTicket(system, listProcesses(system, "host")[0]?.plan.name ?? "", ticket);
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./commands/waitReady.js";
 export * from "./model/runningSystem.js";
 export * from "./model/systemOptions.js";
+export * from "./queries/buildEndpointTicket.js";
 export * from "./queries/buildFirstTicket.js";
 export * from "./queries/findFreePorts.js";
 export * from "./queries/readSystem.js";
