--- a/packages/demo/src/queries/planProcesses.ts
+++ b/packages/demo/src/queries/planProcesses.ts
@@ -110,6 +110,8 @@
         listen: { callers, operators, peers },
         platform: { url: `http://${platformAddress}` },
         limits: { allow_synthetic_prompts: true },
+        // There is no load balancer to wait for.
+        drain: { notice_ms: 0 },
     };
     return stringify(mergeFields(own, settings.hostSettings));
 }
