Put entitlement shares in force at admission

Cause: requests were admitted without regard to the workspace's entitlement. Ruled out: the floor alone for a host that starts (a replaced host's share is left to it by the others). Change: WorkspaceLimits with admit, end and recordRetry, the exchange of demand and domain sums, over_limit refusals for prompts and service calls with Retry-After. Conclusion: a busy host's demand changes the shares of its domain and of the other domain (packages/host/tests/limits).

--- a/packages/core/tests/limits/limits.test.ts
+++ b/packages/core/tests/limits/limits.test.ts
@@ -4,15 +4,15 @@
     admitUse,
     choosePublishedDemand,
     createTokenBucket,
-    type WorkspaceDemand,
     endUse,
     measureWorkspaceDemand,
-    recordWorkspaceDemand,
     recordRetry,
+    recordWorkspaceDemand,
     roundDemand,
     spendTokens,
     splitLimits,
     unusedWorkspace,
+    type WorkspaceDemand,
     type WorkspaceObject,
 } from "../../src/index.js";
 
--- a/packages/host/src/callers/commands/handleCompletion.ts
+++ b/packages/host/src/callers/commands/handleCompletion.ts
@@ -2,6 +2,7 @@
 import { findObject } from "@currantrill/core";
 import type { HttpRequest } from "@currantrill/http";
 import type { ServerResponse } from "node:http";
+import { admitWorkspace } from "../../limits/commands/admitWorkspace.js";
 import type { HostContext } from "../../model/hostContext.js";
 import { servePrompt } from "../../prompts/commands/servePrompt.js";
 import { createPromptJob } from "../../prompts/model/promptJob.js";
@@ -31,6 +32,7 @@
         });
     }
     const writer = createAnswerWriter(prompt, scope.requestId, response, scope.signal);
-    const job = createPromptJob({ scope, request: prompt, writer, allowed: allowed.map(entry => entry.name) });
-    await servePrompt(context, job);
+    const grant = admitWorkspace(context, scope.workspace, prompt.promptTokens + prompt.maxTokens);
+    const job = createPromptJob({ scope, request: prompt, writer, allowed: allowed.map(entry => entry.name), grant });
+    await servePrompt(context, job).finally(() => grant.end());
 }
--- a/packages/host/src/callers/commands/handleServiceCall.ts
+++ b/packages/host/src/callers/commands/handleServiceCall.ts
@@ -9,12 +9,15 @@
 import { findOperation } from "../../calls/queries/findOperation.js";
 import { parseTarget } from "../../calls/queries/parseTarget.js";
 import { selectRequestHeaders } from "../../calls/queries/selectHeaders.js";
+import { admitWorkspace } from "../../limits/commands/admitWorkspace.js";
 import type { HostContext } from "../../model/hostContext.js";
 import { getConfigurationIndex, listAllowedEndpoints } from "../../queries/getConfigurationIndex.js";
 import { CallerError } from "../model/callerError.js";
 import type { RequestScope } from "../model/requestScope.js";
 import { parseIdempotencyKey } from "../queries/parseHeaders.js";
 
+const BYTES_PER_TOKEN = 4;
+
 /** Serves one call. Rejects with a `CallerError`. */
 export async function handleServiceCall(
     context: HostContext,
@@ -23,9 +26,13 @@
     response: ServerResponse,
 ): Promise<void> {
     const call = buildCall(context, scope, request);
-    sendAnswer(response, await runCall(context, call));
+    const grant = admitWorkspace(context, scope.workspace, countBodyTokens(call.body));
+    sendAnswer(response, await runCall(context, call).finally(() => grant.end()));
 }
 
+/** A service call counts towards the workspace's tokens by the size of its body. */
+const countBodyTokens = (body: Buffer): number => Math.max(1, Math.ceil(body.length / BYTES_PER_TOKEN));
+
 function runCall(context: HostContext, call: ServiceCall): Promise<ServiceAnswer> {
     if (call.idempotent) {
         return runIdempotentCall(context, call);
--- a/packages/host/src/model/hostContext.ts
+++ b/packages/host/src/model/hostContext.ts
@@ -6,6 +6,7 @@
 import type Logger from "bunyan";
 import { randomUUID } from "node:crypto";
 import type { ConfigurationHolder } from "../configuration/model/configurationHolder.js";
+import type { WorkspaceLimits } from "../limits/model/workspaceLimits.js";
 import type { Fleet } from "../peers/model/fleet.js";
 import type { EndpointViews } from "../watching/model/endpointViews.js";
 import type { DataPath } from "./dataPath.js";
@@ -21,6 +22,7 @@
     readonly configuration: ConfigurationHolder;
     readonly fleet: Fleet;
     readonly endpointViews: EndpointViews;
+    readonly limits: WorkspaceLimits;
     /** Requests in flight, so that a drain can wait for them. */
     readonly inFlight: Set<RequestId>;
     draining: boolean;
--- a/packages/host/src/prompts/commands/servePrompt.ts
+++ b/packages/host/src/prompts/commands/servePrompt.ts
@@ -3,7 +3,7 @@
 import { CallerError } from "../../callers/model/callerError.js";
 import type { AttemptOutcome } from "../../endpoints/commands/runAttempt.js";
 import type { HostContext } from "../../model/hostContext.js";
-import type { PromptJob } from "../model/promptJob.js";
+import { createQueueEntry, type PromptJob } from "../model/promptJob.js";
 import { buildGenerateRequest } from "../queries/buildGenerateRequest.js";
 import { admitPrompt } from "./admitPrompt.js";
 import { recordDecision, routePrompt } from "./routePrompt.js";
@@ -66,6 +66,7 @@
         throw new CallerError(job.sent ? "endpoint_failed" : "endpoint_unreachable");
     }
     context.metrics.retries.inc({ reason: outcome.kind });
+    job.grant.recordRetry(createQueueEntry(job).tokens);
     // The first retry goes to another endpoint at once.
     if (job.failures > 1) {
         const { values, next } = generateFractions(context.prompts.random, 1);
--- a/packages/host/src/prompts/model/promptJob.ts
+++ b/packages/host/src/prompts/model/promptJob.ts
@@ -4,6 +4,7 @@
 import type { AnswerWriter } from "../../callers/model/answerWriter.js";
 import type { PromptRequest } from "../../callers/model/promptRequest.js";
 import type { RequestScope } from "../../callers/model/requestScope.js";
+import type { Grant } from "../../limits/model/workspaceLimits.js";
 
 export interface PromptJob {
     readonly scope: RequestScope;
@@ -11,6 +12,8 @@
     readonly writer: AnswerWriter;
     /** Endpoints that the rules let the workspace use for the model. */
     readonly allowed: readonly EndpointId[];
+    /** The workspace's admission of the prompt. */
+    readonly grant: Grant;
     stream: StreamState;
     /** Tokens that the caller has received. */
     delivered: number;
@@ -33,6 +36,7 @@
     readonly request: PromptRequest;
     readonly writer: AnswerWriter;
     readonly allowed: readonly EndpointId[];
+    readonly grant: Grant;
 }
 
 export function createPromptJob(options: PromptJobOptions): PromptJob {
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -8,6 +8,8 @@
 import { readHead, startConfigurationPoll } from "./configuration/commands/pollConfiguration.js";
 import { shareConfiguration } from "./configuration/commands/shareConfiguration.js";
 import { createConfigurationHolder } from "./configuration/model/configurationHolder.js";
+import { startDemandExchange } from "./limits/commands/updateDemand.js";
+import { createWorkspaceLimits } from "./limits/model/workspaceLimits.js";
 import { createDataPath } from "./model/dataPath.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
@@ -40,6 +42,7 @@
         configuration: createConfigurationHolder(settings),
         fleet: createFleet(settings, incarnation),
         endpointViews: createEndpointViews(),
+        limits: createWorkspaceLimits(new Set([...settings.seeds, settings.listen.peers]).size),
         inFlight: new Set(),
         draining: false,
     };
@@ -54,7 +57,7 @@
     await readHead(context).catch((error: unknown) =>
         context.log.warn({ err: error }, "configuration: platform not reachable")
     );
-    const poll = startConfigurationPoll(context);
+    const timers = [...watching, startDemandExchange(context), startConfigurationPoll(context)];
     const operators = await serveOperators(context);
     const callers = await serveCallers(context);
     context.log.info({ settings: settings.listen }, "host: started");
@@ -64,7 +67,7 @@
         peers.leave();
         await hostList.leave();
         await drainRequests(context, callers);
-        [poll, ...watching].forEach(timer => clearInterval(timer));
+        timers.forEach(timer => clearInterval(timer));
         await hostList.stop();
         await peers.stop();
         await stopDataPath();
