Prove streamed answers and silent connections on generated schedules

Cause: the promise of whole answers was proved for calls only.

Change: a scenario whose engines go silent, close, repeat, skip or mix tokens; two checkers and three breaks. An engine that ends an answer early with a terminator is left out: a short answer is a valid one.

--- a/packages/proofs/src/commands/runProofs.ts
+++ b/packages/proofs/src/commands/runProofs.ts
@@ -3,6 +3,7 @@
 import { clusterProofs } from "../cluster/clusterProofs.js";
 import { memoryProofs } from "../memory/memoryProofs.js";
 import type { PromiseProof, Switches } from "../model/proof.js";
+import { streamProofs } from "../streams/streamProofs.js";
 
 export interface ProofOptions {
     readonly switches: Switches;
@@ -26,7 +27,12 @@
 }
 
 /** All promises, in the order of the report. */
-export const promiseProofs: readonly PromiseProof[] = [...callProofs, ...memoryProofs, ...clusterProofs];
+export const promiseProofs: readonly PromiseProof[] = [
+    ...callProofs,
+    ...streamProofs,
+    ...memoryProofs,
+    ...clusterProofs,
+];
 
 /** Runs the schedules of one promise. */
 export function runProof(proof: PromiseProof, { switches, seed, schedules }: ProofOptions): ProofRow {
--- a/packages/proofs/src/model/history.ts
+++ b/packages/proofs/src/model/history.ts
@@ -12,7 +12,7 @@
         readonly type: "called";
         readonly operation: string;
         readonly host: string;
-        readonly action: "call" | "ticket";
+        readonly action: "call" | "ticket" | "prompt";
         /** Idempotency key of a call, or number of a ticket. */
         readonly key: string;
         readonly payload: string;
@@ -81,6 +81,16 @@
     }
     /** An attempt begins or ends to be entitled to its allocations. */
     | { readonly type: "attemptBegan" | "attemptEnded"; readonly host: string; readonly attempt: string; }
+    /** A prompt begins an attempt on an engine, giving up the one before, or drops a token that it has delivered. */
+    | { readonly type: "streamAttempt" | "repeated"; readonly operation: string; readonly attempt: string; }
+    /** A token was passed to the caller. `request` is the request that the engine made it for. */
+    | {
+        readonly type: "token";
+        readonly operation: string;
+        readonly attempt: string;
+        readonly index: number;
+        readonly request: string;
+    }
     /** Control messages that a host sent since the last event of this type. */
     | { readonly type: "messages"; readonly host: string; readonly count: number; }
     /** A quantity that a host granted to a workspace in one second. */
--- a/packages/proofs/src/model/proof.ts
+++ b/packages/proofs/src/model/proof.ts
@@ -24,6 +24,12 @@
     readonly denyOwnership: boolean;
     /** Retention of call records in milliseconds, if it differs from the promised one. */
     readonly retentionMs: number | undefined;
+    /** Treat tokens of a given-up attempt as those of the current one. */
+    readonly acceptLateTokens: boolean;
+    /** Treat a closed connection as the end of an answer. */
+    readonly acceptUnterminated: boolean;
+    /** Wait for a silent connection until the deadline. */
+    readonly noProgressLimit: boolean;
     /** End the process of a planned stop at once. */
     readonly exitWithoutDrain: boolean;
 }
@@ -38,6 +44,9 @@
     keepOrphans: false,
     denyOwnership: false,
     retentionMs: undefined,
+    acceptLateTokens: false,
+    acceptUnterminated: false,
+    noProgressLimit: false,
     exitWithoutDrain: false,
 };
 
