Prove entitlements, and charge unreachable hosts with their largest share

An unreachable host was charged with the fraction computed last, after its silence had begun and the own demand had grown.

Ruled out: growing only after exchange interval plus suspicion time, which slows every growth from 20 s to 35 s; bounding a host that starts inside a partition, which needs to know which hosts it has ever heard.

--- a/packages/core/src/limits/commands/updateShares.ts
+++ b/packages/core/src/limits/commands/updateShares.ts
@@ -1,4 +1,11 @@
-import { type DemandScope, EXCHANGE_INTERVAL_MS, SHARE_FLOOR, type ShareState } from "../model/shares.js";
+import {
+    CHARGE_WINDOW_MS,
+    type DemandScope,
+    EXCHANGE_INTERVAL_MS,
+    SHARE_FLOOR,
+    type SharePeaks,
+    type ShareState,
+} from "../model/shares.js";
 
 /** Computes the fractions of all scopes and records the own one. `scopes` holds the own scope as well. */
 export function updateShares(
@@ -7,9 +14,34 @@
     scopes: readonly DemandScope[],
     now: number,
 ): ShareState {
-    const charged = computeFractions(scopes, state.charged);
+    const charged = new Map(
+        scopes.filter(scope => !scope.isReachable).flatMap(({ scope }) => {
+            const fraction = state.charged.get(scope) ?? getPeak(state.peaks, scope);
+            return fraction === undefined ? [] : [[scope, fraction] as const];
+        }),
+    );
+    const fractions = computeFractions(scopes, charged);
     const recent = state.computed.filter(entry => now - entry.atMs <= EXCHANGE_INTERVAL_MS);
-    return { charged, computed: [...recent, { fraction: charged.get(own) ?? 0, atMs: now }] };
+    return {
+        charged,
+        peaks: updatePeaks(state.peaks, fractions, now),
+        computed: [...recent, { fraction: fractions.get(own) ?? 0, atMs: now }],
+    };
+}
+
+function getPeak({ current, previous }: SharePeaks, scope: string): number | undefined {
+    const peaks = [current.get(scope), previous.get(scope)].filter(peak => peak !== undefined);
+    return peaks.length === 0 ? undefined : Math.max(...peaks);
+}
+
+function updatePeaks(peaks: SharePeaks, fractions: ReadonlyMap<string, number>, now: number): SharePeaks {
+    if (now - peaks.startedAtMs > CHARGE_WINDOW_MS) {
+        return { startedAtMs: now, current: fractions, previous: peaks.current };
+    }
+    const current = new Map(
+        [...fractions].map(([scope, fraction]) => [scope, Math.max(fraction, peaks.current.get(scope) ?? 0)] as const),
+    );
+    return { ...peaks, current };
 }
 
 /**
--- a/packages/proofs/src/commands/runProofs.ts
+++ b/packages/proofs/src/commands/runProofs.ts
@@ -1,6 +1,7 @@
 /** Runs the proofs and reports one row for each promise. */
 import { callProofs } from "../calls/callProofs.js";
 import { clusterProofs } from "../cluster/clusterProofs.js";
+import { shareProofs } from "../limits/shareProofs.js";
 import { memoryProofs } from "../memory/memoryProofs.js";
 import type { PromiseProof, Switches } from "../model/proof.js";
 import { streamProofs } from "../streams/streamProofs.js";
@@ -32,6 +33,7 @@
     ...streamProofs,
     ...memoryProofs,
     ...clusterProofs,
+    ...shareProofs,
 ];
 
 /** Runs the schedules of one promise. */
--- a/packages/proofs/src/main.ts
+++ b/packages/proofs/src/main.ts
@@ -68,8 +68,8 @@
 function printRow(row: ProofRow): void {
     console.log([
         row.verdict.toUpperCase().padEnd(6),
-        row.name.padEnd(16),
-        row.checker.padEnd(20),
+        row.name.padEnd(18),
+        row.checker.padEnd(22),
         row.scenarios.join("; ").padEnd(24),
         `${row.schedules} schedules`.padEnd(16),
         `seed ${row.seed}`.padEnd(16),
--- a/packages/proofs/src/model/breaks.ts
+++ b/packages/proofs/src/model/breaks.ts
@@ -29,4 +29,5 @@
     { name: "ignore-silence", promise: "reclaim", switches: { lending: { obeySilence: false } } },
     { name: "trust-arrival-time", promise: "reclaim", switches: { trustArrival: true } },
     { name: "forget-heartbeats", promise: "partition", switches: { ignoreHeartbeats: true } },
+    { name: "drop-unreachable", promise: "entitlements", switches: { dropUnreachable: true } },
 ];
--- a/packages/proofs/src/model/history.ts
+++ b/packages/proofs/src/model/history.ts
@@ -93,8 +93,8 @@
     }
     /** Control messages that a host sent since the last event of this type. */
     | { readonly type: "messages"; readonly host: string; readonly count: number; }
-    /** A quantity that a host granted to a workspace in one second. */
-    | { readonly type: "granted"; readonly host: string; readonly workspace: string; readonly tokens: number; }
+    /** Fraction of a workspace's entitlement that a host uses from now on. */
+    | { readonly type: "share"; readonly host: string; readonly fraction: number; }
     /** Last event of a complete history. */
     | { readonly type: "finished"; };
 
--- a/packages/proofs/src/model/proof.ts
+++ b/packages/proofs/src/model/proof.ts
@@ -30,6 +30,8 @@
     readonly acceptUnterminated: boolean;
     /** Wait for a silent connection until the deadline. */
     readonly noProgressLimit: boolean;
+    /** Take over the share of a host as soon as it cannot be reached. */
+    readonly dropUnreachable: boolean;
     /** End the process of a planned stop at once. */
     readonly exitWithoutDrain: boolean;
 }
@@ -47,6 +49,7 @@
     acceptLateTokens: false,
     acceptUnterminated: false,
     noProgressLimit: false,
+    dropUnreachable: false,
     exitWithoutDrain: false,
 };
 
