--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -54,6 +54,7 @@
 export * from "./routing/model/routingSettings.js";
 export * from "./routing/queries/createHostOrder.js";
 export * from "./routing/queries/getEnginePriority.js";
+export { isAvailable } from "./routing/queries/listCandidates.js";
 export * from "./routing/queries/planLanes.js";
 export * from "./streams/commands/acceptStreamEvent.js";
 export * from "./streams/model/streamState.js";
--- a/packages/host/src/commands/startDataPath.ts
+++ b/packages/host/src/commands/startDataPath.ts
@@ -3,8 +3,10 @@
 import { startSweeper } from "../allocations/commands/sweepOrphans.js";
 import { startLending } from "../lending/commands/handleReclaims.js";
 import type { HostContext } from "../model/hostContext.js";
+import { updateLanes } from "../prompts/commands/updateLanes.js";
 
 const QUEUE_METRIC_MS = 1_000;
+const LANES_MS = 5_000;
 
 /** Returns the function that stops them and closes the connections to endpoints. */
 export function startDataPath(context: HostContext): () => Promise<void> {
@@ -13,6 +15,7 @@
         startLending(context),
         startSweeper(context),
         setInterval(() => setQueueMetrics(context), QUEUE_METRIC_MS),
+        setInterval(() => updateLanes(context), LANES_MS),
     ];
     return async () => {
         timers.forEach(timer => clearInterval(timer));
--- a/packages/host/src/endpoints/model/endpointBeliefs.ts
+++ b/packages/host/src/endpoints/model/endpointBeliefs.ts
@@ -11,6 +11,7 @@
     listObjects,
     type PrefixIndex,
     recordPrefix,
+    setReachable,
 } from "@currantrill/core";
 import {
     type CacheEvent,
@@ -78,10 +79,12 @@
                 return;
             }
             digests.set(digest.endpoint, digest);
-            if (digest.reachable) {
-                const models = digest.models.map(model => model.split("@")[0] ?? model);
-                views.set(digest.endpoint, applyDigest(view, { ...digest, models }, nowMs));
-            }
+            const models = digest.models.map(model => model.split("@")[0] ?? model);
+            // The digest of an endpoint that gives no reports has no load of its own.
+            views.set(
+                digest.endpoint,
+                digest.reachable ? applyDigest(view, { ...digest, models }, nowMs) : setReachable(view, false),
+            );
         },
         getDigest: endpoint => digests.get(endpoint),
         getPrefixes: () => prefixes,
@@ -111,7 +114,7 @@
     known: ReadonlyMap<EndpointId, EndpointView>,
 ): Map<EndpointId, EndpointView> {
     const { endpoints, pools } = getConfigurationIndex(configuration);
-    const models = listObjects(configuration, "model");
+    const configured = listObjects(configuration, "model");
     const views = new Map<EndpointId, EndpointView>();
     for (const endpoint of endpoints) {
         const pool = pools.get(endpoint.pool);
@@ -119,12 +122,12 @@
             continue;
         }
         // Before the first report the endpoint is assumed to hold the models of its pool; if not, it refuses.
-        const declared = models.filter(model => model.pools.includes(endpoint.pool)).map(model => model.name);
+        const declared = configured.filter(model => model.pools.includes(endpoint.pool)).map(model => model.name);
         const fresh = createEndpointView(endpoint, pool.owner, declared);
         const old = known.get(endpoint.name);
-        const { report, ownWork, ownLoad, suspectUntilMs } = old ?? fresh;
-        const reported = old !== undefined && old.report.sequence > 0 ? old.models : declared;
-        views.set(endpoint.name, { ...fresh, models: reported, report, ownWork, ownLoad, suspectUntilMs });
+        const { reachable, report, ownWork, ownLoad, suspectUntilMs } = old ?? fresh;
+        const models = old !== undefined && old.report.sequence > 0 ? old.models : fresh.models;
+        views.set(endpoint.name, { ...fresh, models, reachable, report, ownWork, ownLoad, suspectUntilMs });
     }
     return views;
 }
--- a/packages/host/src/lending/commands/handleReclaims.ts
+++ b/packages/host/src/lending/commands/handleReclaims.ts
@@ -1,5 +1,5 @@
 /** Ends the work in flight on reclaimed endpoints within their owners' grace period. */
-import { decideInFlight, findObject, measureElapsed, type ReclaimTimes } from "@currantrill/core";
+import { decideInFlight, findObject, isAvailable, measureElapsed, type ReclaimTimes } from "@currantrill/core";
 import { requestJson } from "@currantrill/http";
 import { type AttemptId, type EndpointId, kvStateSchema } from "@currantrill/protocol";
 import { readClocks } from "../../configuration/model/configurationHolder.js";
@@ -73,8 +73,7 @@
     return attempt.allowed
         .map(id => views.get(id))
         .filter(view => view !== undefined)
-        .filter(view => view.endpoint !== attempt.endpoint && view.usable && view.suspectUntilMs <= now)
-        .filter(view => view.models.includes(attempt.model))
+        .filter(view => view.endpoint !== attempt.endpoint && isAvailable(view, attempt.model, now))
         .sort((a, b) =>
             Number(a.failureDomain !== source?.failureDomain) - Number(b.failureDomain !== source?.failureDomain)
             || a.report.runningRequests - b.report.runningRequests
--- a/packages/host/src/model/dataPath.ts
+++ b/packages/host/src/model/dataPath.ts
@@ -1,5 +1,5 @@
 /** The parts of a host that serve prompts and calls. */
-import { type Configuration, findObject } from "@currantrill/core";
+import { type Configuration, findObject, type RoutingOutcome } from "@currantrill/core";
 import { createObjectClient, type ObjectClient } from "@currantrill/platform";
 import { type AttemptId, type IncarnationId, toHostId } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
@@ -17,6 +17,9 @@
 import { getConfigurationIndex } from "../queries/getConfigurationIndex.js";
 import type { HostContext } from "./hostContext.js";
 
+/** Routing outcomes with which a prompt leaves the queue. */
+const STARTING_OUTCOMES: ReadonlySet<RoutingOutcome["kind"]> = new Set(["send", "gang"]);
+
 export interface DataPath {
     readonly objects: ObjectClient;
     readonly clients: EndpointClients;
@@ -60,7 +63,7 @@
         attempts,
         prompts: createPromptState(),
         queue: createPromptQueue({
-            canStart: job => routePrompt(getContext(), job).outcome.kind !== "refuse",
+            canStart: job => STARTING_OUTCOMES.has(routePrompt(getContext(), job).outcome.kind),
             getKind: ({ scope, request }) => `${scope.workspace.name}/${request.model}/${request.lengthClass}`,
         }),
         allocations: createAllocationKeeper({
--- a/packages/host/src/prompts/commands/admitPrompt.ts
+++ b/packages/host/src/prompts/commands/admitPrompt.ts
@@ -1,11 +1,14 @@
-import { decideAdmission, planGang } from "@currantrill/core";
+import { decideAdmission, type EndpointView, isLongClass } from "@currantrill/core";
 import { CallerError } from "../../callers/model/callerError.js";
 import type { HostContext } from "../../model/hostContext.js";
 import type { PromptJob } from "../model/promptJob.js";
-import { buildRoutingInput } from "../queries/buildRoutingInput.js";
+import { countHosts } from "../queries/countHosts.js";
+import { planPromptGang } from "./planPromptGang.js";
 import { recordDecision, routePrompt } from "./routePrompt.js";
 
 const MS_PER_SECOND = 1_000;
+/** A prompt that is larger than one engine needs at least two. */
+const FEWEST_MEMBERS = 2;
 
 interface ServiceEstimate {
     /** Expected time to first token from now with queueing, in milliseconds. */
@@ -36,45 +39,73 @@
 function estimateService(context: HostContext, job: PromptJob): ServiceEstimate {
     const decision = routePrompt(context, job);
     const { outcome } = decision;
-    if (outcome.kind === "refuse") {
-        recordDecision(context, job, decision);
-        throw new CallerError("no_endpoint");
+    const { promptTokens } = job.request;
+    switch (outcome.kind) {
+        case "refuse":
+            recordDecision(context, job, decision);
+            throw new CallerError("no_endpoint");
+        case "gang":
+            return estimateGang(context, job);
+        case "wait": {
+            const speed = findSlowest(context, job);
+            return {
+                firstTokenMs: outcome.expectedFirstTokenMs + estimateQueueMs(context, job),
+                idleFirstTokenMs: promptTokens / speed.prefillTokensPerSecond * MS_PER_SECOND,
+                decodeTokensPerSecond: speed.decodeTokensPerSecond,
+            };
+        }
+        case "send": {
+            const { cachedTokens, endpoint } = outcome;
+            return {
+                firstTokenMs: outcome.expectedFirstTokenMs + estimateQueueMs(context, job),
+                idleFirstTokenMs: (promptTokens - cachedTokens) / endpoint.prefillTokensPerSecond * MS_PER_SECOND,
+                decodeTokensPerSecond: endpoint.decodeTokensPerSecond,
+            };
+        }
     }
-    if (outcome.kind === "gang") {
-        return estimateGang(context, job);
-    }
-    const { endpoint: view } = outcome;
-    return {
-        firstTokenMs: outcome.expectedFirstTokenMs + estimateQueueMs(context, job),
-        idleFirstTokenMs: (job.request.promptTokens - outcome.cachedTokens) / view.prefillTokensPerSecond
-            * MS_PER_SECOND,
-        decodeTokensPerSecond: view.decodeTokensPerSecond,
-    };
 }
 
 function estimateGang(context: HostContext, job: PromptJob): ServiceEstimate {
-    const input = buildRoutingInput(context, job);
-    if (planGang(context.settings.routing.policy, input).kind === "too_large") {
+    const plan = planPromptGang(context, job);
+    if (plan.kind === "too_large") {
         throw new CallerError("no_endpoint", {
             message: "The prompt needs more memory than all its endpoints have together now.",
         });
     }
-    const largest = Math.max(1, ...input.candidates.map(view => view.memoryTokens));
-    const members = Math.max(2, Math.ceil((job.request.promptTokens + job.request.maxTokens) / largest));
-    const slowest = (read: (view: (typeof input.candidates)[number]) => number): number =>
-        Math.max(1, Math.min(...input.candidates.map(read)));
-    const prefillRate = slowest(view => view.prefillTokensPerSecond) * members;
-    const idleFirstTokenMs = job.request.promptTokens / prefillRate * MS_PER_SECOND;
+    const speed = findSlowest(context, job);
+    const idleFirstTokenMs = job.request.promptTokens / FEWEST_MEMBERS / speed.prefillTokensPerSecond * MS_PER_SECOND;
+    const expectedMs = plan.kind === "members" ? plan.expectedFirstTokenMs : idleFirstTokenMs;
     return {
-        firstTokenMs: idleFirstTokenMs + estimateQueueMs(context, job),
+        firstTokenMs: expectedMs + estimateQueueMs(context, job),
         idleFirstTokenMs,
-        decodeTokensPerSecond: slowest(view => view.decodeTokensPerSecond),
+        decodeTokensPerSecond: speed.decodeTokensPerSecond,
+    };
+}
+
+interface Speed {
+    readonly prefillTokensPerSecond: number;
+    readonly decodeTokensPerSecond: number;
+}
+
+/** Speed of the slowest endpoint that may serve the prompt. */
+function findSlowest(context: HostContext, job: PromptJob): Speed {
+    const views = listViews(context, job);
+    return {
+        prefillTokensPerSecond: Math.max(1, Math.min(...views.map(view => view.prefillTokensPerSecond))),
+        decodeTokensPerSecond: Math.max(1, Math.min(...views.map(view => view.decodeTokensPerSecond))),
     };
 }
 
-/** Time that the engines need for the prompts that already wait at this host. */
+/** Time that this host's part of the lane needs for the prompts that already wait here. */
 function estimateQueueMs(context: HostContext, job: PromptJob): number {
+    const isLong = isLongClass(job.request.lengthClass);
+    const { longLane } = context.prompts.lanes;
+    const lane = listViews(context, job).filter(view => longLane.has(view.endpoint) === isLong);
+    const rate = lane.reduce((sum, view) => sum + view.prefillTokensPerSecond, 0);
+    return context.queue.estimateDelayMs(job.request.lengthClass, Math.max(1, rate / countHosts(context)));
+}
+
+function listViews(context: HostContext, job: PromptJob): EndpointView[] {
     const views = context.beliefs.getAll();
-    const rate = job.allowed.reduce((sum, id) => sum + (views.get(id)?.prefillTokensPerSecond ?? 0), 0);
-    return rate === 0 ? 0 : context.queue.sumWaitingTokens() / rate * MS_PER_SECOND;
+    return job.allowed.map(id => views.get(id)).filter(view => view !== undefined);
 }
--- a/packages/host/src/prompts/commands/runGang.ts
+++ b/packages/host/src/prompts/commands/runGang.ts
@@ -8,7 +8,6 @@
     type GangEvent,
     type GangMember,
     generateFractions,
-    planGang,
 } from "@currantrill/core";
 import type { AllocationId, AttemptId, EndpointId } from "@currantrill/protocol";
 import { CallerError } from "../../callers/model/callerError.js";
@@ -17,7 +16,7 @@
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
 import type { PromptJob } from "../model/promptJob.js";
 import { buildGenerateRequest } from "../queries/buildGenerateRequest.js";
-import { buildRoutingInput } from "../queries/buildRoutingInput.js";
+import { planPromptGang } from "./planPromptGang.js";
 import { runPromptAttempt } from "./runPromptAttempt.js";
 
 const MS_PER_SECOND = 1_000;
@@ -59,7 +58,7 @@
 }
 
 function planMembers(context: HostContext, job: PromptJob): GangEvent {
-    const plan = planGang(context.settings.routing.policy, buildRoutingInput(context, job));
+    const plan = planPromptGang(context, job);
     return { kind: "planned", members: plan.kind === "members" ? plan.members : undefined };
 }
 
--- a/packages/host/src/prompts/commands/servePrompt.ts
+++ b/packages/host/src/prompts/commands/servePrompt.ts
@@ -1,5 +1,12 @@
 /** Serves a prompt: admission, then attempts until the answer is whole or the deadline has passed. */
-import { addRetryTokens, computeBackoff, generateFractions, type RoutingDecision, spendRetry } from "@currantrill/core";
+import {
+    addRetryTokens,
+    computeBackoff,
+    generateFractions,
+    recordDemand,
+    type RoutingDecision,
+    spendRetry,
+} from "@currantrill/core";
 import { CallerError } from "../../callers/model/callerError.js";
 import type { AttemptOutcome } from "../../endpoints/commands/runAttempt.js";
 import type { HostContext } from "../../model/hostContext.js";
@@ -12,6 +19,8 @@
 
 /** Resolves when the whole answer is written. Rejects with a `CallerError` whose outcome is true. */
 export async function servePrompt(context: HostContext, job: PromptJob): Promise<void> {
+    const { lengthClass, promptTokens } = job.request;
+    context.prompts.demand = recordDemand(context.prompts.demand, lengthClass, promptTokens, performance.now());
     try {
         admitPrompt(context, job);
         while (!await runNextAttempt(context, job)) {
--- a/packages/host/src/prompts/model/promptQueue.ts
+++ b/packages/host/src/prompts/model/promptQueue.ts
@@ -2,6 +2,7 @@
 import {
     dropRequest,
     emptyRequestQueue,
+    estimateQueueDelay,
     type LengthClass,
     lengthClasses,
     pushRequest,
@@ -20,8 +21,8 @@
     /** Runs the task when the core lets the prompt go. Rejects if the prompt cannot be answered in time any more. */
     run<T>(job: PromptJob, task: () => Promise<T>): Promise<T>;
     countWaiting(): Record<LengthClass, number>;
-    /** Tokens of the waiting prompts. */
-    sumWaitingTokens(): number;
+    /** Expected wait behind the prompts of the same lane, in milliseconds, if the host may use that part of its rate. */
+    estimateDelayMs(lengthClass: LengthClass, tokensPerSecond: number): number;
     stop(): void;
 }
 
@@ -77,7 +78,7 @@
             }
         },
         countWaiting: () => order.countWaiting(),
-        sumWaitingTokens: () => order.sumWaitingTokens(),
+        estimateDelayMs: (lengthClass, tokensPerSecond) => order.estimateDelayMs(lengthClass, tokensPerSecond),
         stop: () => clearInterval(tick),
     };
 }
@@ -159,8 +160,8 @@
         return counts;
     }
 
-    sumWaitingTokens(): number {
-        return this.#queue.waiting.reduce((sum, entry) => sum + entry.tokens, 0);
+    estimateDelayMs(lengthClass: LengthClass, tokensPerSecond: number): number {
+        return estimateQueueDelay(this.#queue, lengthClass, tokensPerSecond);
     }
 
     #takeNext(): ReturnType<typeof takeRequest> {
--- a/packages/host/tests/system/startTestSystem.ts
+++ b/packages/host/tests/system/startTestSystem.ts
@@ -5,7 +5,6 @@
 import { serveEngine, servePlatform, serveService } from "@currantrill/standins";
 import { createHash } from "node:crypto";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { stringify } from "smol-toml";
 import { request } from "undici";
 import { vi } from "vitest";
@@ -110,15 +109,31 @@
     return hosts;
 }
 
-/** Addresses that were free a moment ago. */
+/** First port of this worker, below the range from which the system takes ports for outgoing connections. */
+const FIRST_PORT = 20_000 + 500 * Number(process.env["VITEST_POOL_ID"] ?? 0);
+let nextPort = FIRST_PORT;
+
+/** Finds addresses that nothing else in the tests uses. */
 async function findFreeAddresses(count: number): Promise<string[]> {
-    const servers = Array.from({ length: count }, () => createServer().listen(0, "127.0.0.1"));
-    await Promise.all(servers.map(server => new Promise(resolve => server.once("listening", resolve))));
-    const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    const addresses: string[] = [];
+    while (addresses.length < count) {
+        const port = nextPort;
+        nextPort += 1;
+        if (await isFree(port)) {
+            addresses.push(`127.0.0.1:${port}`);
+        }
+    }
     return addresses;
 }
 
+function isFree(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
+}
+
 export const buildEngineEndpoint = (index: number, engine: Standin): Record<string, unknown> => ({
     name: `engine-${index}`,
     replaces: 0,
