--- a/packages/host/src/endpoints/commands/runAttempt.ts
+++ b/packages/host/src/endpoints/commands/runAttempt.ts
@@ -16,7 +16,7 @@
     STREAM_TERMINATOR,
 } from "@currantrill/protocol";
 import type { Dispatcher } from "undici";
-import { createProgressWatch } from "../model/progressWatch.js";
+import { createProgressWatch, type ProgressWatch } from "../model/progressWatch.js";
 import type { InterruptReason } from "../model/runningAttempt.js";
 
 const REFUSED_BODY_LIMIT_BYTES = 4_096;
@@ -29,7 +29,7 @@
     readonly attemptId: AttemptId;
     readonly limits: ProgressLimits;
     /** Ends the attempt. The reason is an `Interrupt`, or the error with which the whole request ends. */
-    readonly signal: AbortSignal;
+    readonly controller: AbortController;
     /** State of the answer; the attempt continues it. */
     readonly stream: StreamState;
     /** Time left for the whole answer, which is passed along to the engine. */
@@ -51,6 +51,14 @@
     }
 }
 
+/** Reason of an abort because a limit on progress has passed. */
+class Silence extends Error {
+    constructor() {
+        super("no progress on the connection");
+        this.name = "Silence";
+    }
+}
+
 export type AttemptOutcome =
     | { readonly kind: "finished"; }
     /** The engine did not take the request. */
@@ -72,43 +80,27 @@
         return { outcome, stream: run.stream };
     }
     catch (error) {
-        return { outcome: describeFailure(options, run, error), stream: run.stream };
+        return { outcome: describeFailure(options.controller.signal, run, error), stream: run.stream };
     }
     finally {
-        run.stop();
+        run.watch.stop();
     }
 }
 
 interface AttemptRun {
     stream: StreamState;
     sent: boolean;
-    silent: boolean;
-    readonly controller: AbortController;
-    readonly watch: ReturnType<typeof createProgressWatch>;
-    readonly stop: () => void;
+    readonly watch: ProgressWatch;
 }
 
 function createAttemptRun(options: AttemptOptions): AttemptRun {
-    const controller = new AbortController();
-    const abort = (): void => controller.abort(options.signal.reason);
-    options.signal.addEventListener("abort", abort, { once: true });
-    if (options.signal.aborted) {
-        abort();
-    }
     const run: AttemptRun = {
         stream: startStreamAttempt(options.stream, options.attemptId, performance.now()),
         sent: false,
-        silent: false,
-        controller,
         watch: createProgressWatch(() => {
-            run.silent = true;
             options.connections.renew();
-            controller.abort(new Error("no progress on the connection"));
+            options.controller.abort(new Silence());
         }),
-        stop: () => {
-            run.watch.stop();
-            options.signal.removeEventListener("abort", abort);
-        },
     };
     run.watch.expectBy(getProgressDeadline(run.stream, options.limits));
     return run;
@@ -128,7 +120,7 @@
             [callerHeaders.timeout]: String(Math.ceil(options.remainingMs)),
         },
         body: JSON.stringify(options.body),
-        signal: run.controller.signal,
+        signal: options.controller.signal,
     });
     if (response.statusCode !== 200) {
         const message = (await response.body.text()).slice(0, REFUSED_BODY_LIMIT_BYTES);
@@ -156,7 +148,7 @@
             case "drop":
                 break;
             case "finish":
-                void endConnection(events, run.controller);
+                void endConnection(events, options.controller);
                 return { kind: "finished" };
             case "broken":
                 // The rest of the stream is of no use; closing the connection tells the engine so.
@@ -219,14 +211,15 @@
     }
 }
 
-function describeFailure(options: AttemptOptions, run: AttemptRun, error: unknown): AttemptOutcome {
-    const { reason } = options.signal as { reason: unknown; };
-    if (options.signal.aborted && reason instanceof Interrupt) {
+function describeFailure(signal: AbortSignal, run: AttemptRun, error: unknown): AttemptOutcome {
+    const { reason } = signal as { reason: unknown; };
+    if (reason instanceof Interrupt) {
         return { kind: "interrupted", reason: reason.reason };
     }
-    if (options.signal.aborted) {
+    const silent = reason instanceof Silence;
+    if (signal.aborted && !silent) {
         throw reason;
     }
     const message = error instanceof Error ? error.message : String(error);
-    return { kind: "broken", reason: message, sent: run.sent, silent: run.silent };
+    return { kind: "broken", reason: message, sent: run.sent, silent };
 }
--- a/packages/host/src/endpoints/model/endpointClients.ts
+++ b/packages/host/src/endpoints/model/endpointClients.ts
@@ -1,4 +1,4 @@
-/** Connections to endpoints, one pool for each origin. */
+/** Connections to endpoints, one pool for each URL. */
 import { type Connections, createConnections } from "@currantrill/http";
 
 export interface EndpointClients {
@@ -10,9 +10,8 @@
     const clients = new Map<string, Connections>();
     return {
         get: url => {
-            const { origin } = new URL(url);
-            const known = clients.get(origin) ?? createConnections(origin);
-            clients.set(origin, known);
+            const known = clients.get(url) ?? createConnections(new URL(url).origin);
+            clients.set(url, known);
             return known;
         },
         close: async () => {
--- a/packages/host/src/prompts/commands/runPromptAttempt.ts
+++ b/packages/host/src/prompts/commands/runPromptAttempt.ts
@@ -52,7 +52,7 @@
             body: placement.body,
             attemptId,
             limits: computeProgressLimits(context.settings.progress, placement.expectedFirstTokenMs),
-            signal: controller.signal,
+            controller,
             stream: job.stream,
             remainingMs: getRemainingMs(job.scope),
             admit: () => admitSend(context, job, placement),
--- a/packages/http/src/readRawBody.ts
+++ b/packages/http/src/readRawBody.ts
@@ -29,8 +29,14 @@
             }
             resolve(Buffer.concat(chunks));
         });
-        request.once("error", () => reject(createBodyError(400, "request.aborted", "the body ended early")));
-        request.once("close", () => reject(createBodyError(400, "request.aborted", "the body ended early")));
+        const rejectEarlyEnd = (): void => {
+            // A request also closes after a body that was read whole.
+            if (!request.complete) {
+                reject(createBodyError(400, "request.aborted", "the body ended early"));
+            }
+        };
+        request.once("error", rejectEarlyEnd);
+        request.once("close", rejectEarlyEnd);
     });
 }
 
