Take ports of tests and the demo below the range of outgoing connections

Cause: a unit test of the peers failed once to start its hosts while other programs ran. Its ports came from the operating system's range for outgoing connections (32768 to 60999), so that any connection could take one between the search and its use; the failing start was not traced further, and overload of the machine is not ruled out. Change: one search for free ports from 10000 on, shared by the tests and the demo, with a start that differs for each process and thread. Measured: the peer and operator tests pass; the failure has not been seen again, which proves little.

--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -11,5 +11,4 @@
 export * from "./model/systemOptions.js";
 export * from "./queries/buildEndpointTicket.js";
 export * from "./queries/buildFirstTicket.js";
-export * from "./queries/findFreePorts.js";
 export * from "./queries/readSystem.js";
--- a/packages/demo/src/queries/planProcesses.ts
+++ b/packages/demo/src/queries/planProcesses.ts
@@ -1,10 +1,10 @@
 /** Plans the processes of a system with their addresses. */
+import { findFreePorts } from "@currantrill/standins";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { stringify } from "smol-toml";
 import type { ProcessPlan } from "../model/runningSystem.js";
 import { DEMO_MODEL, type Fields, OPERATOR_KEY, type SystemSettings } from "../model/systemOptions.js";
-import { findFreePorts } from "./findFreePorts.js";
 
 const PACKAGES = join(dirname(fileURLToPath(import.meta.url)), "..", "..", "..");
 const STANDIN = join(PACKAGES, "standins", "dist", "main.js");
--- a/packages/host/tests/startFleet.ts
+++ b/packages/host/tests/startFleet.ts
@@ -1,7 +1,6 @@
 /** Starts hosts and a platform in the test's own process. */
 import { parseHostSettings } from "@currantrill/settings";
-import { servePlatform } from "@currantrill/standins";
-import { type AddressInfo, createServer } from "node:net";
+import { findFreePorts, servePlatform } from "@currantrill/standins";
 import { type RunningHost, startHost } from "../src/startHost.js";
 
 export const OPERATOR_KEY = "test-operator-key";
@@ -14,14 +13,6 @@
     readonly stop: () => Promise<void>;
 }
 
-async function findFreePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 /** Starts the given number of hosts in each domain. */
 export async function startFleet(domains: Readonly<Record<string, number>>): Promise<TestFleet> {
     const platform = await servePlatform({ hostListLagMs: 100 });
@@ -36,7 +27,7 @@
         }
     };
     const addHost = async (name: string, domain: string): Promise<RunningHost> => {
-        const [callers, operators, peers] = await Promise.all([findFreePort(), findFreePort(), findFreePort()]);
+        const [callers, operators, peers] = await findFreePorts(3);
         const text = `
             host_id = "${name}"
             failure_domain = "${domain}"
