Run gangs ahead of long prompts and split huge prompts that find no room

Engine memory was 95% full while engines idled at 70%: gangs held memory on several engines while their prefill waited behind other long prompts, huge prompts held theirs while longer ones of a higher class paused them, and a prompt of 400,000 tokens seldom found one engine empty.

The engine fake takes memory for a prompt when its prefill starts, and each further member of a gang costs 3% more prefill work.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,6 +29,7 @@
 export * from "./configuration/queries/planTicket.js";
 export * from "./gang/commands/advanceGang.js";
 export * from "./gang/model/gangAttempt.js";
+export * from "./gang/model/gangShare.js";
 export * from "./gang/queries/computeGangBackoff.js";
 export * from "./gang/queries/planGang.js";
 export * from "./lending/commands/recordConfirmation.js";
--- a/packages/core/src/routing/model/routing.ts
+++ b/packages/core/src/routing/model/routing.ts
@@ -57,7 +57,7 @@
     /** Every suitable endpoint is full. The request waits in the host's queue, where it can still be refused. */
     | { readonly kind: "wait"; readonly expectedFirstTokenMs: number; }
     /** No single endpoint has enough memory; `planGang` decides. */
-    | { readonly kind: "gang"; }
+    | { readonly kind: "gang"; readonly enginePriority: number; }
     | { readonly kind: "refuse"; readonly reason: RefusalReason; };
 
 /** What was decided and on what grounds. The host logs it. */
--- a/packages/core/src/routing/queries/buildDecision.ts
+++ b/packages/core/src/routing/queries/buildDecision.ts
@@ -13,10 +13,10 @@
 }
 
 /** Decision for a request that no single endpoint can take. */
-export function refuseRoute(input: RoutingInput, candidates: CandidateList): RoutingDecision {
+export function refuseRoute(input: RoutingInput, candidates: CandidateList, enginePriority: number): RoutingDecision {
     const tooLarge = candidates.available > 0;
     return {
-        outcome: tooLarge ? { kind: "gang" } : { kind: "refuse", reason: "no_endpoint" },
+        outcome: tooLarge ? { kind: "gang", enginePriority } : { kind: "refuse", reason: "no_endpoint" },
         considered: [],
         candidateCount: input.candidates.length,
         reason: tooLarge ? "prompt larger than any endpoint" : "no endpoint serves the model now",
@@ -24,6 +24,17 @@
     };
 }
 
+/** Decision for a huge prompt that fits one endpoint, none of which has the memory free: several may have it together. */
+export function splitRoute(input: RoutingInput, enginePriority: number): RoutingDecision {
+    return {
+        outcome: { kind: "gang", enginePriority },
+        considered: [],
+        candidateCount: input.candidates.length,
+        reason: "no endpoint has the memory free now",
+        random: input.random,
+    };
+}
+
 /** Decision for a request that finds every suitable endpoint full. */
 export function waitForRoom(input: RoutingInput, candidates: CandidateList): RoutingDecision {
     const expected = candidates.fitting.map(view => estimateFirstToken(input, view));
--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -2,10 +2,11 @@
 import { isLongClass } from "../../model/lengthClass.js";
 import { generateFractions } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
-import { refuseRoute, sendRoute, waitForRoom } from "./buildDecision.js";
+import { refuseRoute, sendRoute, splitRoute, waitForRoom } from "./buildDecision.js";
 import { estimateFirstToken } from "./estimateFirstToken.js";
-import { getEnginePriority } from "./getEnginePriority.js";
+import { getEnginePriority, getGangPriority } from "./getEnginePriority.js";
 import { isAvailable, listCandidates } from "./listCandidates.js";
+import { scoreLane } from "./scoreLane.js";
 
 const CONSIDERED_LIMIT = 5;
 /** Cost of using an endpoint that a pending gang waits for. */
@@ -23,7 +24,12 @@
     const nearEqual = listNearEqual(input);
     if (nearEqual.length === 0) {
         const candidates = listCandidates(input);
-        return candidates.fitting.length === 0 ? refuseRoute(input, candidates) : waitForRoom(input, candidates);
+        if (candidates.fitting.length === 0) {
+            return refuseRoute(input, candidates, getGangPriority(input.request));
+        }
+        return input.request.lengthClass === "huge"
+            ? splitRoute(input, getGangPriority(input.request))
+            : waitForRoom(input, candidates);
     }
     const { chosen, random } = chooseNearEqual(input, nearEqual);
     return sendRoute(input, {
@@ -69,16 +75,6 @@
     return score <= limit && isAvailable(view, request.model, input.now) ? score : Infinity;
 }
 
-/** Cost of crossing lanes: long work on the lane of short requests, or short requests behind long prefills. */
-function scoreLane(input: RoutingInput, view: EndpointView): number {
-    const isLongLane = input.lanes.longLane.has(view.endpoint);
-    if (isLongClass(input.request.lengthClass) === isLongLane) {
-        return 0;
-    }
-    const weight = input.settings.shortRequestWeight;
-    return isLongLane ? 100 + 200 * weight : 2_000 + 20_000 * weight;
-}
-
 /** Whether the endpoint has a free slot and enough free memory, as far as the host knows. */
 function hasRoom(input: RoutingInput, view: EndpointView): boolean {
     const { request } = input;
--- a/packages/core/src/routing/queries/routeRandomly.ts
+++ b/packages/core/src/routing/queries/routeRandomly.ts
@@ -10,7 +10,7 @@
     const { values, next } = generateFractions(input.random, 1);
     const view = candidates.fitting[Math.floor((values[0] ?? 0) * candidates.fitting.length)];
     if (view === undefined) {
-        return refuseRoute(input, candidates);
+        return refuseRoute(input, candidates, getRequestPriority(input.request));
     }
     return sendRoute(input, {
         view,
--- a/packages/core/src/routing/queries/routeToLeastLoaded.ts
+++ b/packages/core/src/routing/queries/routeToLeastLoaded.ts
@@ -9,7 +9,7 @@
     const candidates = listCandidates(input);
     const [first, ...others] = candidates.fitting;
     if (first === undefined) {
-        return refuseRoute(input, candidates);
+        return refuseRoute(input, candidates, getRequestPriority(input.request));
     }
     const best = others.reduce((least, view) => isLessLoaded(view, least) ? view : least, first);
     return sendRoute(input, {
--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -3,11 +3,12 @@
 import { boolean, command, flag, number, option, optional, run, string } from "cmd-ts";
 import { readFileSync, writeFileSync } from "node:fs";
 import { measureDecisions } from "./commands/measureDecisions.js";
-import { defaultMatrixOptions, runMatrix, smallMatrixOptions } from "./commands/runMatrix.js";
+import { runInWorkers } from "./commands/runInWorkers.js";
 import type { RunSummary } from "./model/runSummary.js";
 import { userProfiles } from "./model/userProfile.js";
 import { checkGoals } from "./queries/checkGoals.js";
 import { compareSummaries } from "./queries/compareSummaries.js";
+import { defaultMatrixOptions, listScenarios, smallMatrixOptions } from "./queries/listScenarios.js";
 import { renderDecisionTimes, renderGoals, renderResults } from "./queries/renderTables.js";
 
 const print = (text: string): boolean => process.stdout.write(`${text}\n\n`);
@@ -24,9 +25,9 @@
         seed: option({ long: "seed", type: number, defaultValue: () => defaultMatrixOptions.seed }),
         small: flag({ long: "small", type: boolean, description: "fewer and shorter runs, for CI" }),
     },
-    handler: ({ out, against, seed, small }) => {
+    handler: async ({ out, against, seed, small }) => {
         const options = small ? smallMatrixOptions : defaultMatrixOptions;
-        const summaries = runMatrix({ ...options, seed });
+        const summaries = await runInWorkers(listScenarios({ ...options, seed }));
         print(`seed ${seed}, ${options.durationMs / 1_000} s of arrivals in each run`);
         print(renderResults(summaries, new Map(userProfiles.map(user => [user.name, user.shortRequestWeight]))));
         print(renderGoals(checkGoals(summaries)));
--- a/packages/measure/src/commands/runMatrix.ts
+++ b/packages/measure/src/queries/listScenarios.ts
@@ -1,9 +1,6 @@
 import { routingPolicies, type RoutingPolicyName } from "@currantrill/core";
-import type { RunSummary } from "../model/runSummary.js";
 import { type FaultName, faultNames, type Scenario } from "../model/scenario.js";
 import { type UserProfile, userProfiles } from "../model/userProfile.js";
-import { collectSummary } from "../queries/collectSummary.js";
-import { runScenario } from "../simulation/commands/runScenario.js";
 
 /** The runs to make: every combination of the lists. */
 export interface MatrixOptions {
@@ -21,7 +18,7 @@
     faults: faultNames,
     policies: Object.keys(routingPolicies) as RoutingPolicyName[],
     seed: 1,
-    durationMs: 200_000,
+    durationMs: 300_000,
 };
 
 /** The version for CI. */
@@ -32,17 +29,14 @@
     durationMs: 140_000,
 };
 
-/** Runs all combinations, each with and without long requests. */
-export function runMatrix(options: Partial<MatrixOptions> = {}): RunSummary[] {
+/** Lists all combinations. */
+export function listScenarios(options: Partial<MatrixOptions> = {}): Scenario[] {
     const { users, loads, faults, policies, seed, durationMs } = { ...defaultMatrixOptions, ...options };
-    const scenarios = users.flatMap(user =>
+    return users.flatMap(user =>
         loads.flatMap(load =>
             faults.flatMap(fault =>
                 policies.map((policy): Scenario => ({ user, policy, load, fault, seed, durationMs, withLong: true }))
             )
         )
     );
-    return scenarios.map(scenario =>
-        collectSummary(scenario, runScenario(scenario), runScenario({ ...scenario, withLong: false }))
-    );
 }
--- a/packages/measure/src/simulation/commands/runGang.ts
+++ b/packages/measure/src/simulation/commands/runGang.ts
@@ -31,6 +31,8 @@
     wasStarted: boolean;
 }
 
+/** Prefill work that each further member adds, for the exchange between engines. */
+const GANG_OVERHEAD = 0.03;
 const ALLOCATION_TIMEOUT_MS = 200;
 
 /** Starts the placement. Returns a function that ends it at the deadline. */
@@ -119,6 +121,7 @@
 function startPrefill(run: GangRun, members: readonly GangMember[]): void {
     const { host, record } = run;
     const held = members.reduce((sum, member) => sum + member.tokens, 0);
+    const overhead = 1 + GANG_OVERHEAD * (members.length - 1);
     let unfinished = members.length;
     run.wasStarted = true;
     run.jobs = members.map(member =>
@@ -126,7 +129,7 @@
             record,
             endpoint: member.endpoint,
             priority: run.options.priority,
-            promptTokens: Math.ceil(record.arrival.promptTokens * member.tokens / held),
+            promptTokens: Math.ceil(record.arrival.promptTokens * member.tokens / held * overhead),
             cachedTokens: 0,
             outputTokens: 1,
             memoryTokens: member.tokens,
--- a/packages/measure/src/simulation/commands/serveRequests.ts
+++ b/packages/measure/src/simulation/commands/serveRequests.ts
@@ -173,8 +173,11 @@
         sendRequest(host, record, outcome);
         return;
     }
+    if (outcome.kind !== "gang") {
+        return;
+    }
     const end = runGang(host, record, {
-        priority: 0,
+        priority: outcome.enginePriority,
         expectedServiceMs: estimateGangPrefillMs(record) * 1.5 + record.arrival.outputTokens * TOKEN_INTERVAL_MS * 1.2,
         onEnd: () => dispatchWaiting(host),
     });
--- a/packages/measure/src/simulation/model/engineFake.ts
+++ b/packages/measure/src/simulation/model/engineFake.ts
@@ -126,24 +126,34 @@
     }
 
     /**
-     * Starts waiting jobs in the order of their priorities until one finds no slot or memory. A job with an allocation
-     * has its memory already and overtakes jobs that wait for memory, which may be the memory that it holds.
+     * Starts waiting jobs in the order of their priorities while the step has tokens left for them, until one finds no
+     * slot or memory. A job with an allocation has its memory already and overtakes jobs that wait for memory, which
+     * may be the memory that it holds.
      */
     private startWaiting(): void {
         let memoryIsShort = false;
         const remaining: EngineJob[] = [];
         for (const job of this.waiting) {
             const hasSlot = this.prefilling.length + this.decoding.length < ENGINE.slots;
+            const hasTurn = this.countTokensAhead(job) < ENGINE.chunkTokens;
             memoryIsShort ||= job.memoryTokens > 0 && this.memoryUsed + job.memoryTokens > ENGINE.memoryTokens;
-            if (!hasSlot || (memoryIsShort && job.memoryTokens > 0)) {
+            if (!hasSlot || !hasTurn || (memoryIsShort && job.memoryTokens > 0)) {
                 remaining.push(job);
                 continue;
             }
             this.memoryUsed += job.memoryTokens;
             this.prefilling.push(job);
+            this.prefilling.sort((a, b) => b.priority - a.priority);
         }
         this.waiting = remaining;
-        this.prefilling.sort((a, b) => b.priority - a.priority);
+    }
+
+    /** Prefill tokens of started jobs that run before the job. */
+    private countTokensAhead(job: EngineJob): number {
+        return this.prefilling.reduce(
+            (sum, other) => sum + (other.priority >= job.priority ? other.prefillTokens : 0),
+            0,
+        );
     }
 
     private finishStep(
