--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -9,6 +9,9 @@
 import { scoreLane } from "./scoreLane.js";
 
 const CONSIDERED_LIMIT = 5;
+const SAMPLING_MIN_CANDIDATES = 256;
+/** One in so many endpoints of other failure domains is looked at. */
+const REMOTE_SAMPLE_STRIDE = 4;
 /** Cost of using an endpoint that a pending gang waits for. */
 const WITHHELD_PENALTY_MS = 500;
 /** Part of an endpoint's memory that long prompts leave free, so that a short one never waits for memory. */
@@ -21,7 +24,8 @@
 
 /** The policy of the product: least expected time to first token, with costs for using what others need more. */
 export function routeAdaptively(input: RoutingInput): RoutingDecision {
-    const nearEqual = listNearEqual(input);
+    const sampled = listNearEqual(input, sampleCandidates(input));
+    const nearEqual = sampled.length > 0 ? sampled : listNearEqual(input, input.candidates);
     if (nearEqual.length === 0) {
         const candidates = listCandidates(input);
         if (candidates.fitting.length === 0) {
@@ -45,10 +49,10 @@
 }
 
 /** Endpoints with room whose scores are within `nearEqualMs` of the best one. Empty if all are full or unsuitable. */
-function listNearEqual(input: RoutingInput): Scored[] {
+function listNearEqual(input: RoutingInput, candidates: readonly EndpointView[]): Scored[] {
     const contenders: Scored[] = [];
     let limit = Infinity;
-    for (const view of input.candidates) {
+    for (const view of candidates) {
         const score = scoreEndpoint(input, view, limit);
         if (score <= limit && score < Infinity) {
             contenders.push({ view, score });
@@ -58,6 +62,26 @@
     return contenders.filter(({ score }) => score <= limit);
 }
 
+/**
+ * Endpoints to score first. In a large fleet a short or medium request looks at those of its own failure domain and at
+ * a changing sample of the others, which it needs only when its own domain is busy.
+ */
+function sampleCandidates(input: RoutingInput): readonly EndpointView[] {
+    const { candidates, failureDomain, now } = input;
+    if (candidates.length <= SAMPLING_MIN_CANDIDATES || isLongClass(input.request.lengthClass)) {
+        return candidates;
+    }
+    const sample: EndpointView[] = [];
+    let position = Math.floor(now);
+    for (const view of candidates) {
+        position += 1;
+        if (view.failureDomain === failureDomain || position % REMOTE_SAMPLE_STRIDE === 0) {
+            sample.push(view);
+        }
+    }
+    return sample;
+}
+
 /**
  * Expected first token plus the costs of using the endpoint, in milliseconds. `Infinity` if it is above `limit` or the
  * endpoint cannot take the request. The numbers come first: they rule out most of the endpoints without a look-up.
