Place models by declared state under leases and the weight store's rate

Cause: nothing brought models to the endpoints or corrected stale orders. Ruled out: leases that are renewed (52 writes per second at 780 endpoints); unloading surplus copies of a declared version (a load for each change of replicas). Change: core area placement (assignment with few moves, adapters after their model, pacing, leases, obsolete models) and the host's rounds, with the setting placement.loads_per_second. Conclusion: against the engine stand-in a missing model and its adapter are loaded by one host under fence 1, and the effect of a stale order is corrected (packages/host/tests/placement).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -47,6 +47,7 @@
 export * from "./model/finding.js";
 export * from "./model/lengthClass.js";
 export * from "./model/randomState.js";
+export * from "./placement/index.js";
 export * from "./queries/listObjects.js";
 export * from "./routing/model/demandMeter.js";
 export * from "./routing/model/lanePlan.js";
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -18,6 +18,7 @@
 import { startPeers } from "./peers/commands/startPeers.js";
 import { trackHostList } from "./peers/commands/trackHostList.js";
 import { createFleet } from "./peers/model/fleet.js";
+import { startPlacement } from "./placement/commands/startPlacement.js";
 import { startWatching } from "./watching/commands/watchEndpoints.js";
 import { createEndpointViews } from "./watching/model/endpointViews.js";
 
@@ -57,7 +58,12 @@
     await readHead(context).catch((error: unknown) =>
         context.log.warn({ err: error }, "configuration: platform not reachable")
     );
-    const timers = [...watching, startDemandExchange(context), startConfigurationPoll(context)];
+    const timers = [
+        ...watching,
+        startDemandExchange(context),
+        startPlacement(context),
+        startConfigurationPoll(context),
+    ];
     const operators = await serveOperators(context);
     const callers = await serveCallers(context);
     context.log.info({ settings: settings.listen }, "host: started");
--- a/packages/settings/src/model/hostSettings.ts
+++ b/packages/settings/src/model/hostSettings.ts
@@ -37,6 +37,10 @@
         /** Time between the report of not ready and the end of accepting connections, for the load balancer to notice. */
         notice_ms: z.number().int().min(0).max(600_000).default(5_000),
     }).prefault({}),
+    placement: z.strictObject({
+        /** Model loads per second that the weight store allows all failure domains together. */
+        loads_per_second: z.number().min(0.001).max(1_000).default(1),
+    }).prefault({}),
     routing: z.strictObject({
         policy: z.enum(["random", "least-loaded", "adaptive"]).default("adaptive"),
         /** Weight of the slowdown of short requests against time to first token across lengths, from 0 to 1. */
