--- a/packages/host/src/prompts/commands/admitPrompt.ts
+++ b/packages/host/src/prompts/commands/admitPrompt.ts
@@ -44,7 +44,10 @@
         return estimateGang(context, job);
     }
     if (outcome.kind === "wait") {
-        return estimateWaiting(context, job, outcome.expectedFirstTokenMs);
+        return {
+            ...estimateIdle(context, job),
+            firstTokenMs: outcome.expectedFirstTokenMs + estimateQueueMs(context, job),
+        };
     }
     const { endpoint: view } = outcome;
     return {
@@ -55,12 +58,11 @@
     };
 }
 
-/** Every suitable endpoint is full: the speed is that of the slowest, the wait that of the router. */
-function estimateWaiting(context: HostContext, job: PromptJob, firstTokenMs: number): ServiceEstimate {
+/** Time on an idle engine, for a prompt that waits for room. */
+function estimateIdle(context: HostContext, job: PromptJob): Omit<ServiceEstimate, "firstTokenMs"> {
     const { candidates } = buildRoutingInput(context, job);
     const prefillRate = Math.max(1, Math.min(...candidates.map(view => view.prefillTokensPerSecond)));
     return {
-        firstTokenMs: firstTokenMs + estimateQueueMs(context, job),
         idleFirstTokenMs: job.request.promptTokens / prefillRate * MS_PER_SECOND,
         decodeTokensPerSecond: Math.max(1, Math.min(...candidates.map(view => view.decodeTokensPerSecond))),
     };
--- a/packages/proofs/src/model/proof.ts
+++ b/packages/proofs/src/model/proof.ts
@@ -12,11 +12,16 @@
     readonly lending: Partial<LendingSafeguards>;
     /** Adopt a configuration of any revision. */
     readonly adoptLower: boolean;
-    /** Repeat the write of a ticket on the newest head without looking for the ticket's row. */
-    readonly rewriteTickets: boolean;
+    /** Report a ticket whose write had no response as refused. */
+    readonly claimNotApplied: boolean;
     /** Treat a heartbeat answer as news of the time at which it arrives. */
     readonly trustArrival: boolean;
+    /** Count nothing but own reads of the platform as news. */
+    readonly ignoreHeartbeats: boolean;
+    /** Sweepers release nothing. */
     readonly keepOrphans: boolean;
+    /** Owners tell sweepers that they know none of their attempts. */
+    readonly denyOwnership: boolean;
     /** Retention of call records in milliseconds, if it differs from the promised one. */
     readonly retentionMs: number | undefined;
     /** End the process of a planned stop at once. */
@@ -27,9 +32,11 @@
     call: {},
     lending: {},
     adoptLower: false,
-    rewriteTickets: false,
+    claimNotApplied: false,
     trustArrival: false,
+    ignoreHeartbeats: false,
     keepOrphans: false,
+    denyOwnership: false,
     retentionMs: undefined,
     exitWithoutDrain: false,
 };
