--- /dev/null
+++ b/packages/measure/src/capacity/queries/renderCapacity.ts
@@ -0,0 +1,49 @@
+import type { CoreTime } from "../commands/measureCore.js";
+import type { HostSample, SizeSample } from "../model/sample.js";
+import { target } from "../model/target.js";
+import { computeTarget, computeTicketTime } from "./computeTarget.js";
+
+const round = (value: number, digits = 1): string => value.toFixed(digits);
+
+const renderRow = (name: string, sample: HostSample): string =>
+    `| ${name} | ${round(sample.bytes / 1_000, 2)} | ${round(sample.messages)} | ${round(sample.processor, 2)} | ${
+        round(sample.megabytes)
+    } |`;
+
+/** Renders the measured sizes and the calculated target against the budgets. */
+export function renderCapacity(samples: readonly SizeSample[]): string {
+    const rows = samples.flatMap(({ hosts, before, after }) =>
+        [before, after].flatMap(window => {
+            const size = `${hosts} hosts, ${window.endpointsPerDomain * window.domains} endpoints`;
+            return [
+                renderRow(`measured: ${size}, mean`, window.mean),
+                renderRow(`measured: ${size}, largest`, window.largest),
+            ];
+        })
+    );
+    const { budgets } = target;
+    const size = `${target.hosts} hosts, ${target.endpoints} endpoints`;
+    return [
+        "| per host | KB/s sent and received | messages/s | % of a core | MB |",
+        "| --- | --- | --- | --- | --- |",
+        ...rows,
+        renderRow(`calculated: ${size}, mean`, computeTarget(samples, "mean")),
+        renderRow(`calculated: ${size}, largest`, computeTarget(samples, "largest")),
+        `| budget | ${budgets.bytes / 1_000} | - | ${budgets.processor} | ${budgets.megabytes} |`,
+        "",
+        "| ticket in force on all hosts | ms |",
+        "| --- | --- |",
+        ...samples.map(({ hosts, ticketMs }) => `| measured: ${hosts} hosts | ${round(ticketMs, 0)} |`),
+        `| calculated: ${target.hosts} hosts | ${round(computeTicketTime(samples), 0)} |`,
+        `| budget | ${budgets.ticketMs} |`,
+    ].join("\n");
+}
+
+/** Renders the times of the pure functions. */
+export function renderCoreTimes(times: readonly CoreTime[]): string {
+    return [
+        "| measured: function | size | median µs |",
+        "| --- | --- | --- |",
+        ...times.map(({ name, size, microseconds }) => `| ${name} | ${size} | ${round(microseconds)} |`),
+    ].join("\n");
+}
