--- a/packages/measure/src/capacity/commands/measureCore.ts
+++ b/packages/measure/src/capacity/commands/measureCore.ts
@@ -82,7 +82,7 @@
     });
     const fleets = [6, 48, 340].map(size => {
         const fleet = buildFleet(size);
-        const membership = mergeHostList(createMembership(fleet[0] as MemberInfo, 0), fleet, 0);
+        const membership = mergeHostList(createMembership(fleet[0]!, 0), fleet, 0);
         return {
             name: "choose the connections, hosts",
             size,
