Take log writes and decoder set-up off the path to the first token

Cause: each request waited for a log line's system call, opened two text decoders and hashed prompts too short to have a cached prefix; an unexpected error of the host was answered without a log line.

--- a/packages/host/src/callers/commands/serveCallers.ts
+++ b/packages/host/src/callers/commands/serveCallers.ts
@@ -29,7 +29,7 @@
         bodyLimitBytes: context.settings.limits.max_body_bytes,
         maxHeaderBytes: context.settings.limits.max_header_bytes,
         handleError: (error, _request, response) =>
-            sendCallerError(context, createRequestId(), response, buildCallerError(error)),
+            sendCallerError(context, createRequestId(), response, buildCallerError(context, error)),
         handleNoRoute: (_request, response) =>
             sendCallerError(context, createRequestId(), response, new CallerError("unknown_path")),
         describeBadRequest: status => {
@@ -85,7 +85,7 @@
         context.metrics.requests.inc({ outcome: "answered", code: "" });
     }
     catch (error) {
-        sendCallerError(context, requestId, response, buildCallerError(error as Error));
+        sendCallerError(context, requestId, response, buildCallerError(context, error as Error));
     }
     finally {
         context.inFlight.delete(requestId);
--- a/packages/host/src/callers/queries/computePrefixHashes.ts
+++ b/packages/host/src/callers/queries/computePrefixHashes.ts
@@ -7,6 +7,9 @@
 /** Hashes the prefixes of a prompt whose lengths are `getPrefixTokens(0)`, `getPrefixTokens(1)` and so on. */
 export function computePrefixHashes(model: string, prompt: string): string[] {
     const bytes = Buffer.from(prompt);
+    if (bytes.length < getPrefixTokens(0) * BYTES_PER_TOKEN) {
+        return [];
+    }
     const hash = createHash("sha256").update(model).update("\0");
     const result: string[] = [];
     let hashed = 0;
--- a/packages/host/src/callers/queries/parsePrompt.ts
+++ b/packages/host/src/callers/queries/parsePrompt.ts
@@ -8,6 +8,7 @@
     toModelId,
 } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
+import { isUtf8 } from "node:buffer";
 import type { z } from "zod";
 import { CallerError } from "../model/callerError.js";
 import type { CompletionKind, PromptRequest } from "../model/promptRequest.js";
@@ -23,7 +24,7 @@
 /** Reads a request body. Throws a `CallerError` that names the field. */
 export function parsePrompt(
     kind: CompletionKind,
-    body: Uint8Array,
+    body: Buffer,
     configuration: Configuration,
     limits: HostSettings["limits"],
 ): PromptRequest {
@@ -65,9 +66,12 @@
 
 const countTokens = (text: string): number => Math.max(1, Math.ceil(Buffer.byteLength(text) / BYTES_PER_TOKEN));
 
-function parseJson(body: Uint8Array): unknown {
+function parseJson(body: Buffer): unknown {
+    if (!isUtf8(body)) {
+        throw new CallerError("bad_json");
+    }
     try {
-        return JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(body));
+        return JSON.parse(body.toString("utf8"));
     }
     catch {
         throw new CallerError("bad_json");
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -1,13 +1,13 @@
 /** Composes the parts of a host. */
 import { createHostListClient, createTableClient } from "@currantrill/platform";
 import type { HostSettings } from "@currantrill/settings";
-import bunyan from "bunyan";
 import { serveCallers } from "./callers/commands/serveCallers.js";
 import { drainRequests } from "./commands/drainRequests.js";
 import { startDataPath } from "./commands/startDataPath.js";
 import { readHead, startConfigurationPoll } from "./configuration/commands/pollConfiguration.js";
 import { shareConfiguration } from "./configuration/commands/shareConfiguration.js";
 import { createConfigurationHolder } from "./configuration/model/configurationHolder.js";
+import { createHostLog } from "./model/createHostLog.js";
 import { createDataPath } from "./model/dataPath.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
@@ -33,7 +33,7 @@
         ...createDataPath({ settings, incarnation, getContext: () => context }),
         settings,
         incarnation,
-        log: bunyan.createLogger({ name: "currantrilld", host: settings.host_id, level: settings.log_level }),
+        log: createHostLog(settings),
         metrics: createHostMetrics(),
         tables: createTableClient(platform),
         hostList: createHostListClient(platform),
--- a/packages/measure/src/overhead.ts
+++ b/packages/measure/src/overhead.ts
@@ -12,7 +12,7 @@
 const MICROSECONDS = 1_000;
 const BYTES_PER_MB = 1_048_576;
 /** Requests before the measurement, so that connections are open and code is compiled. */
-const WARM_UP_REQUESTS = 200;
+const WARM_UP_REQUESTS = 500;
 const IDLE_MS = 5_000;
 const GOALS = { medianMs: 2, p99Ms: 10, idleMb: 128 };
 
