--- a/packages/host/src/callers/commands/sendCallerError.ts
+++ b/packages/host/src/callers/commands/sendCallerError.ts
@@ -14,15 +14,17 @@
     "request.aborted": "body_incomplete",
 };
 
-/** Turns whatever a handler threw into the error that the caller receives. */
-export function buildCallerError(error: HttpError): CallerError {
+/** Turns whatever a handler threw into the error that the caller receives. A fault of the host itself is logged. */
+export function buildCallerError(context: HostContext, error: HttpError): CallerError {
     if (error instanceof CallerError) {
         return error;
     }
     const code = bodyErrorCodes[error.type ?? ""];
-    return code === undefined
-        ? new CallerError("internal_error", { outcome: "outcome_unknown" })
-        : new CallerError(code);
+    if (code !== undefined) {
+        return new CallerError(code);
+    }
+    context.log.error({ err: error }, "callers: request failed");
+    return new CallerError("internal_error", { outcome: "outcome_unknown" });
 }
 
 /** Sends an error as the response, or as the last event of a stream that has begun. */
