--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -1,7 +1,6 @@
 /** Composes the parts of a host. */
 import { createHostListClient, createTableClient } from "@currantrill/platform";
 import type { HostSettings } from "@currantrill/settings";
-import bunyan from "bunyan";
 import { serveCallers } from "./callers/commands/serveCallers.js";
 import { drainRequests } from "./commands/drainRequests.js";
 import { startDataPath } from "./commands/startDataPath.js";
@@ -10,6 +9,7 @@
 import { createConfigurationHolder } from "./configuration/model/configurationHolder.js";
 import { startDemandExchange } from "./limits/commands/updateDemand.js";
 import { createWorkspaceLimits } from "./limits/model/workspaceLimits.js";
+import { createHostLog } from "./model/createHostLog.js";
 import { createDataPath } from "./model/dataPath.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
@@ -36,7 +36,7 @@
         ...createDataPath({ settings, incarnation, getContext: () => context }),
         settings,
         incarnation,
-        log: bunyan.createLogger({ name: "currantrilld", host: settings.host_id, level: settings.log_level }),
+        log: createHostLog(settings),
         metrics: createHostMetrics(),
         tables: createTableClient(platform),
         hostList: createHostListClient(platform),
