--- a/packages/host/src/prompts/commands/servePrompt.ts
+++ b/packages/host/src/prompts/commands/servePrompt.ts
@@ -1,9 +1,16 @@
 /** Serves a prompt: admission, then attempts until the answer is whole or the deadline has passed. */
-import { addRetryTokens, computeBackoff, generateFractions, type RoutingDecision, spendRetry } from "@currantrill/core";
+import {
+    addRetryTokens,
+    computeBackoff,
+    generateFractions,
+    recordDemand,
+    type RoutingDecision,
+    spendRetry,
+} from "@currantrill/core";
 import { CallerError } from "../../callers/model/callerError.js";
 import type { AttemptOutcome } from "../../endpoints/commands/runAttempt.js";
 import type { HostContext } from "../../model/hostContext.js";
-import type { PromptJob } from "../model/promptJob.js";
+import { createQueueEntry, type PromptJob } from "../model/promptJob.js";
 import { buildGenerateRequest } from "../queries/buildGenerateRequest.js";
 import { admitPrompt } from "./admitPrompt.js";
 import { recordDecision, routePrompt } from "./routePrompt.js";
@@ -12,6 +19,8 @@
 
 /** Resolves when the whole answer is written. Rejects with a `CallerError` whose outcome is true. */
 export async function servePrompt(context: HostContext, job: PromptJob): Promise<void> {
+    const { lengthClass, promptTokens } = job.request;
+    context.prompts.demand = recordDemand(context.prompts.demand, lengthClass, promptTokens, performance.now());
     try {
         admitPrompt(context, job);
         while (!await runNextAttempt(context, job)) {
@@ -66,6 +75,7 @@
         throw new CallerError(job.sent ? "endpoint_failed" : "endpoint_unreachable");
     }
     context.metrics.retries.inc({ reason: outcome.kind });
+    job.grant.recordRetry(createQueueEntry(job).tokens);
     // The first retry goes to another endpoint at once.
     if (job.failures > 1) {
         const { values, next } = generateFractions(context.prompts.random, 1);
--- a/packages/proofs/src/model/history.ts
+++ b/packages/proofs/src/model/history.ts
@@ -12,7 +12,7 @@
         readonly type: "called";
         readonly operation: string;
         readonly host: string;
-        readonly action: "call" | "ticket";
+        readonly action: "call" | "ticket" | "prompt";
         /** Idempotency key of a call, or number of a ticket. */
         readonly key: string;
         readonly payload: string;
@@ -37,13 +37,15 @@
         readonly payload: string;
     }
     | { readonly type: "started" | "killed" | "paused" | "resumed" | "draining" | "exited"; readonly host: string; }
-    /** A fault begins or ends that keeps the host, or every host, from the platform or from its peers. */
+    /** A fault begins or ends that keeps the host, or every host, from the platform, its peers or the endpoints. */
     | {
         readonly type: "cut" | "healed";
         /** `undefined` for every host. */
         readonly host: string | undefined;
-        readonly from: "platform" | "peers";
+        readonly from: "platform" | "peers" | "endpoint";
     }
+    /** The wall clock of a host jumped. */
+    | { readonly type: "clockStepped"; readonly host: string; }
     /** A configuration came into force on a host. `content` is its canonical text. */
     | { readonly type: "adopted"; readonly host: string; readonly revision: number; readonly content: string; }
     /** The platform committed a revision for an operation. */
@@ -79,6 +81,16 @@
     }
     /** An attempt begins or ends to be entitled to its allocations. */
     | { readonly type: "attemptBegan" | "attemptEnded"; readonly host: string; readonly attempt: string; }
+    /** A prompt begins an attempt on an engine, giving up the one before, or drops a token that it has delivered. */
+    | { readonly type: "streamAttempt" | "repeated"; readonly operation: string; readonly attempt: string; }
+    /** A token was passed to the caller. `request` is the request that the engine made it for. */
+    | {
+        readonly type: "token";
+        readonly operation: string;
+        readonly attempt: string;
+        readonly index: number;
+        readonly request: string;
+    }
     /** Control messages that a host sent since the last event of this type. */
     | { readonly type: "messages"; readonly host: string; readonly count: number; }
     /** A quantity that a host granted to a workspace in one second. */
--- a/packages/proofs/src/model/proof.ts
+++ b/packages/proofs/src/model/proof.ts
@@ -16,9 +16,20 @@
     readonly claimNotApplied: boolean;
     /** Treat a heartbeat answer as news of the time at which it arrives. */
     readonly trustArrival: boolean;
+    /** Count nothing but own reads of the platform as news. */
+    readonly ignoreHeartbeats: boolean;
+    /** Sweepers release nothing. */
     readonly keepOrphans: boolean;
+    /** Owners tell sweepers that they know none of their attempts. */
+    readonly denyOwnership: boolean;
     /** Retention of call records in milliseconds, if it differs from the promised one. */
     readonly retentionMs: number | undefined;
+    /** Treat tokens of a given-up attempt as those of the current one. */
+    readonly acceptLateTokens: boolean;
+    /** Treat a closed connection as the end of an answer. */
+    readonly acceptUnterminated: boolean;
+    /** Wait for a silent connection until the deadline. */
+    readonly noProgressLimit: boolean;
     /** End the process of a planned stop at once. */
     readonly exitWithoutDrain: boolean;
 }
@@ -29,8 +40,13 @@
     adoptLower: false,
     claimNotApplied: false,
     trustArrival: false,
+    ignoreHeartbeats: false,
     keepOrphans: false,
+    denyOwnership: false,
     retentionMs: undefined,
+    acceptLateTokens: false,
+    acceptUnterminated: false,
+    noProgressLimit: false,
     exitWithoutDrain: false,
 };
 
