--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -54,7 +54,10 @@
         `  curl -s ${getUrl(system, name)}/v1/completions -H 'Authorization: Bearer ${DEMO_WORKSPACES[0].key}'`
             + ` -H 'Content-Type: application/json' -d '${body}'\n`,
     );
-    process.stdout.write(`Operators: ${getOperatorUrl(system, name)}, key ${OPERATOR_KEY}\n`);
+    const operators = getOperatorUrl(system, name).replace("http://", "");
+    process.stdout.write(
+        `For operators:\n  export CURRANTRILL_HOSTS=${operators} CURRANTRILL_OPERATOR_KEY=${OPERATOR_KEY}\n`,
+    );
 }
 
 await run(demo, process.argv.slice(2)).catch((error: unknown) => {
