--- a/packages/core/src/routing/queries/buildDecision.ts
+++ b/packages/core/src/routing/queries/buildDecision.ts
@@ -24,17 +24,6 @@
     };
 }
 
-/** Decision for a huge prompt that fits one endpoint, none of which has the memory free: several may have it together. */
-export function splitRoute(input: RoutingInput, enginePriority: number): RoutingDecision {
-    return {
-        outcome: { kind: "gang", enginePriority },
-        considered: [],
-        candidateCount: input.candidates.length,
-        reason: "no endpoint has the memory free now",
-        random: input.random,
-    };
-}
-
 /** Decision for a request that finds every suitable endpoint full. */
 export function waitForRoom(input: RoutingInput, candidates: CandidateList): RoutingDecision {
     const expected = candidates.fitting.map(view => estimateFirstToken(input, view));
--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -2,13 +2,18 @@
 import { isLongClass } from "../../model/lengthClass.js";
 import { generateFractions } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
-import { refuseRoute, sendRoute, splitRoute, waitForRoom } from "./buildDecision.js";
+import { refuseRoute, sendRoute, waitForRoom } from "./buildDecision.js";
 import { estimateFirstToken } from "./estimateFirstToken.js";
 import { getEnginePriority, getGangPriority } from "./getEnginePriority.js";
 import { isAvailable, listCandidates } from "./listCandidates.js";
 import { scoreLane } from "./scoreLane.js";
 
 const CONSIDERED_LIMIT = 5;
+/**
+ * Longest expected queue on an engine to which a long prompt is sent. A longer queue forms at the host, where a prompt
+ * can still be refused; a shorter one would leave engines idle while reports lag.
+ */
+const MAX_ENGINE_QUEUE_MS = 2_000;
 const SAMPLING_MIN_CANDIDATES = 256;
 /** One in so many endpoints of other failure domains is looked at. */
 const REMOTE_SAMPLE_STRIDE = 4;
@@ -31,9 +36,7 @@
         if (candidates.fitting.length === 0) {
             return refuseRoute(input, candidates, getGangPriority(input.request));
         }
-        return input.request.lengthClass === "huge"
-            ? splitRoute(input, getGangPriority(input.request))
-            : waitForRoom(input, candidates);
+        return waitForRoom(input, candidates);
     }
     const { chosen, random } = chooseNearEqual(input, nearEqual);
     return sendRoute(input, {
@@ -105,7 +108,8 @@
     const free = view.freeMemoryTokens - request.promptTokens - request.maxTokens;
     const isEmpty = view.freeMemoryTokens >= view.memoryTokens;
     const reserve = isEmpty || !isLongClass(request.lengthClass) ? 0 : view.memoryTokens * SHORT_MEMORY_RESERVE;
-    return free >= reserve && view.freeSlots > 0;
+    const hasTurn = !isLongClass(request.lengthClass) || view.drainedAtMs - input.now <= MAX_ENGINE_QUEUE_MS;
+    return hasTurn && free >= reserve && view.freeSlots > 0;
 }
 
 /** Power of two choices among near-equal endpoints, so that hosts with the same report do not all pick the same one. */
