--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -1,7 +1,6 @@
 /** Composes the parts of a host. */
 import { createHostListClient, createTableClient } from "@currantrill/platform";
 import type { HostSettings } from "@currantrill/settings";
-import bunyan from "bunyan";
 import { serveCallers } from "./callers/commands/serveCallers.js";
 import { drainRequests } from "./commands/drainRequests.js";
 import { startDataPath } from "./commands/startDataPath.js";
@@ -10,6 +9,7 @@
 import { createConfigurationHolder } from "./configuration/model/configurationHolder.js";
 import { startDemandExchange } from "./limits/commands/updateDemand.js";
 import { createWorkspaceLimits } from "./limits/model/workspaceLimits.js";
+import { createHostLog } from "./model/createHostLog.js";
 import { createDataPath } from "./model/dataPath.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
@@ -18,6 +18,7 @@
 import { startPeers } from "./peers/commands/startPeers.js";
 import { trackHostList } from "./peers/commands/trackHostList.js";
 import { createFleet } from "./peers/model/fleet.js";
+import { startPlacement } from "./placement/commands/startPlacement.js";
 import { startWatching } from "./watching/commands/watchEndpoints.js";
 import { createEndpointViews } from "./watching/model/endpointViews.js";
 
@@ -35,7 +36,7 @@
         ...createDataPath({ settings, incarnation, getContext: () => context }),
         settings,
         incarnation,
-        log: bunyan.createLogger({ name: "currantrilld", host: settings.host_id, level: settings.log_level }),
+        log: createHostLog(settings),
         metrics: createHostMetrics(),
         tables: createTableClient(platform),
         hostList: createHostListClient(platform),
@@ -57,7 +58,12 @@
     await readHead(context).catch((error: unknown) =>
         context.log.warn({ err: error }, "configuration: platform not reachable")
     );
-    const timers = [...watching, startDemandExchange(context), startConfigurationPoll(context)];
+    const timers = [
+        ...watching,
+        startDemandExchange(context),
+        startPlacement(context),
+        startConfigurationPoll(context),
+    ];
     const operators = await serveOperators(context);
     const callers = await serveCallers(context);
     context.log.info({ settings: settings.listen }, "host: started");
