--- a/packages/core/src/membership/queries/shouldPublishDigest.ts
+++ b/packages/core/src/membership/queries/shouldPublishDigest.ts
@@ -1,7 +1,7 @@
 import type { EndpointDigest } from "@currantrill/protocol";
 
 /** Shortest time between two digests of an endpoint whose load alone has changed. */
-export const DIGEST_MIN_INTERVAL_MS = 1_000;
+export const DIGEST_MIN_INTERVAL_MS = 2_000;
 /** Longest time between two digests of an endpoint. */
 export const DIGEST_REFRESH_MS = 5_000;
 
@@ -32,8 +32,8 @@
     prefillTokens: 20_000,
     relative: 0.5,
     memory: 0.2,
-    minIntervalMs: 10_000,
-    refreshMs: 30_000,
+    minIntervalMs: 20_000,
+    refreshMs: 60_000,
 };
 
 /** Whether a digest differs enough from the last one sent. A change of state is always sent at once. */
--- a/packages/host/src/watching/commands/watchEndpoints.ts
+++ b/packages/host/src/watching/commands/watchEndpoints.ts
@@ -19,15 +19,18 @@
 const REPORT_TIMEOUT_MS = 1_000;
 /** Failed polls in a row after which an endpoint is published as unreachable. */
 const MAX_FAILURES = 3;
-/** Age of the last digest from which the second watcher publishes in place of the first. */
+/** Interval of the second watcher while the first publishes. With the full rate, polls take half of a host's time. */
+const STANDBY_INTERVAL_MS = 5_000;
+/** Age of the last digest from which the second watcher polls at the full rate and publishes in place of the first. */
 const TAKEOVER_MS = DIGEST_REFRESH_MS + 1_500;
 /** Time for which the list of watched endpoints is used. It changes with the members and the configuration. */
 const ROLES_MS = 2_000;
 
 interface Watch {
     isPolling: boolean;
+    polledAtMs: number;
     failures: number;
-    cacheSequence: number | undefined;
+    cacheSequence: number;
 }
 
 const cacheEventsSchema = z.object({ events: z.array(cacheEventSchema) });
@@ -53,7 +56,8 @@
 }
 
 function getWatch(watches: Map<EndpointId, Watch>, { endpoint }: WatchedEndpoint): Watch {
-    const watch = watches.get(endpoint.name) ?? { isPolling: false, failures: 0, cacheSequence: undefined };
+    const watch = watches.get(endpoint.name)
+        ?? { isPolling: false, failures: 0, cacheSequence: 0, polledAtMs: -Infinity };
     watches.set(endpoint.name, watch);
     return watch;
 }
@@ -64,10 +68,11 @@
 }
 
 async function pollEndpoint(context: HostContext, { endpoint, rank }: WatchedEndpoint, watch: Watch): Promise<void> {
-    if (watch.isPolling) {
+    if (watch.isPolling || !isPollDue(context, endpoint, rank, watch)) {
         return;
     }
     watch.isPolling = true;
+    watch.polledAtMs = performance.now();
     try {
         const startedAtMs = performance.now();
         const report = await fetchReport(endpoint);
@@ -90,6 +95,13 @@
     }
 }
 
+function isPollDue(context: HostContext, { name }: EndpointObject, rank: number, watch: Watch): boolean {
+    const now = performance.now();
+    const last = context.endpointViews.digests.get(name);
+    const isSilent = last === undefined || now - last.receivedAtMs > TAKEOVER_MS;
+    return rank === 0 || isSilent || watch.failures > 0 || now - watch.polledAtMs >= STANDBY_INTERVAL_MS;
+}
+
 async function fetchReport(endpoint: EndpointObject): Promise<EngineReport> {
     const response = await requestJson(`${endpoint.url}/v1/report`, { timeoutMs: REPORT_TIMEOUT_MS });
     if (response.status !== 200) {
@@ -115,8 +127,10 @@
     watch: Watch,
     newest: number,
 ): Promise<void> {
-    const after = watch.cacheSequence ?? 0;
-    if (newest <= after && watch.cacheSequence !== undefined) {
+    const known = watch.cacheSequence;
+    // An engine that has restarted begins its events anew.
+    const after = known > newest ? 0 : known;
+    if (newest <= after) {
         return;
     }
     const url = `${endpoint.url}/v1/cache/events?after=${after}`;
@@ -126,7 +140,7 @@
         return;
     }
     const { events } = parsed.data;
-    const hasGap = events.length > 0 && events[0]?.sequence !== after + 1;
+    const hasGap = known > newest || (events.length > 0 && events[0]?.sequence !== after + 1);
     watch.cacheSequence = events.at(-1)?.sequence ?? after;
     context.endpointViews.cacheListeners.forEach(listener => listener({ endpoint: endpoint.name, events, hasGap }));
 }
--- a/packages/measure/src/capacity/commands/measureCore.ts
+++ b/packages/measure/src/capacity/commands/measureCore.ts
@@ -52,14 +52,16 @@
         },
     }));
 
+const buildMember = (index: number): MemberInfo => ({
+    host: toHostId(`h${index}`),
+    incarnation: toIncarnationId(`h${index}`),
+    failureDomain: toFailureDomainId(`d${index % 6}`),
+    peerAddress: "",
+    leaving: false,
+});
+
 const buildFleet = (count: number): MemberInfo[] =>
-    Array.from({ length: count }, (_unused, index) => ({
-        host: toHostId(`h${index}`),
-        incarnation: toIncarnationId(`h${index}`),
-        failureDomain: toFailureDomainId(`d${index % 6}`),
-        peerAddress: "",
-        leaving: false,
-    }));
+    Array.from({ length: count }, (_unused, index) => buildMember(index));
 
 /** Measures the operations whose cost grows with the fleet. */
 export function measureCore(): CoreTime[] {
@@ -82,7 +84,7 @@
     });
     const fleets = [6, 48, 340].map(size => {
         const fleet = buildFleet(size);
-        const membership = mergeHostList(createMembership(fleet[0] as MemberInfo, 0), fleet, 0);
+        const membership = mergeHostList(createMembership(buildMember(0), 0), fleet, 0);
         return {
             name: "choose the connections, hosts",
             size,
--- a/packages/measure/src/capacity/queries/computeTarget.ts
+++ b/packages/measure/src/capacity/queries/computeTarget.ts
@@ -1,6 +1,6 @@
 import { type Figure, figures, type HostSample, type SizeSample, type WindowSample } from "../model/sample.js";
 import { target } from "../model/target.js";
-import { fitSlopes, estimateValue } from "./fitSlopes.js";
+import { estimateValue, fitSlopes } from "./fitSlopes.js";
 
 /** Part of the digests of another domain that crosses to this one, from the thresholds for crossing. */
 const REMOTE_PART = 0.1;
