--- a/packages/core/src/routing/queries/routeAdaptively.ts
+++ b/packages/core/src/routing/queries/routeAdaptively.ts
@@ -2,12 +2,16 @@
 import { isLongClass } from "../../model/lengthClass.js";
 import { generateFractions } from "../../model/randomState.js";
 import type { RoutingDecision, RoutingInput } from "../model/routing.js";
-import { refuseRoute, sendRoute, waitForRoom } from "./buildDecision.js";
+import { refuseRoute, sendRoute, splitRoute, waitForRoom } from "./buildDecision.js";
 import { estimateFirstToken } from "./estimateFirstToken.js";
-import { getEnginePriority } from "./getEnginePriority.js";
+import { getEnginePriority, getGangPriority } from "./getEnginePriority.js";
 import { isAvailable, listCandidates } from "./listCandidates.js";
+import { scoreLane } from "./scoreLane.js";
 
 const CONSIDERED_LIMIT = 5;
+const SAMPLING_MIN_CANDIDATES = 256;
+/** One in so many endpoints of other failure domains is looked at. */
+const REMOTE_SAMPLE_STRIDE = 4;
 /** Cost of using an endpoint that a pending gang waits for. */
 const WITHHELD_PENALTY_MS = 500;
 /** Part of an endpoint's memory that long prompts leave free, so that a short one never waits for memory. */
@@ -20,10 +24,16 @@
 
 /** The policy of the product: least expected time to first token, with costs for using what others need more. */
 export function routeAdaptively(input: RoutingInput): RoutingDecision {
-    const nearEqual = listNearEqual(input);
+    const sampled = listNearEqual(input, sampleCandidates(input));
+    const nearEqual = sampled.length > 0 ? sampled : listNearEqual(input, input.candidates);
     if (nearEqual.length === 0) {
         const candidates = listCandidates(input);
-        return candidates.fitting.length === 0 ? refuseRoute(input, candidates) : waitForRoom(input, candidates);
+        if (candidates.fitting.length === 0) {
+            return refuseRoute(input, candidates, getGangPriority(input.request));
+        }
+        return input.request.lengthClass === "huge"
+            ? splitRoute(input, getGangPriority(input.request))
+            : waitForRoom(input, candidates);
     }
     const { chosen, random } = chooseNearEqual(input, nearEqual);
     return sendRoute(input, {
@@ -39,10 +49,10 @@
 }
 
 /** Endpoints with room whose scores are within `nearEqualMs` of the best one. Empty if all are full or unsuitable. */
-function listNearEqual(input: RoutingInput): Scored[] {
+function listNearEqual(input: RoutingInput, candidates: readonly EndpointView[]): Scored[] {
     const contenders: Scored[] = [];
     let limit = Infinity;
-    for (const view of input.candidates) {
+    for (const view of candidates) {
         const score = scoreEndpoint(input, view, limit);
         if (score <= limit && score < Infinity) {
             contenders.push({ view, score });
@@ -52,6 +62,26 @@
     return contenders.filter(({ score }) => score <= limit);
 }
 
+/**
+ * Endpoints to score first. In a large fleet a short or medium request looks at those of its own failure domain and at
+ * a changing sample of the others, which it needs only when its own domain is busy.
+ */
+function sampleCandidates(input: RoutingInput): readonly EndpointView[] {
+    const { candidates, failureDomain, now } = input;
+    if (candidates.length <= SAMPLING_MIN_CANDIDATES || isLongClass(input.request.lengthClass)) {
+        return candidates;
+    }
+    const sample: EndpointView[] = [];
+    let position = Math.floor(now);
+    for (const view of candidates) {
+        position += 1;
+        if (view.failureDomain === failureDomain || position % REMOTE_SAMPLE_STRIDE === 0) {
+            sample.push(view);
+        }
+    }
+    return sample;
+}
+
 /**
  * Expected first token plus the costs of using the endpoint, in milliseconds. `Infinity` if it is above `limit` or the
  * endpoint cannot take the request. The numbers come first: they rule out most of the endpoints without a look-up.
@@ -69,16 +99,6 @@
     return score <= limit && isAvailable(view, request.model, input.now) ? score : Infinity;
 }
 
-/** Cost of crossing lanes: long work on the lane of short requests, or short requests behind long prefills. */
-function scoreLane(input: RoutingInput, view: EndpointView): number {
-    const isLongLane = input.lanes.longLane.has(view.endpoint);
-    if (isLongClass(input.request.lengthClass) === isLongLane) {
-        return 0;
-    }
-    const weight = input.settings.shortRequestWeight;
-    return isLongLane ? 100 + 200 * weight : 2_000 + 20_000 * weight;
-}
-
 /** Whether the endpoint has a free slot and enough free memory, as far as the host knows. */
 function hasRoom(input: RoutingInput, view: EndpointView): boolean {
     const { request } = input;
