Keep short requests in their own failure domain while it is idle

Cause: at low demand the short lane was one endpoint for the whole fleet, and a remote endpoint counted as near-equal to a local one (cost 10 ms, window 20 ms). Change: each domain keeps an endpoint in the short lane, and the cost of another domain is above the window.

--- a/packages/core/src/routing/model/routingSettings.ts
+++ b/packages/core/src/routing/model/routingSettings.ts
@@ -4,7 +4,11 @@
     readonly shortRequestWeight: number;
     /** Cost of borrowed capacity against own capacity, in milliseconds of first token. */
     readonly borrowedPenaltyMs: number;
-    /** Cost of an endpoint in another failure domain, in milliseconds. */
+    /**
+     * Cost of an endpoint in another failure domain, in milliseconds. Above `nearEqualMs`, so that requests leave the
+     * own domain only to save time: with a lower cost an idle fleet spread them over all domains, and each request that
+     * met a partition lost the time to notice it.
+     */
     readonly remotePenaltyMs: number;
     /** Tokens that an engine prefills in one step; work of higher priority waits for the end of the step. */
     readonly chunkTokens: number;
@@ -15,7 +19,7 @@
 export const defaultRoutingSettings: RoutingSettings = {
     shortRequestWeight: 0.5,
     borrowedPenaltyMs: 40,
-    remotePenaltyMs: 10,
+    remotePenaltyMs: 25,
     chunkTokens: 1_024,
     nearEqualMs: 20,
 };
--- a/packages/core/src/routing/queries/planLanes.ts
+++ b/packages/core/src/routing/queries/planLanes.ts
@@ -29,11 +29,17 @@
     const longLoad = demand.longTokensPerSecond / rate;
     const wanted = shortLoad + SHORT_LANE_SLACK * Math.sqrt(shortLoad);
     const atMost = ordered.length - longLoad / LONG_LANE_MAX_LOAD;
-    const shortSize = Math.ceil(Math.max(1, shortLoad, Math.min(wanted, atMost)));
+    const shortSize = Math.ceil(Math.max(countDomains(ordered), shortLoad, Math.min(wanted, atMost)));
     const longSize = Math.min(ordered.length - 1, Math.max(1, ordered.length - shortSize));
     return { longLane: new Set(ordered.slice(0, longSize).map(view => view.endpoint)) };
 }
 
+/**
+ * Each failure domain keeps an endpoint in the short lane. At low demand a lane of one endpoint drew the short requests
+ * of all domains to one of them, which a partition then cut off.
+ */
+const countDomains = (views: readonly EndpointView[]): number => new Set(views.map(view => view.failureDomain)).size;
+
 /** Orders the endpoints by name, taking one of each failure domain in turn, so that each domain gets both lanes. */
 function sortByDomain(views: readonly EndpointView[]): EndpointView[] {
     const domains = new Map<FailureDomainId, EndpointView[]>();
--- a/packages/core/tests/routing/routing.test.ts
+++ b/packages/core/tests/routing/routing.test.ts
@@ -128,3 +128,26 @@
         expect(plan.longLane.size).toBe(expected);
     });
 });
+
+describe("planLanes guards against short requests that depend on another failure domain", () => {
+    const names = ["a", "b", "c"];
+    const views = names.flatMap(domain =>
+        [1, 2].map(index => createView(`${domain}${index}`, { failureDomain: toFailureDomainId(domain) }))
+    );
+    it.each(names)("leaves an endpoint of domain %s to short requests at no demand", domain => {
+        const { longLane } = planLanes(views, { shortTokensPerSecond: 0, longTokensPerSecond: 0 });
+        const left = views.filter(view =>
+            view.failureDomain === toFailureDomainId(domain) && !longLane.has(view.endpoint)
+        );
+        expect(left).toHaveLength(1);
+    });
+});
+
+describe("adaptive guards against requests that meet a partition although their own domain is idle", () => {
+    const remote = { failureDomain: toFailureDomainId("there") };
+    const views = [createView("near"), ...["far1", "far2", "far3"].map(name => createView(name, remote))];
+    it.each([1, 2, 3, 4, 5])("stays in the own domain, seed %i", seed => {
+        const { outcome } = routingPolicies.adaptive(buildInput(views, 1_000, { random: createRandomState(seed) }));
+        expect(outcome).toMatchObject({ kind: "send", endpoint: { endpoint: toEndpointId("near") } });
+    });
+});
