Try another engine when one does not accept a prompt within two seconds

Cause: in a failure domain that was cut off, a prompt that met an engine beyond the cut waited for the first token limit of 10 s at each try and ended with 504 at its deadline. Engines accept before they start the prefill, so a late acceptance shows a broken path. Change: setting progress.accept_ms; an engine that did not accept is suspect for 10 s unless it answers the cancel on a new connection.

--- a/packages/host/src/endpoints/commands/cancelAttempt.ts
+++ b/packages/host/src/endpoints/commands/cancelAttempt.ts
@@ -4,8 +4,11 @@
 const CANCEL_TIMEOUT_MS = 1_000;
 const CANCEL_TRIES = 2;
 
-/** Tells an engine that the answer to an attempt is no longer wanted. A lost cancel costs the engine only its own work. */
-export async function cancelAttempt(connections: Connections, attemptId: AttemptId): Promise<void> {
+/**
+ * Tells an engine that the answer to an attempt is no longer wanted, and returns whether the engine answered. A lost
+ * cancel costs the engine only its own work.
+ */
+export async function cancelAttempt(connections: Connections, attemptId: AttemptId): Promise<boolean> {
     for (let attempt = 1; attempt <= CANCEL_TRIES; attempt += 1) {
         try {
             await requestJson(`${connections.origin}/v1/cancel`, {
@@ -14,10 +17,11 @@
                 timeoutMs: CANCEL_TIMEOUT_MS,
                 dispatcher: connections.getDispatcher(),
             });
-            return;
+            return true;
         }
         catch {
             connections.renew();
         }
     }
+    return false;
 }
--- a/packages/host/src/endpoints/commands/runAttempt.ts
+++ b/packages/host/src/endpoints/commands/runAttempt.ts
@@ -27,6 +27,8 @@
     readonly connections: Connections;
     readonly body: GenerateRequest;
     readonly attemptId: AttemptId;
+    /** Time within which the engine accepts the prompt, in milliseconds. */
+    readonly acceptMs: number;
     readonly limits: ProgressLimits;
     /** Ends the attempt. The reason is an `Interrupt`, or the error with which the whole request ends. */
     readonly controller: AbortController;
@@ -63,10 +65,20 @@
     | { readonly kind: "finished"; }
     /** The engine did not take the request. */
     | { readonly kind: "refused"; readonly status: number; readonly message: string; }
-    /** No answer, or only part of one. `silent` if a limit on progress has passed. */
-    | { readonly kind: "broken"; readonly reason: string; readonly sent: boolean; readonly silent: boolean; }
+    | BrokenAttempt
     | { readonly kind: "interrupted"; readonly reason: InterruptReason; };
 
+/** No answer, or only part of one. */
+export interface BrokenAttempt {
+    readonly kind: "broken";
+    readonly reason: string;
+    readonly sent: boolean;
+    /** Whether the engine had accepted the prompt. */
+    readonly accepted: boolean;
+    /** Whether a limit on progress has passed. */
+    readonly silent: boolean;
+}
+
 export interface AttemptResult {
     readonly outcome: AttemptOutcome;
     readonly stream: StreamState;
@@ -90,6 +102,7 @@
 interface AttemptRun {
     stream: StreamState;
     sent: boolean;
+    accepted: boolean;
     readonly watch: ProgressWatch;
 }
 
@@ -97,12 +110,15 @@
     const run: AttemptRun = {
         stream: startStreamAttempt(options.stream, options.attemptId, performance.now()),
         sent: false,
+        accepted: false,
         watch: createProgressWatch(() => {
             options.connections.renew();
             options.controller.abort(new Silence());
         }),
     };
-    run.watch.expectBy(getProgressDeadline(run.stream, options.limits));
+    run.watch.expectBy(
+        Math.min(performance.now() + options.acceptMs, getProgressDeadline(run.stream, options.limits)),
+    );
     return run;
 }
 
@@ -126,6 +142,8 @@
         const message = (await response.body.text()).slice(0, REFUSED_BODY_LIMIT_BYTES);
         return { kind: "refused", status: response.statusCode, message };
     }
+    run.accepted = true;
+    run.watch.expectBy(getProgressDeadline(run.stream, options.limits));
     return readAnswer(options, run, response);
 }
 
@@ -153,7 +171,7 @@
             case "broken":
                 // The rest of the stream is of no use; closing the connection tells the engine so.
                 void events.return(undefined).catch(() => undefined);
-                return { kind: "broken", reason: step.decision.reason, sent: true, silent: false };
+                return { kind: "broken", reason: step.decision.reason, sent: true, accepted: true, silent: false };
         }
     }
 }
@@ -221,5 +239,5 @@
         throw reason;
     }
     const message = error instanceof Error ? error.message : String(error);
-    return { kind: "broken", reason: message, sent: run.sent, silent };
+    return { kind: "broken", reason: message, sent: run.sent, accepted: run.accepted, silent };
 }
--- a/packages/host/src/prompts/commands/runPromptAttempt.ts
+++ b/packages/host/src/prompts/commands/runPromptAttempt.ts
@@ -10,7 +10,7 @@
 import type { AttemptId, EndpointId, GenerateRequest } from "@currantrill/protocol";
 import { getRemainingMs } from "../../callers/model/requestScope.js";
 import { cancelAttempt } from "../../endpoints/commands/cancelAttempt.js";
-import { type AttemptOutcome, Interrupt, runAttempt } from "../../endpoints/commands/runAttempt.js";
+import { type AttemptOutcome, type BrokenAttempt, Interrupt, runAttempt } from "../../endpoints/commands/runAttempt.js";
 import type { RunningAttempt } from "../../endpoints/model/runningAttempt.js";
 import { computeProgressLimits, estimateDecodeMs } from "../../endpoints/queries/computeProgressLimits.js";
 import type { HostContext } from "../../model/hostContext.js";
@@ -18,7 +18,7 @@
 import { recordFirstTokenTime } from "./recordFirstTokenTime.js";
 
 /** Time for which other endpoints are preferred after a failure. A refusal is usually a full engine. */
-const SUSPECT_MS = { broken: 3_000, silent: 1_000, refused: 250 } as const;
+const SUSPECT_MS = { broken: 3_000, silent: 1_000, refused: 250, unaccepted: 10_000 } as const;
 
 /** Where an attempt runs, and with what. */
 export interface AttemptPlacement {
@@ -51,6 +51,7 @@
             connections,
             body: placement.body,
             attemptId,
+            acceptMs: context.settings.progress.accept_ms,
             limits: computeProgressLimits(context.settings.progress, placement.expectedFirstTokenMs),
             controller,
             stream: job.stream,
@@ -73,7 +74,9 @@
             job.sent = sentBefore;
         }
         else if (outcome?.kind !== "finished") {
-            void cancelAttempt(connections, attemptId);
+            void cancelAttempt(connections, attemptId).then(reached =>
+                recordCancel(context, placement, outcome, reached)
+            );
         }
     }
 }
@@ -153,7 +156,7 @@
     const suspect = (ms: number): void =>
         context.beliefs.update(view.endpoint, current => markSuspect(current, performance.now() + ms));
     if (outcome.kind === "broken") {
-        suspect(outcome.silent ? SUSPECT_MS.silent : SUSPECT_MS.broken);
+        suspect(SUSPECT_MS[getBreakKind(outcome)]);
         context.log.warn({ requestId: body.request_id, endpoint: view.endpoint, outcome }, "endpoints: attempt broken");
     }
     if (outcome.kind === "refused") {
@@ -164,3 +167,23 @@
         );
     }
 }
+
+/** An engine that does not even accept is usually behind a partition, which lasts longer than one lost connection. */
+function getBreakKind({ silent, accepted }: BrokenAttempt): "broken" | "silent" | "unaccepted" {
+    if (!silent) {
+        return "broken";
+    }
+    return accepted ? "silent" : "unaccepted";
+}
+
+/** An engine that answers the cancel on a new connection can be reached: only the old connection was silent. */
+function recordCancel(
+    context: HostContext,
+    { view }: AttemptPlacement,
+    outcome: AttemptOutcome | undefined,
+    reached: boolean,
+): void {
+    if (reached && outcome?.kind === "broken" && outcome.silent) {
+        context.beliefs.update(view.endpoint, clearSuspect);
+    }
+}
--- a/packages/settings/src/model/hostSettings.ts
+++ b/packages/settings/src/model/hostSettings.ts
@@ -27,6 +27,8 @@
     }).prefault({}),
     /** Longest silence of a connection before it is dropped and a new one is tried. */
     progress: z.strictObject({
+        /** Until an engine accepts a prompt, which it does before it starts the prefill. */
+        accept_ms: milliseconds(2_000),
         /** Until the first token, in addition to the time that the prefill is expected to take. */
         first_token_ms: milliseconds(10_000),
         between_tokens_ms: milliseconds(5_000),
