Report ready only with a confirmed configuration

Cause: a host replaced during an outage of the platform answered 200 on /readyz, then 503 no_endpoint for about 1 s, because no heartbeat had confirmed its configuration yet and every endpoint counted as silent. Change: readiness needs the first confirmation, and the views are refreshed with it.

--- a/packages/host/src/configuration/commands/pollConfiguration.ts
+++ b/packages/host/src/configuration/commands/pollConfiguration.ts
@@ -15,6 +15,7 @@
 import { readClocks } from "../model/configurationHolder.js";
 import { computeConfirmationAge } from "../queries/computeConfirmationAge.js";
 import { adoptConfiguration } from "./adoptConfiguration.js";
+import { updateFreshness } from "./updateFreshness.js";
 
 export const POLL_INTERVAL_MS = 1_000;
 /** Age of the confirmation from which a host that is no poller reads the platform itself, no more often than this. */
@@ -27,7 +28,10 @@
         const startedAt = readClocks();
         const { configuration, headRevision } = await readConfiguration(context, holder.current);
         adoptConfiguration(context, configuration);
-        holder.freshness = recordPlatformRead(holder.freshness, startedAt, headRevision, holder.current.revision);
+        updateFreshness(
+            context,
+            recordPlatformRead(holder.freshness, startedAt, headRevision, holder.current.revision),
+        );
         holder.start = advanceStart(holder.start, { type: "platformRead", configuration });
     }
     catch (error) {
--- a/packages/host/src/peers/commands/handlePeerMessage.ts
+++ b/packages/host/src/peers/commands/handlePeerMessage.ts
@@ -6,6 +6,7 @@
     recordPeerRevision,
     sendConfiguration,
 } from "../../configuration/commands/shareConfiguration.js";
+import { updateFreshness } from "../../configuration/commands/updateFreshness.js";
 import { computeConfirmationAge } from "../../configuration/queries/computeConfirmationAge.js";
 import type { HostContext } from "../../model/hostContext.js";
 import type { PeerConnection } from "../model/fleet.js";
@@ -39,8 +40,8 @@
         connection.lastPongAtMs = performance.now();
         recordPeer(context, connection);
         recordPeerRevision(context, connection, message.revision);
-        const holder = context.configuration;
-        holder.freshness = recordHeartbeatAnswer(holder.freshness, sentAt, message, holder.current.revision);
+        const { freshness, current } = context.configuration;
+        updateFreshness(context, recordHeartbeatAnswer(freshness, sentAt, message, current.revision));
     },
     facts: (context, connection, message) => receiveFacts(context, connection.host, message.facts),
     snapshotRequest: (context, connection, message) => {
