Enforce the largest share of a borrowed pool

Cause: max_share of a lending rule was parsed and stored, and nothing read it. Change: a workspace that holds its share of a pool's slots through this host sees the pool as full and waits; the share follows the host's fraction of the entitlement, at least one slot a host.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,6 +39,7 @@
 export * from "./lending/queries/decideInFlight.js";
 export * from "./lending/queries/decideLending.js";
 export * from "./limits/index.js";
+export * from "./limits/queries/computeBorrowLimit.js";
 export * from "./membership/index.js";
 export * from "./memory/commands/sweepAllocations.js";
 export * from "./memory/commands/trackAllocations.js";
--- a/packages/host/src/prompts/queries/buildRoutingInput.ts
+++ b/packages/host/src/prompts/queries/buildRoutingInput.ts
@@ -2,6 +2,7 @@
 import { toFailureDomainId } from "@currantrill/protocol";
 import type { HostContext } from "../../model/hostContext.js";
 import type { PromptJob } from "../model/promptJob.js";
+import { applyBorrowLimit } from "./applyBorrowLimit.js";
 
 /** Input of the routing core for one prompt now. */
 export function buildRoutingInput(context: HostContext, job: PromptJob): RoutingInput {
@@ -9,6 +10,7 @@
     const { request, scope } = job;
     const now = performance.now();
     const views = context.beliefs.getAll();
+    const allowed = job.allowed.map(id => views.get(id)).filter((view): view is EndpointView => view !== undefined);
     const withheldByOthers = [...prompts.withheld].filter(([id]) => id !== scope.requestId).flatMap(([, ids]) => ids);
     return {
         request: {
@@ -22,7 +24,7 @@
             deadlineMs: scope.deadlineMs,
             prefixHits: findPrefixHits(context.beliefs.getPrefixes(), request.prefixHashes, now),
         },
-        candidates: job.allowed.map(id => views.get(id)).filter((view): view is EndpointView => view !== undefined),
+        candidates: applyBorrowLimit(context, scope.workspace.name, allowed),
         failureDomain: toFailureDomainId(settings.failure_domain),
         lanes: prompts.lanes,
         withheld: new Set(withheldByOthers),
