--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,7 +57,6 @@
 export * from "./routing/model/routing.js";
 export * from "./routing/model/routingPolicies.js";
 export * from "./routing/model/routingSettings.js";
-export * from "./routing/queries/createHostOrder.js";
 export * from "./routing/queries/getEnginePriority.js";
 export { isAvailable } from "./routing/queries/listCandidates.js";
 export * from "./routing/queries/planLanes.js";
--- a/packages/core/src/routing/model/routing.ts
+++ b/packages/core/src/routing/model/routing.ts
@@ -28,8 +28,6 @@
     readonly lanes: LanePlan;
     /** Endpoints to spare for a pending gang, if others can do. */
     readonly withheld: ReadonlySet<EndpointId>;
-    /** Position of this host's own preference among near-equal endpoints; see `createHostOrder`. */
-    readonly hostOrder: ReadonlyMap<EndpointId, number>;
     readonly settings: RoutingSettings;
     readonly random: RandomState;
     readonly now: number;
--- a/packages/core/tests/routing/routing.test.ts
+++ b/packages/core/tests/routing/routing.test.ts
@@ -33,7 +33,6 @@
     failureDomain: toFailureDomainId("here"),
     lanes: { longLane: new Set([toEndpointId("long")]) },
     withheld: new Set(),
-    hostOrder: new Map(),
     settings: defaultRoutingSettings,
     random: createRandomState(1),
     now: 1_000,
--- a/packages/host/src/endpoints/model/endpointBeliefs.ts
+++ b/packages/host/src/endpoints/model/endpointBeliefs.ts
@@ -2,10 +2,8 @@
 import {
     applyCacheEvents,
     applyDigest,
-    computeHash,
     type Configuration,
     createEndpointView,
-    createHostOrder,
     emptyPrefixIndex,
     type EndpointView,
     listObjects,
@@ -14,13 +12,7 @@
     setReachable,
     updateDescription,
 } from "@currantrill/core";
-import {
-    type CacheEvent,
-    type EndpointDigest,
-    type EndpointId,
-    getPrefixTokens,
-    type HostId,
-} from "@currantrill/protocol";
+import { type CacheEvent, type EndpointDigest, type EndpointId, getPrefixTokens } from "@currantrill/protocol";
 import { getConfigurationIndex } from "../../queries/getConfigurationIndex.js";
 
 export interface EndpointBeliefs {
@@ -42,15 +34,12 @@
     recordPrefixes(endpoint: EndpointId, prefixHashes: readonly string[]): void;
     /** URL of an endpoint, also of one that was configured before. */
     getUrl(endpoint: EndpointId): string;
-    /** Position of this host's own preference among near-equal endpoints. */
-    getHostOrder(): ReadonlyMap<EndpointId, number>;
 }
 
 /** Creates the views. They follow the configuration that `getConfiguration` returns. */
-export function createEndpointBeliefs(host: HostId, getConfiguration: () => Configuration): EndpointBeliefs {
+export function createEndpointBeliefs(getConfiguration: () => Configuration): EndpointBeliefs {
     let configuration: Configuration | undefined;
     let views = new Map<EndpointId, EndpointView>();
-    let hostOrder: ReadonlyMap<EndpointId, number> = new Map();
     let prefixes = emptyPrefixIndex;
     const urls = new Map<EndpointId, string>();
     const digests = new Map<EndpointId, EndpointDigest>();
@@ -60,7 +49,6 @@
         if (current !== configuration) {
             views = buildViews(current, views);
             getConfigurationIndex(current).endpoints.forEach(entry => urls.set(entry.name, entry.url));
-            hostOrder = createHostOrder(host, [...views.keys()], computeHash);
             configuration = current;
         }
         return views;
@@ -102,10 +90,6 @@
             getAll();
             return urls.get(endpoint) ?? "";
         },
-        getHostOrder: () => {
-            getAll();
-            return hostOrder;
-        },
     };
 }
 
--- a/packages/host/src/model/dataPath.ts
+++ b/packages/host/src/model/dataPath.ts
@@ -1,7 +1,7 @@
 /** The parts of a host that serve prompts and calls. */
 import { type Configuration, findObject, type RoutingOutcome } from "@currantrill/core";
 import { createObjectClient, type ObjectClient } from "@currantrill/platform";
-import { type AttemptId, type IncarnationId, toHostId } from "@currantrill/protocol";
+import type { AttemptId, IncarnationId } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
 import { type AllocationKeeper, createAllocationKeeper } from "../allocations/model/allocationKeeper.js";
 import type { OwnerDirectory } from "../allocations/model/ownerDirectory.js";
@@ -48,7 +48,7 @@
     const { settings, incarnation, getContext } = sources;
     const getConfiguration = (): Configuration => getContext().configuration.current;
     const clients = createEndpointClients();
-    const beliefs = createEndpointBeliefs(toHostId(settings.host_id), getConfiguration);
+    const beliefs = createEndpointBeliefs(getConfiguration);
     const attempts: RunningAttempts = new Map();
     return {
         objects: createObjectClient({ url: settings.platform.url, timeoutMs: settings.platform.timeout_ms }),
--- a/packages/host/src/prompts/queries/buildRoutingInput.ts
+++ b/packages/host/src/prompts/queries/buildRoutingInput.ts
@@ -28,7 +28,6 @@
         failureDomain: toFailureDomainId(settings.failure_domain),
         lanes: prompts.lanes,
         withheld: new Set(withheldByOthers),
-        hostOrder: context.beliefs.getHostOrder(),
         settings: { ...defaultRoutingSettings, shortRequestWeight: settings.routing.short_request_weight },
         random: prompts.random,
         now,
--- a/packages/measure/src/commands/measureDecisions.ts
+++ b/packages/measure/src/commands/measureDecisions.ts
@@ -1,7 +1,6 @@
 import {
     applyReport,
     createEndpointView,
-    createHostOrder,
     createRandomState,
     defaultRoutingSettings,
     type EndpointView,
@@ -13,7 +12,6 @@
 import {
     toEndpointId,
     toFailureDomainId,
-    toHostId,
     toModelId,
     toPoolId,
     toRequestId,
@@ -101,7 +99,6 @@
 }
 
 function buildInput(candidates: readonly EndpointView[]): RoutingInput {
-    const endpoints = candidates.map(view => view.endpoint);
     return {
         request: {
             request: toRequestId("request"),
@@ -118,7 +115,6 @@
         failureDomain: getAt(DOMAINS, 0),
         lanes: planLanes(candidates, { shortTokensPerSecond: 3e6, longTokensPerSecond: 8e6 }),
         withheld: new Set(),
-        hostOrder: createHostOrder(toHostId("host-0"), endpoints, text => text.length),
         settings: defaultRoutingSettings,
         random: createRandomState(1),
         now: 1_500,
--- a/packages/measure/src/simulation/model/hostState.ts
+++ b/packages/measure/src/simulation/model/hostState.ts
@@ -1,7 +1,6 @@
 /** State of one simulated host. All decisions on it are made by the functions of the core. */
 import {
     createDemandMeter,
-    createHostOrder,
     createRandomState,
     defaultRoutingSettings,
     type DemandMeter,
@@ -55,7 +54,6 @@
     readonly fleet: Fleet;
     readonly id: HostId;
     readonly failureDomain: FailureDomainId;
-    readonly hostOrder: ReadonlyMap<EndpointId, number>;
     readonly settings: RoutingSettings;
     readonly views: Map<EndpointId, EndpointView>;
     readonly records: Map<RequestId, RequestRecord>;
@@ -85,7 +83,6 @@
         fleet,
         id,
         failureDomain,
-        hostOrder: createHostOrder(id, views.map(view => view.endpoint), computeTextHash),
         settings: {
             ...defaultRoutingSettings,
             shortRequestWeight: fleet.scenario.user.shortRequestWeight,
@@ -128,7 +125,6 @@
         failureDomain: host.failureDomain,
         lanes: host.lanes,
         withheld: host.withheld.size === 0 ? NOTHING_WITHHELD : new Set([...host.withheld.values()].flat()),
-        hostOrder: host.hostOrder,
         settings: host.settings,
         random: host.random,
         now: host.fleet.events.now,
@@ -142,12 +138,3 @@
         host.views.set(endpoint, change(view));
     }
 }
-
-/** FNV-1a, 32 bits. */
-function computeTextHash(text: string): number {
-    let hash = 0x811c9dc5;
-    for (let position = 0; position < text.length; position += 1) {
-        hash = Math.imul(hash ^ text.charCodeAt(position), 0x01000193) >>> 0;
-    }
-    return hash;
-}
