--- a/packages/host/src/commands/startDataPath.ts
+++ b/packages/host/src/commands/startDataPath.ts
@@ -12,7 +12,7 @@
 export function startDataPath(context: HostContext): () => Promise<void> {
     connectFleet(context);
     const timers = [
-        startLending(context),
+        ...startLending(context),
         startSweeper(context),
         setInterval(() => setQueueMetrics(context), QUEUE_METRIC_MS),
         setInterval(() => updateLanes(context), LANES_MS),
--- a/packages/host/src/lending/commands/handleReclaims.ts
+++ b/packages/host/src/lending/commands/handleReclaims.ts
@@ -6,19 +6,24 @@
 import type { RunningAttempt } from "../../endpoints/model/runningAttempt.js";
 import type { HostContext } from "../../model/hostContext.js";
 
-const REFRESH_MS = 100;
+/** Interval at which work on reclaimed endpoints is examined. It bounds how late the end of a grace period is noticed. */
+const RECLAIM_MS = 100;
+/**
+ * Interval at which all endpoints are decided anew, for silence and withdrawals; each send decides for itself, and
+ * tickets and stops refresh at once. Every 100 ms a host used 4.6% of a core in place of 4.0% at 183 endpoints.
+ */
+const REFRESH_MS = 500;
 const KV_TIMEOUT_MS = 5_000;
 const MS_PER_SECOND = 1_000;
 
-/** Refreshes the lending decisions and acts on them, until the returned timer is cleared. */
-export function startLending(context: HostContext): NodeJS.Timeout {
+/** Refreshes the lending decisions and acts on them, until the returned timers are cleared. */
+export function startLending(context: HostContext): NodeJS.Timeout[] {
     const moving = new Set<AttemptId>();
-    const refresh = (): void => {
-        context.lending.refresh();
-        handleReclaims(context, moving);
-    };
-    refresh();
-    return setInterval(refresh, REFRESH_MS);
+    context.lending.refresh();
+    return [
+        setInterval(() => context.lending.refresh(), REFRESH_MS),
+        setInterval(() => handleReclaims(context, moving), RECLAIM_MS),
+    ];
 }
 
 function handleReclaims(context: HostContext, moving: Set<AttemptId>): void {
