--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Builds the host program into target/. An unchanged tree is left as it is.
+set -eu
+if [ ! -e node_modules/.package-lock.json ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
+    npm ci --silent
+fi
+newest=$(find packages/*/src platform/src package-lock.json deploy/build.sh tsconfig.base.json -newer target/currantrill.mjs 2>/dev/null | head -n 1 || true)
+if [ -e target/currantrill.mjs ] && [ -z "$newest" ]; then
+    exit 0
+fi
+npx tsc -b platform
+mkdir -p target
+npx esbuild platform/dist/main.js --bundle --platform=node --target=node20 --format=esm --sourcemap \
+    --outfile=target/currantrill.mjs --log-level=warning \
+    --external:dtrace-provider --external:mv --external:source-map-support \
+    --banner:js="import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);"
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,13 +5,24 @@
 const verbPattern = `^(${verbs.join("|")})([A-Z0-9].*)?$`;
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "out/**", "*.mjs", "cucumber.js", "vitest.config.ts"] },
+    {
+        ignores: [
+            "**/dist/**",
+            "**/node_modules/**",
+            "out/**",
+            "target/**",
+            "journal/**",
+            "*.mjs",
+            "cucumber.js",
+            "vitest.config.ts",
+        ],
+    },
     {
         files: ["**/*.ts"],
         extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
         languageOptions: {
             parserOptions: {
-                project: ["./packages/*/tsconfig.json", "./tsconfig.tests.json"],
+                project: ["./packages/*/tsconfig.json", "./platform/tsconfig.json", "./tsconfig.tests.json"],
                 tsconfigRootDir: import.meta.dirname,
             },
         },
--- /dev/null
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -0,0 +1,63 @@
+/** Runs a forwarding host as a process: settings, signals, exit codes. */
+import { createLog } from "@currantrill/logging";
+import { type ForwardingSettings, parseForwardingSettings } from "@currantrill/settings";
+import type Logger from "bunyan";
+import { readFileSync } from "node:fs";
+import { type ForwardingOptions, type RunningForwarding, startForwarding } from "./startForwarding.js";
+
+const EXIT_BAD_SETTINGS = 2;
+/** The settings file may change without a signal. */
+const SETTINGS_CHECK_MS = 2_000;
+
+export interface RunForwardingOptions extends Omit<ForwardingOptions, "settings" | "log"> {
+    readonly settingsPath: string;
+}
+
+/** Starts a host with a settings file. Ends the process with code 2 and all findings if the settings are wrong. */
+export async function runForwarding(options: RunForwardingOptions): Promise<void> {
+    const text = readFileSync(options.settingsPath, "utf8");
+    const parsed = parseForwardingSettings(text, options.settingsPath);
+    if (!parsed.ok) {
+        process.stderr.write(`${parsed.findings.map(finding => JSON.stringify(finding)).join("\n")}\n`);
+        process.exit(EXIT_BAD_SETTINGS);
+    }
+    const settings = parsed.value;
+    const log = createLog({ name: "currantrill", host: settings.host_id, level: settings.log_level });
+    process.on("uncaughtException", error => log.error({ err: error }, "host: unexpected error"));
+    process.on("unhandledRejection", reason => log.error({ err: reason }, "host: unexpected rejection"));
+    const host = await startForwarding({ ...options, settings, log });
+    watchSettings(options.settingsPath, text, log, host);
+    const stop = (): void => void host.drain().then(() => process.exit(0));
+    process.once("SIGTERM", stop);
+    process.once("SIGINT", stop);
+}
+
+/** Reloads the settings on SIGHUP and when the file's text has changed. */
+function watchSettings(path: string, initialText: string, log: Logger, host: RunningForwarding): void {
+    let known = initialText;
+    const reload = (): void => {
+        const text = readSettings(path, log);
+        if (text === undefined || text === known) {
+            return;
+        }
+        known = text;
+        const parsed = parseForwardingSettings(text, path);
+        if (!parsed.ok) {
+            log.error({ findings: parsed.findings }, "host: changed settings are wrong, the old ones stay");
+            return;
+        }
+        host.reload(parsed.value satisfies ForwardingSettings);
+    };
+    process.on("SIGHUP", reload);
+    setInterval(reload, SETTINGS_CHECK_MS).unref();
+}
+
+function readSettings(path: string, log: Logger): string | undefined {
+    try {
+        return readFileSync(path, "utf8");
+    }
+    catch (error) {
+        log.warn({ err: error, path }, "host: settings file not readable, the old settings stay");
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -0,0 +1,79 @@
+/** The addresses of a host: callers, readiness, metrics. */
+import { type RunningServer, sendJson, serveHttp } from "@currantrill/http";
+import type { CallerLimits } from "../configuration/model/servingConfiguration.js";
+import type { ForwardingContext } from "../model/forwardingContext.js";
+import { forwardRequest } from "../requests/commands/forwardRequest.js";
+import { sendRefusal } from "../requests/commands/sendRefusal.js";
+
+/** Largest headers that the parser takes; the configuration's own limit is lower. */
+const MAX_HEADER_BYTES = 65_536;
+/** Limit on a body until a configuration names one. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+/** A caller that sends a long body slowly is cut off after this time. */
+const REQUEST_TIMEOUT_MS = 60_000;
+
+export interface ForwardingServers {
+    readonly callers: RunningServer;
+    readonly applyLimits: (limits: CallerLimits) => void;
+    readonly close: () => Promise<void>;
+}
+
+/** Starts to listen. Rejects if an address cannot be bound. */
+export async function serveForwarding(context: ForwardingContext): Promise<ForwardingServers> {
+    const { listen } = context.settings;
+    const readiness = await serveHttp({
+        ...splitAddress(listen.readiness),
+        routes: [{
+            method: "GET",
+            path: context.callers.readinessPath,
+            handle: (_request, response) => {
+                const isReady = !context.isDraining && context.getConfiguration() !== undefined;
+                sendJson(response, isReady ? 200 : 503, { ready: isReady });
+            },
+        }],
+    });
+    const metrics = await serveHttp({
+        ...splitAddress(listen.metrics),
+        routes: [{
+            method: "GET",
+            path: "/metrics",
+            handle: async (_request, response) => {
+                const text = await context.metrics.registry.metrics();
+                response.writeHead(200, { "content-type": context.metrics.registry.contentType });
+                response.end(text);
+            },
+        }],
+    });
+    const callers = await serveHttp({
+        ...splitAddress(listen.callers),
+        bodies: "raw",
+        bodyLimitBytes: () => context.getConfiguration()?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
+        maxHeaderBytes: MAX_HEADER_BYTES,
+        requestTimeoutMs: REQUEST_TIMEOUT_MS,
+        handleError: (error, _request, response) => {
+            context.log.info({ err: error }, "requests: body not read");
+            sendRefusal(response, error.status === 413 ? "body_too_large" : "body_unreadable");
+        },
+        routes: [{
+            method: "ALL",
+            path: "*",
+            handle: (request, response) => forwardRequest(context, request, response),
+        }],
+    });
+    return {
+        callers,
+        applyLimits: limits => {
+            callers.server.keepAliveTimeout = limits.idleTimeoutMs;
+            callers.server.headersTimeout = limits.headerTimeoutMs;
+        },
+        close: async () => {
+            await readiness.close();
+            await metrics.close();
+        },
+    };
+}
+
+function splitAddress(address: string): { host: string; port: number; } {
+    const [host = "", port = "0"] = address.split(":");
+    return { host, port: Number(port) };
+}
--- /dev/null
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -0,0 +1,91 @@
+/** Metrics of a forwarding host. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const DURATION_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2.5, 5, 10, 15, 30];
+
+export interface ForwardingMetrics {
+    readonly registry: Registry;
+    readonly requests: Counter<"kind" | "outcome">;
+    readonly requestSeconds: Histogram<"kind">;
+    readonly firstEventSeconds: Histogram<"route">;
+    readonly attempts: Counter<"outcome">;
+    readonly connections: Counter;
+    readonly storeCalls: Counter<"operation" | "outcome">;
+    readonly reservations: Counter<"outcome">;
+    readonly datagrams: Counter<"direction">;
+    readonly inFlight: Gauge;
+    readonly configurationVersion: Gauge;
+    readonly endpoints: Gauge<"state">;
+    readonly peers: Gauge;
+}
+
+/** Creates the metrics in a registry of their own. */
+export function createForwardingMetrics(): ForwardingMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        requests: new Counter({
+            name: "currantrill_forwarded_requests_total",
+            help: "Requests by kind and outcome.",
+            labelNames: ["kind", "outcome"],
+            registers,
+        }),
+        requestSeconds: new Histogram({
+            name: "currantrill_forwarded_request_seconds",
+            help: "Time from a request to its end.",
+            labelNames: ["kind"],
+            buckets: DURATION_BUCKETS_SECONDS,
+            registers,
+        }),
+        firstEventSeconds: new Histogram({
+            name: "currantrill_first_event_seconds",
+            help: "Time from a streaming request to its first event.",
+            labelNames: ["route"],
+            buckets: DURATION_BUCKETS_SECONDS,
+            registers,
+        }),
+        attempts: new Counter({
+            name: "currantrill_attempts_total",
+            help: "Sends of requests to endpoints by outcome.",
+            labelNames: ["outcome"],
+            registers,
+        }),
+        connections: new Counter({
+            name: "currantrill_endpoint_connections_total",
+            help: "Connections opened to endpoints.",
+            registers,
+        }),
+        storeCalls: new Counter({
+            name: "currantrill_store_calls_total",
+            help: "Calls to the store by operation and outcome.",
+            labelNames: ["operation", "outcome"],
+            registers,
+        }),
+        reservations: new Counter({
+            name: "currantrill_reservations_total",
+            help: "Memory reservations at endpoints by outcome.",
+            labelNames: ["outcome"],
+            registers,
+        }),
+        datagrams: new Counter({
+            name: "currantrill_peer_datagrams_total",
+            help: "Datagrams between hosts.",
+            labelNames: ["direction"],
+            registers,
+        }),
+        inFlight: new Gauge({ name: "currantrill_forwarded_in_flight", help: "Requests in flight.", registers }),
+        configurationVersion: new Gauge({
+            name: "currantrill_serving_configuration_version",
+            help: "Version of the configuration in force.",
+            registers,
+        }),
+        endpoints: new Gauge({
+            name: "currantrill_endpoints",
+            help: "Endpoints by state.",
+            labelNames: ["state"],
+            registers,
+        }),
+        peers: new Gauge({ name: "currantrill_peers", help: "Hosts heard within the last seconds.", registers }),
+    };
+}
--- /dev/null
+++ b/packages/forwarding/src/placement/model/endpointLoad.ts
@@ -0,0 +1,16 @@
+/** An endpoint as placement sees it. */
+import type { FailureDomainId } from "@currantrill/protocol";
+import type { Booking } from "./booking.js";
+
+export interface EndpointLoad {
+    readonly id: string;
+    readonly address: string;
+    readonly failureDomain: FailureDomainId;
+    readonly slots: number;
+    readonly bookings: readonly Booking[];
+    /** Recent failures, see `getFailures`. */
+    readonly failures: number;
+    readonly isSilent: boolean;
+    /** Observed slowness, 1 is as published. */
+    readonly pace: number;
+}
--- /dev/null
+++ b/packages/forwarding/src/placement/queries/choosePlacement.ts
@@ -0,0 +1,90 @@
+/** Chooses the endpoint of a prompt, and further ones that read parts of it. */
+import type { EndpointLoad } from "../model/endpointLoad.js";
+import { type EndpointScore, type PlacementView, type PromptNeed, scoreEndpoint } from "./scoreEndpoint.js";
+
+export interface PlacedPart {
+    readonly load: EndpointLoad;
+    /** Memory to reserve there; 0 where the first endpoint holds the whole prompt. */
+    readonly reserveTokens: number;
+}
+
+export interface Placement {
+    readonly first: EndpointLoad;
+    readonly parts: readonly PlacedPart[];
+    /** Expected time to the first event. */
+    readonly firstEventMs: number;
+    readonly cost: number;
+}
+
+/** Numbers of parts that are weighed. An endpoint takes at most 16 helpers. */
+const PART_COUNTS = [1, 2, 3, 4, 6, 8, 12, 16];
+/** Cost of each further endpoint: a connection between endpoints and a holder that can fail. */
+const PART_COST = 0.03;
+/** Prompts below this reading time are read on one endpoint. */
+const MIN_READ_TO_SPLIT_MS = 300;
+/** Reserved beyond the part: memory is given out in blocks. */
+const RESERVE_MARGIN_TOKENS = 64;
+
+/** Chooses the cheapest placement, or `undefined` if no endpoint can hold the prompt. */
+export function choosePlacement(
+    view: PlacementView,
+    loads: readonly EndpointLoad[],
+    need: PromptNeed,
+): Placement | undefined {
+    const readMs = need.promptTokens / view.engine.readTokensPerMs;
+    const counts = readMs < MIN_READ_TO_SPLIT_MS ? [1] : PART_COUNTS.filter(count => count <= loads.length);
+    return counts
+        .map(count => planParts(view, loads, need, count))
+        .filter(placement => placement !== undefined)
+        .reduce<Placement | undefined>(
+            (best, placement) => best === undefined || placement.cost < best.cost ? placement : best,
+            undefined,
+        );
+}
+
+const compareScores = (a: EndpointScore, b: EndpointScore): number =>
+    a.cost - b.cost || (a.load.id < b.load.id ? -1 : 1);
+
+function planParts(
+    view: PlacementView,
+    loads: readonly EndpointLoad[],
+    need: PromptNeed,
+    count: number,
+): Placement | undefined {
+    const neededTokens = need.promptTokens + need.answerTokens;
+    if (count === 1 && neededTokens > view.engine.memoryTokens) {
+        return undefined;
+    }
+    const firsts = loads.map(load => scoreEndpoint(view, load, need, count, false)).sort(compareScores);
+    const first = firsts[0];
+    if (first === undefined) {
+        return undefined;
+    }
+    if (count === 1) {
+        return { first: first.load, parts: [], firstEventMs: first.firstEventMs, cost: first.cost };
+    }
+    const helpers = loads
+        .filter(load => load !== first.load && !load.isSilent)
+        .map(load => scoreEndpoint(view, load, need, count, true))
+        .sort(compareScores)
+        .slice(0, count - 1);
+    if (helpers.length < count - 1) {
+        return undefined;
+    }
+    // With one endpoint's memory enough, the parts only read for it.
+    const partTokens = first.freeTokens >= neededTokens
+        ? 0
+        : Math.ceil(need.promptTokens / count) + RESERVE_MARGIN_TOKENS;
+    const isFitting = partTokens === 0
+        || helpers.every(helper => helper.freeTokens >= partTokens)
+            && first.freeTokens >= partTokens + need.answerTokens;
+    if (!isFitting) {
+        return undefined;
+    }
+    return {
+        first: first.load,
+        parts: helpers.map(helper => ({ load: helper.load, reserveTokens: partTokens })),
+        firstEventMs: Math.max(first.firstEventMs, ...helpers.map(helper => helper.firstEventMs)),
+        cost: helpers.reduce((sum, helper) => sum + helper.cost + PART_COST, first.cost),
+    };
+}
--- /dev/null
+++ b/packages/forwarding/src/ports/index.ts
@@ -0,0 +1,4 @@
+export * from "./callerProtocol.js";
+export * from "./endpointProtocol.js";
+export * from "./platformRows.js";
+export * from "./tableSource.js";
--- /dev/null
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -0,0 +1,153 @@
+/** Takes a request of a caller from its arrival to its answer. */
+import type { HttpRequest } from "@currantrill/http";
+import type { ServerResponse } from "node:http";
+import type { ConfigurationIndex } from "../../configuration/model/configurationIndex.js";
+import type { RequestKind } from "../../configuration/model/servingConfiguration.js";
+import { checkAuthorization } from "../../configuration/queries/checkAuthorization.js";
+import { chooseService, matchRoute } from "../../configuration/queries/matchRoute.js";
+import type { ForwardingContext } from "../../model/forwardingContext.js";
+import type { Exchange } from "../model/exchange.js";
+import { selectRequestHeaders } from "../queries/selectHeaders.js";
+import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
+import { serveCall } from "./serveCall.js";
+import { serveStream } from "./serveStream.js";
+
+const serveByKind: Readonly<
+    Record<RequestKind, (context: ForwardingContext, exchange: Exchange) => Promise<string>>
+> = {
+    repeatable: serveCall,
+    once: serveCall,
+    stream: serveStream,
+};
+
+/** Answers a request whose body has been read. */
+export async function forwardRequest(
+    context: ForwardingContext,
+    request: HttpRequest,
+    response: ServerResponse,
+): Promise<void> {
+    if (context.isDraining) {
+        response.setHeader("connection", "close");
+    }
+    const index = context.getConfiguration();
+    const exchange = index === undefined ? "no_configuration" : createExchange(context, index, request, response);
+    if (typeof exchange === "string") {
+        refuseRequest(context, request, response, exchange, index);
+        return;
+    }
+    context.budget.recordRequest(exchange.service.name, exchange.startedAtMs);
+    context.inFlight += 1;
+    context.metrics.inFlight.set(context.inFlight);
+    response.once("close", () => {
+        if (!response.writableEnded) {
+            exchange.isGone = true;
+            exchange.onGone?.();
+        }
+    });
+    try {
+        logExchange(context, exchange, await serveByKind[exchange.route.kind](context, exchange));
+    }
+    catch (error) {
+        context.log.error({ err: error, request: exchange.requestId }, "requests: failed in the host");
+        const mayHaveRun = exchange.attempts.some(attempt => attempt.wasSent);
+        const reason = mayHaveRun ? "outcome_unknown" : "not_run";
+        sendRefusal(response, reason, context.callers.buildAnswerHeaders(exchange.requestId));
+        logExchange(context, exchange, reason);
+    }
+    finally {
+        context.inFlight -= 1;
+        context.metrics.inFlight.set(context.inFlight);
+    }
+}
+
+function createExchange(
+    context: ForwardingContext,
+    index: ConfigurationIndex,
+    request: HttpRequest,
+    response: ServerResponse,
+): Exchange | RefusalReason {
+    const target = request.url ?? "/";
+    const route = matchRoute(index, request.headers.host ?? "", target);
+    if (route === undefined) {
+        return "no_route";
+    }
+    const facts = context.callers.parseHeaders(request.headers);
+    const authorization = checkAuthorization(index, route, facts.authorization);
+    if (!authorization.allowed) {
+        return "key_unknown";
+    }
+    const service = index.services.get(chooseService(route, Math.random()) ?? route.shares[0]?.service ?? "" as never);
+    if (service === undefined) {
+        return "no_endpoint";
+    }
+    const startedAtMs = performance.now();
+    return {
+        requestId: facts.requestId ?? "",
+        method: request.method ?? "GET",
+        target,
+        headers: selectRequestHeaders(request.rawHeaders, context.protocol.ownHeaders),
+        body: request.body as Buffer,
+        facts,
+        response,
+        route,
+        service,
+        ...(authorization.workspace === undefined ? {} : { workspace: authorization.workspace }),
+        priority: authorization.priority,
+        configurationVersion: index.configuration.version,
+        startedAtMs,
+        endsAtMs: startedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
+        attempts: [],
+        onGone: undefined,
+        isGone: false,
+    };
+}
+
+function refuseRequest(
+    context: ForwardingContext,
+    request: HttpRequest,
+    response: ServerResponse,
+    reason: RefusalReason,
+    index: ConfigurationIndex | undefined,
+): void {
+    const { requestId = "" } = context.callers.parseHeaders(request.headers);
+    const status = sendRefusal(response, reason, context.callers.buildAnswerHeaders(requestId));
+    context.metrics.requests.inc({ kind: "unrouted", outcome: reason });
+    context.log.info(
+        {
+            request: requestId,
+            host: request.headers.host,
+            target: request.url,
+            configuration: index?.configuration.version,
+            status,
+            outcome: reason,
+        },
+        "requests: refused",
+    );
+}
+
+function logExchange(context: ForwardingContext, exchange: Exchange, outcome: string): void {
+    const { route, attempts } = exchange;
+    const durationMs = Math.round(performance.now() - exchange.startedAtMs);
+    context.metrics.requests.inc({ kind: route.kind, outcome });
+    context.metrics.requestSeconds.observe({ kind: route.kind }, durationMs / 1_000);
+    const firstAfterMs = attempts.find(attempt => attempt.firstAfterMs !== undefined)?.firstAfterMs;
+    if (firstAfterMs !== undefined) {
+        context.metrics.firstEventSeconds.observe({ route: route.name }, firstAfterMs / 1_000);
+    }
+    context.log.info(
+        {
+            request: exchange.requestId,
+            route: route.name,
+            service: exchange.service.name,
+            workspace: exchange.workspace,
+            kind: route.kind,
+            promptTokens: exchange.facts.promptTokens,
+            configuration: exchange.configurationVersion,
+            attempts,
+            status: exchange.response.statusCode,
+            outcome,
+            durationMs,
+        },
+        "requests: ended",
+    );
+}
--- /dev/null
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -0,0 +1,53 @@
+/** Answers that the host gives itself. */
+import type { ServerResponse } from "node:http";
+
+/** Why a request was not answered by an endpoint. Only the first two groups promise that it has not run. */
+export type RefusalReason =
+    | "no_configuration"
+    | "no_endpoint"
+    | "not_run"
+    | "no_route"
+    | "key_unknown"
+    | "body_unreadable"
+    | "body_too_large"
+    | "outcome_unknown"
+    | "out_of_time";
+
+interface Refusal {
+    readonly status: number;
+    readonly message: string;
+    /** Wait that is suggested to the caller, in seconds. Only with statuses that promise that the request has not run. */
+    readonly retryAfterSeconds?: number;
+}
+
+const refusals: Readonly<Record<RefusalReason, Refusal>> = {
+    no_configuration: { status: 503, message: "this host has no configuration yet", retryAfterSeconds: 0.5 },
+    no_endpoint: { status: 503, message: "no endpoint can take the request now", retryAfterSeconds: 0.4 },
+    not_run: { status: 503, message: "the request was not run", retryAfterSeconds: 0.15 },
+    no_route: { status: 404, message: "no route matches the host and path" },
+    key_unknown: { status: 401, message: "the key is not known" },
+    body_unreadable: { status: 400, message: "the body could not be read" },
+    body_too_large: { status: 413, message: "the body is larger than the configuration allows" },
+    outcome_unknown: { status: 502, message: "the endpoint's answer was lost; the request may have run" },
+    out_of_time: { status: 504, message: "no answer within the request's time; the request may have run" },
+};
+
+/** Sends a refusal, or cuts an answer that has begun so that it cannot be taken for a whole one. Returns the status. */
+export function sendRefusal(
+    response: ServerResponse,
+    reason: RefusalReason,
+    headers: Readonly<Record<string, string>> = {},
+): number {
+    const { status, message, retryAfterSeconds } = refusals[reason];
+    if (response.headersSent) {
+        response.destroy();
+        return status;
+    }
+    response.writeHead(status, {
+        "content-type": "application/json",
+        ...(retryAfterSeconds === undefined ? {} : { "retry-after": String(retryAfterSeconds) }),
+        ...headers,
+    });
+    response.end(JSON.stringify({ error: { code: reason, message } }));
+    return status;
+}
--- a/packages/host/src/calls/commands/runRecordedCall.ts
+++ b/packages/host/src/calls/commands/runRecordedCall.ts
@@ -15,8 +15,8 @@
     type StoredAnswer,
 } from "@currantrill/core";
 import { createConnections } from "@currantrill/http";
-import { isStoreUnavailable } from "@currantrill/platform";
 import type { AttemptId, EndpointId, IdempotencyKey, JsonValue } from "@currantrill/protocol";
+import { isStoreUnavailable } from "@currantrill/store";
 import { CallerError } from "../../callers/model/callerError.js";
 import { getRemainingMs } from "../../callers/model/requestScope.js";
 import { readClocks } from "../../configuration/model/configurationHolder.js";
--- a/packages/host/src/model/dataPath.ts
+++ b/packages/host/src/model/dataPath.ts
@@ -1,8 +1,8 @@
 /** The parts of a host that serve prompts and calls. */
 import { type Configuration, findObject, type RoutingOutcome } from "@currantrill/core";
-import { createObjectClient, type ObjectClient } from "@currantrill/platform";
 import type { AttemptId, IncarnationId } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
+import { createObjectClient, type ObjectClient } from "@currantrill/store";
 import { type AllocationKeeper, createAllocationKeeper } from "../allocations/model/allocationKeeper.js";
 import type { OwnerDirectory } from "../allocations/model/ownerDirectory.js";
 import { createFleetOwners } from "../allocations/queries/createFleetOwners.js";
--- a/packages/host/src/model/hostContext.ts
+++ b/packages/host/src/model/hostContext.ts
@@ -1,8 +1,8 @@
 /** What the parts of a host share. */
-import type { HostListClient, TableClient } from "@currantrill/platform";
 import type { AttemptId, IncarnationId, RequestId } from "@currantrill/protocol";
 import { toAttemptId, toIncarnationId, toRequestId } from "@currantrill/protocol";
 import type { HostSettings } from "@currantrill/settings";
+import type { HostListClient, TableClient } from "@currantrill/store";
 import type Logger from "bunyan";
 import { randomUUID } from "node:crypto";
 import type { ConfigurationHolder } from "../configuration/model/configurationHolder.js";
--- a/packages/host/src/operators/commands/applyTicket.ts
+++ b/packages/host/src/operators/commands/applyTicket.ts
@@ -17,8 +17,8 @@
     type TicketRow,
     type TicketStep,
 } from "@currantrill/core";
-import { isStoreAnswerLost } from "@currantrill/platform";
 import { type JsonValue, type Revision, toRevision } from "@currantrill/protocol";
+import { isStoreAnswerLost } from "@currantrill/store";
 import { adoptConfiguration } from "../../configuration/commands/adoptConfiguration.js";
 import { readConfigurationRow } from "../../configuration/commands/pollConfiguration.js";
 import { readClocks } from "../../configuration/model/configurationHolder.js";
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -1,6 +1,7 @@
 /** Composes the parts of a host. */
-import { createHostListClient, createTableClient } from "@currantrill/platform";
+import { createLog } from "@currantrill/logging";
 import type { HostSettings } from "@currantrill/settings";
+import { createHostListClient, createTableClient } from "@currantrill/store";
 import { serveCallers } from "./callers/commands/serveCallers.js";
 import { drainRequests } from "./commands/drainRequests.js";
 import { startDataPath } from "./commands/startDataPath.js";
@@ -9,7 +10,6 @@
 import { createConfigurationHolder } from "./configuration/model/configurationHolder.js";
 import { startDemandExchange } from "./limits/commands/updateDemand.js";
 import { createWorkspaceLimits } from "./limits/model/workspaceLimits.js";
-import { createHostLog } from "./model/createHostLog.js";
 import { createDataPath } from "./model/dataPath.js";
 import { createIncarnationId, type HostContext } from "./model/hostContext.js";
 import { createHostMetrics } from "./model/hostMetrics.js";
@@ -36,7 +36,7 @@
         ...createDataPath({ settings, incarnation, getContext: () => context }),
         settings,
         incarnation,
-        log: createHostLog(settings),
+        log: createLog({ name: "currantrilld", host: settings.host_id, level: settings.log_level }),
         metrics: createHostMetrics(),
         tables: createTableClient(platform),
         hostList: createHostListClient(platform),
--- a/packages/host/tests/operators/operators.test.ts
+++ b/packages/host/tests/operators/operators.test.ts
@@ -1,6 +1,6 @@
 import { requestJson } from "@currantrill/http";
-import { createStoreError } from "@currantrill/platform";
 import type { ApplyAnswer, OperatorError, PlanAnswer, TicketHistory, TicketStatus } from "@currantrill/protocol";
+import { createStoreError } from "@currantrill/store";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { isReady } from "../../src/configuration/queries/isReady.js";
 import { listStops } from "../../src/peers/queries/listStops.js";
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -36,7 +36,8 @@
     readonly port: number;
     readonly routes: readonly Route[];
     readonly middleware?: readonly HttpMiddleware[];
-    readonly bodyLimitBytes?: number;
+    /** A function is asked for each request. */
+    readonly bodyLimitBytes?: number | (() => number);
     readonly maxHeaderBytes?: number;
     /** Longest time for a whole request to arrive, in milliseconds. */
     readonly requestTimeoutMs?: number;
@@ -122,7 +123,7 @@
         settings.handleError(error as HttpError, request, response);
     }
     const parseBody = settings.bodies === "json"
-        ? bodyParser.json({ limit: settings.bodyLimitBytes, strict: false, type: () => true })
+        ? bodyParser.json({ limit: readLimit(settings.bodyLimitBytes), strict: false, type: () => true })
         : createRawParser(settings.bodyLimitBytes);
     app.use(parseBody, ...settings.middleware);
     for (const route of settings.routes) {
@@ -137,9 +138,11 @@
     };
 }
 
-function createRawParser(limitBytes: number): HttpMiddleware {
+const readLimit = (limit: number | (() => number)): number => typeof limit === "number" ? limit : limit();
+
+function createRawParser(limit: number | (() => number)): HttpMiddleware {
     return (request, _response, next) => {
-        readRawBody(request, limitBytes).then(
+        readRawBody(request, readLimit(limit)).then(
             bytes => {
                 Object.assign(request, { body: bytes });
                 next();
--- /dev/null
+++ b/packages/logging/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./createLog.js";
--- a/packages/settings/src/model/hostSettings.ts
+++ b/packages/settings/src/model/hostSettings.ts
@@ -1,12 +1,9 @@
 /** Settings of one host, read from a TOML file at start. */
 import { z } from "zod";
+import { addressSchema, millisecondsSchema } from "./addressSchema.js";
 
-const OCTET = "(25[0-5]|2[0-4]\\d|1?\\d?\\d)";
-const IP_AND_PORT = new RegExp(`^(${OCTET}\\.){3}${OCTET}:([1-9]\\d{0,4})$`);
-const address = z.string()
-    .regex(IP_AND_PORT, "an IP address and port such as 10.0.0.1:7100")
-    .refine(text => Number(text.split(":")[1] ?? 0) < 65_536, "a port of at most 65535");
-const milliseconds = (value: number) => z.number().int().min(1).max(86_400_000).default(value);
+const address = addressSchema;
+const milliseconds = (value: number) => millisecondsSchema.default(value);
 
 export const hostSettingsSchema = z.strictObject({
     host_id: z.string().min(1),
--- a/packages/platform/src/commands/createPlatformRequester.ts
+++ b/packages/store/src/commands/createPlatformRequester.ts
@@ -25,6 +25,8 @@
     /** Path and query below the platform's URL. */
     readonly path: string;
     readonly body?: unknown;
+    /** Limit on this request in place of the client's, such as for one that waits at the service. */
+    readonly timeoutMs?: number;
 }
 
 /** Sends a request. Rejects with `StoreUnavailable` or `StoreAnswerLost`. */
@@ -75,7 +77,7 @@
     };
 
     return request => {
-        const deadlineMs = performance.now() + settings.timeoutMs;
+        const deadlineMs = performance.now() + (request.timeoutMs ?? settings.timeoutMs);
         return queue.add(async () => {
             for (let attempt = 1;; attempt += 1) {
                 const response = await sendOnce(request, deadlineMs);
