Ask a silent endpoint before a stream is tried elsewhere; queue parts behind parts

Cause: in a wave of long prompts the expected time of a part was too short, since a part waits for the parts that came before it. Streams were then given up after 2.5 times the expectation, read again elsewhere, and endpoints that were only busy counted as silent.

Change: parts wait behind parts; reading costs a step a chunk, and an engine without writers answers at once; a wait is ended only if the endpoint does not answer a report, or after a longer limit.

--- a/packages/forwarding/src/placement/queries/estimateEngine.ts
+++ b/packages/forwarding/src/placement/queries/estimateEngine.ts
@@ -6,11 +6,12 @@
 const TOKENS_PER_MILLION_PAIRS = 1_000_000;
 const TOKENS_PER_CONTEXT_UNIT = 1_000;
 
-/** Time to read a prompt on an idle engine, or one of `parts` even parts of it. */
+/** Time to read a prompt on an idle engine, or one of `parts` even parts of it, with a step for each chunk. */
 export function estimateReadMs(engine: EngineProfile, promptTokens: number, parts = 1): number {
     const pairs = promptTokens * promptTokens / 2;
     const total = promptTokens / engine.readTokensPerMs + pairs / TOKENS_PER_MILLION_PAIRS * engine.pairsMsPerMillion;
-    return total / parts;
+    const steps = promptTokens / engine.chunkTokens;
+    return (total + steps * engine.stepMs) / parts;
 }
 
 /** Bookings whose answers are being written on the endpoint. */
@@ -26,11 +27,11 @@
 
 /**
  * Time until the prompts that are on the endpoint have been read. They are read in the order of their arrival; what has
- * been read since is taken from the elapsed time.
+ * been read since is taken from the elapsed time. A part is read ahead of whole prompts, but after earlier parts.
  */
-export function estimateBacklogMs(load: EndpointLoad, nowMs: number): number {
+export function estimateBacklogMs(load: EndpointLoad, nowMs: number, isPart = false): number {
     const waiting = load.bookings
-        .filter(booking => booking.readAtMs === undefined && booking.readMs > 0)
+        .filter(booking => booking.readAtMs === undefined && booking.readMs > 0 && (booking.isPart || !isPart))
         .sort((a, b) => a.startedAtMs - b.startedAtMs);
     const readAtMs = waiting.reduce(
         (endMs, booking) => Math.max(endMs, booking.startedAtMs) + booking.readMs * load.pace,
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -77,13 +77,11 @@
     const writers = listWriters(load);
     const readMs = estimateReadMs(engine, need.promptTokens, parts) * load.pace;
     const readTokens = need.promptTokens / parts;
-    const backlogMs = estimateBacklogMs(load, nowMs);
+    const backlogMs = estimateBacklogMs(load, nowMs, isPart);
     const passMs = estimatePassMs(engine, load, writers);
-    // A part is read ahead of what waits.
-    const waitMs = (isPart ? 0 : backlogMs) + (writers.length > 0 ? passMs / 2 : 0);
-    const ownPassMs = isPart
-        ? 0
-        : passMs + engine.stepsPerPass * (engine.stepPerWriterMs + engine.stepMs * (writers.length > 0 ? 0 : 1));
+    const waitMs = backlogMs + (writers.length > 0 ? passMs / 2 : 0);
+    // An engine without writers gives the first token as soon as the prompt has been read.
+    const ownPassMs = isPart || writers.length === 0 ? 0 : passMs + engine.stepsPerPass * engine.stepPerWriterMs;
     const firstEventMs = waitMs + readMs + ownPassMs;
     const readPerPassMs = estimateReadPerPassMs(engine, readTokens, readMs);
     const pauseMs = passMs + Math.min(readPerPassMs + backlogMs, estimateLongestReadMs(engine));
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -1,7 +1,8 @@
 /** One attempt of a stream: passes events on as they arrive, and notices when none arrive. */
+import { checkEndpoint } from "../../endpoints/commands/checkEndpoint.js";
 import type { AnswerHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
-import { recordSilence } from "../../endpoints/model/endpointHealth.js";
+import { recordFailure, recordSilence } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { PromptPart } from "../../ports/endpointProtocol.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
@@ -10,12 +11,24 @@
 import { selectAnswerHeaders } from "../queries/selectHeaders.js";
 import { runAttempt } from "./runAttempt.js";
 
-/** Wait for the first event beyond a multiple of the expected time, before another endpoint is tried. */
-const FIRST_EVENT_SLACK_MS = 600;
-const FIRST_EVENT_FACTOR = 2.5;
-/** A pause that is longer than this and than a multiple of the allowed one counts as a stall. */
-const STALL_MS = 1_200;
-const STALL_FACTOR = 2;
+/** Limits on a wait for events: after `askAfterMs` the endpoint is asked whether it lives, after `giveUpMs` another is tried. */
+interface WaitLimits {
+    readonly askAfterMs: number;
+    readonly giveUpMs: number;
+}
+
+/** A long answer of a busy endpoint is not given up: the work done for it would be lost, and done again elsewhere. */
+const getFirstEventLimits = (expectedMs: number): WaitLimits => ({
+    askAfterMs: 300 + 1.5 * expectedMs,
+    giveUpMs: 1_300 + 4 * expectedMs,
+});
+
+/** Callers leave after 2 s, or eight times the pause that their route allows. */
+const getPauseLimits = (targetPauseMs: number): WaitLimits => ({
+    askAfterMs: Math.max(600, 1.5 * targetPauseMs),
+    giveUpMs: Math.max(1_500, 4 * targetPauseMs),
+});
+
 const FIRST_FAILURE_STATUS = 300;
 const FIRST_SERVER_ERROR = 500;
 
@@ -50,6 +63,7 @@
 }
 
 interface StreamRun {
+    readonly context: ForwardingContext;
     readonly exchange: Exchange;
     readonly progress: StreamProgress;
     readonly plan: StreamAttemptPlan;
@@ -73,6 +87,7 @@
 ): Promise<StreamEnd> {
     return new Promise(resolve => {
         const run: StreamRun = {
+            context,
             exchange,
             progress,
             plan,
@@ -106,7 +121,7 @@
                     wasSent: run.record.wasSent,
                 }),
         });
-        watchStall(run, FIRST_EVENT_SLACK_MS + FIRST_EVENT_FACTOR * plan.expectedMs);
+        watchStall(run, getFirstEventLimits(plan.expectedMs));
     });
 }
 
@@ -142,16 +157,32 @@
 }
 
 /** Gives the attempt up if no event arrives in time and another endpoint may be tried. */
-function watchStall(run: StreamRun, limitMs: number): void {
+function watchStall(run: StreamRun, limits: WaitLimits): void {
     clearTimeout(run.stallTimer);
     if (run.plan.isLast || run.isSettled) {
         return;
     }
-    const { endpoint } = run.plan;
+    const { events } = run.progress;
     run.stallTimer = setTimeout(() => {
+        void checkEndpoint(run.plan.endpoint, run.context.protocol).then(isAlive => {
+            if (!run.isSettled && run.progress.events === events) {
+                handleStall(run, limits, isAlive);
+            }
+        });
+    }, limits.askAfterMs);
+}
+
+function handleStall(run: StreamRun, limits: WaitLimits, isAlive: boolean): void {
+    const { endpoint } = run.plan;
+    if (!isAlive) {
         endpoint.health = recordSilence(endpoint.health, performance.now());
-        stopRun(run, { kind: "broken", wasSent: run.record.wasSent }, `no event for ${Math.round(limitMs)} ms`);
-    }, limitMs);
+        stopRun(run, { kind: "broken", wasSent: run.record.wasSent }, "no event, and the endpoint does not answer");
+        return;
+    }
+    run.stallTimer = setTimeout(() => {
+        endpoint.health = recordFailure(endpoint.health, performance.now());
+        stopRun(run, { kind: "broken", wasSent: run.record.wasSent }, `no event for ${Math.round(limits.giveUpMs)} ms`);
+    }, limits.giveUpMs - limits.askAfterMs);
 }
 
 function beginAnswer(run: StreamRun, status: number, received: AnswerHeaders): void {
@@ -178,7 +209,7 @@
     const events = run.splitter.push(chunk);
     events.forEach(event => forwardEvent(run, event));
     if (events.length > 0) {
-        watchStall(run, Math.max(STALL_MS, STALL_FACTOR * run.exchange.route.targetPauseMs));
+        watchStall(run, getPauseLimits(run.exchange.route.targetPauseMs));
     }
 }
 
