Count the work of parts already read when estimating an endpoint's backlog

Cause: a part's booking left the estimate when the whole prompt had its first event, and with it the time that whole prompts on the same endpoint had waited; short prompts were then placed on endpoints that still read for a second. Change: the estimate keeps work done for parts, uses the known end of whole prompts, and assumes a rest of overdue ones. A further part costs more, the safe share is 0.7.

--- a/packages/forwarding/src/placement/queries/choosePlacement.ts
+++ b/packages/forwarding/src/placement/queries/choosePlacement.ts
@@ -18,8 +18,8 @@
 
 /** Numbers of parts that are weighed. An endpoint takes at most 16 helpers. */
 const PART_COUNTS = [1, 2, 3, 4, 6, 8, 12, 16];
-/** Cost of each further endpoint: a connection between endpoints and a holder that can fail. */
-const PART_COST = 0.03;
+/** Cost of each further endpoint: it is lost to short prompts meanwhile, and one more can fail. */
+const PART_COST = 0.12;
 /** Prompts below this reading time are read on one endpoint. */
 const MIN_READ_TO_SPLIT_MS = 300;
 /** Reserved beyond the part: memory is given out in blocks. */
--- a/packages/forwarding/src/placement/queries/estimateEngine.ts
+++ b/packages/forwarding/src/placement/queries/estimateEngine.ts
@@ -25,19 +25,33 @@
     return stepMs * engine.stepsPerPass * load.pace;
 }
 
+/** Part of a prompt's reading time that is assumed to be left while it is known to be unread after its expected end. */
+const OVERDUE_SHARE = 0.2;
+
 /**
- * Time until the prompts that are on the endpoint have been read. They are read in the order of their arrival; what has
- * been read since is taken from the elapsed time. A part is read ahead of whole prompts, but after earlier parts.
+ * Time until the prompts that are on the endpoint have been read. They are read in the order of their arrival, but a part
+ * is read ahead of whole prompts. The work that was done for parts counts even after they have been read, since whole
+ * prompts waited for it.
  */
 export function estimateBacklogMs(load: EndpointLoad, nowMs: number, isPart = false): number {
-    const waiting = load.bookings
-        .filter(booking => booking.readAtMs === undefined && booking.readMs > 0 && (booking.isPart || !isPart))
+    const queue = load.bookings
+        .filter(booking => booking.readMs > 0 && (booking.isPart || !isPart))
         .sort((a, b) => a.startedAtMs - b.startedAtMs);
-    const readAtMs = waiting.reduce(
-        (endMs, booking) => Math.max(endMs, booking.startedAtMs) + booking.readMs * load.pace,
-        -Infinity,
-    );
-    return Math.max(0, readAtMs - nowMs);
+    const readAtMs = queue.reduce((endMs, booking) => estimateReadEnd(booking, endMs, load.pace), -Infinity);
+    const overdueMs = queue
+        .filter(booking => booking.readAtMs === undefined && !booking.isPart)
+        .reduce((longest, booking) => Math.max(longest, booking.readMs * OVERDUE_SHARE), 0);
+    return Math.max(overdueMs, readAtMs - nowMs);
+}
+
+/** When a booking has been read, if what came before it has been read at `previousEndMs`. */
+function estimateReadEnd(booking: Booking, previousEndMs: number, pace: number): number {
+    const { readAtMs, isPart } = booking;
+    const expectedMs = Math.max(previousEndMs, booking.startedAtMs) + booking.readMs * pace;
+    if (readAtMs === undefined) {
+        return expectedMs;
+    }
+    return isPart ? Math.min(expectedMs, readAtMs) : readAtMs;
 }
 
 /** Longest reading that fits into one pass, as part of the time to read the whole prompt. */
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -38,7 +38,7 @@
 /** Prompt tokens that count as one unit of harm; the worth of a request grows with its prompt. */
 const TOKENS_PER_WEIGHT = 20_000;
 /** Parts of a target from which on a prediction counts as a risk, and as a miss. */
-const SAFE_SHARE = 0.6;
+const SAFE_SHARE = 0.7;
 const MISS_SHARE = 0.95;
 /** A late answer keeps a part of its worth. */
 const LATE_COST = 0.75;
