Take the newest of several changes of one row in a feed answer

Ruled out: the relay between hosts, since all hosts had the same position. Change: several changes of a row count as the newest one.

--- a/packages/forwarding/src/replicas/model/tableReplica.ts
+++ b/packages/forwarding/src/replicas/model/tableReplica.ts
@@ -24,10 +24,14 @@
     changedAt: -1,
 });
 
-/** Applies changes that follow the replica's position. Rows that are known as newer are left as they are. */
+/**
+ * Applies changes that follow the replica's position. Rows that are known as newer are left as they are, and of several
+ * changes of one row only the newest counts.
+ */
 export function applyChanges(replica: TableReplica, changes: TableChanges): ReplicaStep {
     const rows = new Map(replica.rows);
-    const changed = changes.rows.filter(row => isNewer(replica, row));
+    const newest = new Map(changes.rows.map(row => [row.key, row]));
+    const changed = [...newest.values()].filter(row => isNewer(replica, row));
     for (const row of changed) {
         if (row.value === undefined) {
             rows.delete(row.key);
