--- /dev/null
+++ b/packages/forwarding/tests/engineFixture.ts
@@ -0,0 +1,45 @@
+import { toFailureDomainId } from "@currantrill/protocol";
+import type { EngineProfile } from "../src/configuration/model/servingConfiguration.js";
+import type { Booking } from "../src/placement/model/booking.js";
+import type { EndpointLoad } from "../src/placement/model/endpointLoad.js";
+
+/** An engine that reads 200 tokens a millisecond and writes 40 steps a pass. */
+export const engine: EngineProfile = {
+    slots: 11,
+    memoryTokens: 232_000,
+    stepMs: 1,
+    stepPerWriterMs: 0,
+    stepPerContextMs: 0,
+    readTokensPerMs: 200,
+    pairsMsPerMillion: 0.14,
+    chunkTokens: 2_048,
+    stepsPerPass: 40,
+    hopMs: 0.1,
+    usualAnswerTokens: 1_000,
+};
+
+export const ownDomain = toFailureDomainId("a");
+
+export const createLoad = (id: string, changes: Partial<EndpointLoad> = {}): EndpointLoad => ({
+    id,
+    address: `10.0.0.${id}:8000`,
+    failureDomain: ownDomain,
+    slots: engine.slots,
+    bookings: [],
+    failures: 0,
+    isSilent: false,
+    pace: 1,
+    ...changes,
+});
+
+export const createBooking = (changes: Partial<Booking> = {}): Booking => ({
+    id: 1,
+    endpointId: "1",
+    memoryTokens: 6_000,
+    readTokens: 5_000,
+    readMs: 25,
+    targetPauseMs: 250,
+    isPart: false,
+    startedAtMs: 0,
+    ...changes,
+});
--- /dev/null
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -0,0 +1,317 @@
+/** A host on loopback with a store in memory, and endpoints that each test scripts on raw sockets. */
+import { toFailureDomainId, toServiceId, toWorkspaceId } from "@currantrill/protocol";
+import type { ForwardingSettings } from "@currantrill/settings";
+import { findFreePorts } from "@currantrill/standins";
+import bunyan from "bunyan";
+import { createServer, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { type RunningForwarding, startForwarding } from "../src/commands/startForwarding.js";
+import type { EndpointEntry, Route, ServingConfiguration } from "../src/configuration/model/servingConfiguration.js";
+import type { EndpointProtocol, TableChanges, TableRow, TableSource } from "../src/ports/index.js";
+
+const service = toServiceId("desk");
+
+export const createRoute = (changes: Partial<Route> = {}): Route => ({
+    name: "r",
+    host: "desk.example",
+    prefix: "/r/",
+    kind: "repeatable",
+    canResume: false,
+    timeoutMs: 5_000,
+    targetMs: 2_000,
+    targetPauseMs: 400,
+    priority: 1,
+    attempts: 2,
+    allowsAnonymous: true,
+    shares: [{ service, weight: 1 }],
+    ...changes,
+});
+
+/** A protocol of the test's own; header names begin with `t-`. */
+export const testProtocol: EndpointProtocol = {
+    ownHeaders: new Set(["authorization", "t-deadline", "t-endpoint", "t-workspace", "t-last"]),
+    buildHeaders: attempt => ({
+        "t-deadline": String(attempt.deadlineMs),
+        "t-endpoint": attempt.endpointId,
+        ...(attempt.workspace === undefined ? {} : { "t-workspace": attempt.workspace }),
+        ...(attempt.lastEventId === undefined ? {} : { "t-last": String(attempt.lastEventId) }),
+    }),
+    parseAnswer: (status, headers) => ({
+        ...(headers["t-id"] === undefined ? {} : { requestId: String(headers["t-id"]) }),
+        isNotExecuted: headers["t-not-run"] !== undefined,
+        isMisdirected: status === 421,
+        isSigned: headers["t-signature"] !== undefined,
+        isEncoded: headers["content-encoding"] !== undefined,
+    }),
+    buildReservation: order => ({ method: "POST", path: "/reserve", body: JSON.stringify(order) }),
+    buildRelease: id => ({ method: "POST", path: "/release", body: JSON.stringify({ id }) }),
+    buildReport: () => ({ method: "GET", path: "/report" }),
+};
+
+export interface TestStore extends TableSource {
+    readonly put: (table: string, key: string, value: unknown) => void;
+    readonly drop: (table: string, key: string) => void;
+    /** All calls fail while it is down. */
+    isDown: boolean;
+}
+
+/** A store in memory with a feed. */
+export function createTestStore(): TestStore {
+    const rows = new Map<string, Map<string, TableRow>>();
+    const waiting = new Set<() => void>();
+    let version = 0;
+    const change = (table: string, row: TableRow): void => {
+        const known = rows.get(table) ?? new Map<string, TableRow>();
+        rows.set(table, known.set(row.key, row));
+        waiting.forEach(wake => wake());
+    };
+    const list = (table: string, after: number): TableChanges => ({
+        version,
+        rows: [...rows.get(table)?.values() ?? []].filter(row => row.version > after),
+    });
+    const store: TestStore = {
+        isDown: false,
+        put: (table, key, value) => {
+            version += 1;
+            change(table, { key, version, value: Buffer.from(JSON.stringify(value)) });
+        },
+        drop: (table, key) => {
+            version += 1;
+            change(table, { key, version });
+        },
+        readTable: table => {
+            if (store.isDown) {
+                return Promise.reject(new Error("down"));
+            }
+            const { rows: all } = list(table, -1);
+            return Promise.resolve({ version, rows: all.filter(row => row.value !== undefined) });
+        },
+        awaitChanges: (table, after, waitMs) =>
+            new Promise((resolve, reject) => {
+                const finish = (): void => {
+                    clearTimeout(timer);
+                    waiting.delete(wake);
+                    if (store.isDown) {
+                        reject(new Error("down"));
+                        return;
+                    }
+                    resolve(list(table, after));
+                };
+                const wake = (): void => {
+                    if (store.isDown || list(table, after).rows.length > 0) {
+                        finish();
+                    }
+                };
+                const timer = setTimeout(finish, waitMs);
+                waiting.add(wake);
+                wake();
+            }),
+        putRow: () => Promise.resolve(),
+    };
+    return store;
+}
+
+/** A request as an endpoint received it. */
+export interface ReceivedRequest {
+    readonly method: string;
+    readonly target: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: string;
+}
+
+export interface TestEndpoint {
+    readonly id: string;
+    readonly address: string;
+    readonly received: ReceivedRequest[];
+    /** Connections that the host has closed or reset. */
+    closed: number;
+    readonly close: () => void;
+}
+
+export type EndpointScript = (request: ReceivedRequest, socket: Socket, count: number) => void;
+
+/** Starts an endpoint. Reports are answered; `script` answers everything else, on the raw socket. */
+export async function startEndpoint(id: string, script: EndpointScript): Promise<TestEndpoint> {
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        sockets.add(socket);
+        let text = "";
+        socket.on("data", chunk => {
+            text += chunk.toString("latin1");
+            for (let next = takeRequest(text); next !== undefined; next = takeRequest(text)) {
+                text = next.rest;
+                if (next.request.target === "/report") {
+                    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+                    continue;
+                }
+                endpoint.received.push(next.request);
+                script(next.request, socket, endpoint.received.length);
+            }
+        });
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            endpoint.closed += 1;
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const endpoint: TestEndpoint = {
+        id,
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        received: [],
+        closed: 0,
+        close: () => {
+            sockets.forEach(socket => socket.destroy());
+            server.close();
+        },
+    };
+    return endpoint;
+}
+
+function takeRequest(text: string): { request: ReceivedRequest; rest: string; } | undefined {
+    const clean = text.replace(/^(\r\n)+/, "");
+    const headEnd = clean.indexOf("\r\n\r\n");
+    if (headEnd === -1) {
+        return undefined;
+    }
+    const [first = "", ...lines] = clean.slice(0, headEnd).split("\r\n");
+    const headers = Object.fromEntries(lines.map(line => {
+        const colon = line.indexOf(":");
+        return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }));
+    const bodyEnd = headEnd + 4 + Number(headers["content-length"] ?? 0);
+    const [method = "", target = ""] = first.split(" ");
+    return clean.length < bodyEnd
+        ? undefined
+        : { request: { method, target, headers, body: clean.slice(headEnd + 4, bodyEnd) }, rest: clean.slice(bodyEnd) };
+}
+
+/** Writes a whole answer that belongs to a request. */
+export function writeAnswer(socket: Socket, request: ReceivedRequest, status: number, body: string, more = ""): void {
+    socket.write(
+        `HTTP/1.1 ${status} X\r\nt-id: ${request.headers["t-id"] ?? ""}\r\nt-signature: s\r\n${more}`
+            + `content-length: ${body.length}\r\n\r\n${body}`,
+    );
+}
+
+/** Begins a stream that ends with `endStream`. */
+export function beginStream(socket: Socket, request: ReceivedRequest): void {
+    socket.write(
+        `HTTP/1.1 200 OK\r\nt-id: ${request.headers["t-id"] ?? ""}\r\nt-signature: ${
+            request.headers["t-endpoint"] ?? ""
+        }\r\n`
+            + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+    );
+}
+
+export const writeChunk = (socket: Socket, text: string): void =>
+    void socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+export const formatEvent = (id: number): string => `id: ${id}\ndata: e${id}\n\n`;
+export const endStream = (socket: Socket): void => void socket.write("0\r\n\r\n");
+
+export interface TestHost {
+    readonly store: TestStore;
+    readonly url: string;
+    readonly host: RunningForwarding;
+    readonly logged: Record<string, unknown>[];
+    readonly configure: (changes: Partial<ServingConfiguration>) => void;
+    readonly publish: (endpoint: Pick<TestEndpoint, "id" | "address">, changes?: Partial<EndpointEntry>) => void;
+}
+
+/** Starts a host with one configuration and waits until it is ready. */
+export async function startTestHost(
+    routes: readonly Route[],
+    endpoints: readonly TestEndpoint[],
+    options: { readonly graceMs?: number; readonly store?: TestStore; readonly seeds?: readonly string[]; } = {},
+): Promise<TestHost> {
+    const store = options.store ?? createTestStore();
+    const [callers = "", readiness = "", peers = "", metrics = ""] = (await findFreePorts(4))
+        .map(port => `127.0.0.1:${port}`);
+    const listen = { callers, readiness, peers, metrics };
+    const settings: ForwardingSettings = {
+        host_id: "h",
+        failure_domain: "a",
+        listen,
+        seeds: [...options.seeds ?? []],
+        store: { address: "127.0.0.1:1", apply_ms: 2_000 },
+        retries: { ratio: 0.2, extra: 1_000, window_ms: 10_000 },
+        drain: { grace_ms: options.graceMs ?? 2_000 },
+        reservations: { free_ms: 2_000 },
+        log_level: "info",
+    };
+    let version = 0;
+    let current: ServingConfiguration = {
+        version,
+        routes,
+        services: [{ name: service, maxConnections: 100 }],
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    };
+    const configure = (changes: Partial<ServingConfiguration>): void => {
+        version += 1;
+        current = { ...current, ...changes, version };
+        store.put("configuration", "current", current);
+    };
+    const publish = (endpoint: Pick<TestEndpoint, "id" | "address">, changes: Partial<EndpointEntry> = {}): void =>
+        store.put("endpoints", endpoint.id, {
+            id: endpoint.id,
+            service,
+            address: endpoint.address,
+            failureDomain: toFailureDomainId("a"),
+            isDraining: false,
+            slots: 4,
+            bornAtMs: 1,
+            ...changes,
+        });
+    if (options.store === undefined) {
+        configure({});
+        endpoints.forEach(endpoint => publish(endpoint));
+    }
+    const logged: Record<string, unknown>[] = [];
+    const log = bunyan.createLogger({
+        name: "test",
+        streams: [{ type: "raw", stream: { write: (line: Record<string, unknown>) => logged.push(line) } as never }],
+    });
+    const host = await startForwarding({
+        settings,
+        log,
+        callers: {
+            readinessPath: "/ready",
+            buildAnswerHeaders: id => ({ "t-id": id }),
+            parseHeaders: headers => ({
+                requestId: headers["t-id"]?.toString() ?? "",
+                ...(headers["t-deadline"] === undefined ? {} : { deadlineMs: Number(headers["t-deadline"]) }),
+                ...(headers.authorization === undefined ? {} : { authorization: headers.authorization }),
+            }),
+        },
+        protocol: testProtocol,
+        rows: {
+            configurationTable: "configuration",
+            configurationKey: "current",
+            endpointTable: "endpoints",
+            hostTable: "hosts",
+            decodeConfiguration: value => ({ ok: true, value: JSON.parse(value.toString()) as ServingConfiguration }),
+            decodeEndpoint: (_key, value) => {
+                const entry = JSON.parse(value.toString()) as EndpointEntry | null;
+                return entry === null
+                    ? { ok: false, finding: { path: "", found: "null" } }
+                    : { ok: true, value: entry };
+            },
+        },
+        createSource: () => store,
+    });
+    await waitUntil(() => host.context.directory.listAll().length >= endpoints.length);
+    await waitUntil(() => host.context.getConfiguration() !== undefined || options.store !== undefined);
+    return { store, url: `http://${listen.callers}`, host, logged, configure, publish };
+}
+
+/** Waits for a condition, at most 10 s. */
+export async function waitUntil(isTrue: () => boolean): Promise<void> {
+    const endMs = performance.now() + 10_000;
+    while (!isTrue()) {
+        if (performance.now() > endMs) {
+            throw new Error("the condition did not hold within 10 s");
+        }
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
+export const desk = toWorkspaceId("desk");
--- /dev/null
+++ b/packages/forwarding/tests/peers/queries/peerStateCodec.test.ts
@@ -0,0 +1,39 @@
+import { Packr } from "msgpackr";
+import { describe, expect, it } from "vitest";
+import { decodePeerState, encodePeerState } from "../../../src/peers/queries/peerStateCodec.js";
+import { createBooking } from "../../engineFixture.js";
+
+const state = {
+    address: "10.0.0.1:7000",
+    incarnation: 5,
+    sequence: 9,
+    isLeaving: false,
+    changedAt: { configuration: 12 },
+    hosts: ["10.0.0.2:7000"],
+};
+
+describe("peer states", () => {
+    // Guards against times of one host's clock on another host.
+    it("carry times as ages", () => {
+        const bookings = [
+            createBooking({ startedAtMs: 900, readAtMs: 950 }),
+            createBooking({ id: 2, startedAtMs: 990 }),
+        ];
+        const decoded = decodePeerState(encodePeerState({ ...state, bookings }, 1_000), 50_000);
+        expect(decoded).toEqual({
+            ...state,
+            bookings: [
+                createBooking({ startedAtMs: 49_900, readAtMs: 49_950 }),
+                createBooking({ id: 2, startedAtMs: 49_990 }),
+            ],
+        });
+    });
+    it.each([
+        { name: "no bytes", data: Buffer.alloc(0) },
+        { name: "other bytes", data: Buffer.from("GET / HTTP/1.1\r\n\r\n") },
+        { name: "another layout", data: new Packr().pack([99, "a"]) },
+        { name: "no array", data: new Packr().pack({ a: 1 }) },
+    ])("are not read from $name", ({ data }) => {
+        expect(decodePeerState(data, 0)).toBeUndefined();
+    });
+});
--- /dev/null
+++ b/packages/forwarding/tests/requests/commands/serveStream.test.ts
@@ -0,0 +1,184 @@
+import { request } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import {
+    beginStream,
+    createRoute,
+    type EndpointScript,
+    endStream,
+    formatEvent,
+    startEndpoint,
+    startTestHost,
+    type TestEndpoint,
+    type TestHost,
+    waitUntil,
+    writeAnswer,
+    writeChunk,
+} from "../../hostFixture.js";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+    await Promise.all(closers.splice(0).map(close => close()));
+});
+
+const EVENTS = 6;
+const whole = Array.from({ length: EVENTS }, (_, index) => formatEvent(index + 1)).join("");
+
+/** Sends all events after the one that the request names. */
+function writeRest(
+    socket: Parameters<EndpointScript>[1],
+    received: Parameters<EndpointScript>[0],
+    until = EVENTS,
+): void {
+    beginStream(socket, received);
+    for (let id = Number(received.headers["t-last"] ?? 0) + 1; id <= until; id += 1) {
+        writeChunk(socket, formatEvent(id));
+    }
+}
+
+const answer: EndpointScript = (received, socket) => {
+    writeRest(socket, received);
+    endStream(socket);
+};
+
+/** Fails the first request over all endpoints of a test, and answers the others. */
+function failFirst(fail: EndpointScript): EndpointScript {
+    let count = 0;
+    return (received, socket, own) => {
+        count += 1;
+        (count === 1 ? fail : answer)(received, socket, own);
+    };
+}
+
+async function startSystem(
+    script: EndpointScript,
+    changes: Parameters<typeof createRoute>[0] = {},
+): Promise<{ host: TestHost; endpoints: TestEndpoint[]; }> {
+    const endpoints = await Promise.all(["e0", "e1"].map(id => startEndpoint(id, script)));
+    const host = await startTestHost(
+        [createRoute({ kind: "stream", canResume: true, ...changes })],
+        endpoints,
+        { graceMs: 200 },
+    );
+    closers.push(() => host.host.drain(), ...endpoints.map(endpoint => endpoint.close));
+    return { host, endpoints };
+}
+
+async function send(host: TestHost): Promise<{ status: number; signature: unknown; body: string; }> {
+    const reply = await request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q1" } });
+    const body = await reply.body.text().catch(() => "cut");
+    return { status: reply.statusCode, signature: reply.headers["t-signature"], body };
+}
+
+interface Case {
+    readonly name: string;
+    readonly fail: EndpointScript;
+    readonly sends: number;
+}
+
+describe("serveStream", () => {
+    // Guards against events that are missing, come twice, or are passed on in part.
+    const cases: readonly Case[] = [
+        { name: "nothing fails", fail: answer, sends: 1 },
+        {
+            name: "the connection is reset before the first event",
+            fail: (_received, socket) => socket.resetAndDestroy(),
+            sends: 2,
+        },
+        {
+            name: "the connection ends after an event",
+            fail: (received, socket) => {
+                writeRest(socket, received, 3);
+                socket.end();
+            },
+            sends: 2,
+        },
+        {
+            name: "the connection ends inside an event",
+            fail: (received, socket) => {
+                writeRest(socket, received, 3);
+                writeChunk(socket, "id: 4\nda");
+                socket.end();
+            },
+            sends: 2,
+        },
+        {
+            name: "the body ends inside an event as if it were whole",
+            fail: (received, socket) => {
+                writeRest(socket, received, 2);
+                writeChunk(socket, "id: 3\nda");
+                endStream(socket);
+            },
+            sends: 2,
+        },
+        {
+            name: "the endpoint fails",
+            fail: (received, socket) => writeAnswer(socket, received, 500, "failed"),
+            sends: 2,
+        },
+        {
+            name: "the endpoint did not run it",
+            fail: (received, socket) => writeAnswer(socket, received, 503, "", "t-not-run: 1\r\n"),
+            sends: 2,
+        },
+        { name: "the endpoint never answers", fail: () => undefined, sends: 2 },
+        { name: "the events stop", fail: (received, socket) => writeRest(socket, received, 2), sends: 2 },
+        {
+            name: "the endpoint repeats events",
+            fail: (received, socket) => {
+                writeRest(socket, received, 3);
+                writeChunk(socket, formatEvent(2));
+                writeChunk(socket, [4, 5, 6].map(formatEvent).join(""));
+                endStream(socket);
+            },
+            sends: 1,
+        },
+    ];
+    it.each(cases)("gives the whole stream where $name", async ({ fail, sends }) => {
+        const { host, endpoints } = await startSystem(failFirst(fail));
+        const reply = await send(host);
+        expect(reply).toMatchObject({ status: 200, body: whole });
+        expect(endpoints.flatMap(endpoint => endpoint.received)).toHaveLength(sends);
+    });
+    it("keeps the signature of the first endpoint", async () => {
+        const { host, endpoints } = await startSystem(failFirst((received, socket) => {
+            writeRest(socket, received, 3);
+            socket.end();
+        }));
+        const { signature } = await send(host);
+        const first = endpoints.find(endpoint => endpoint.received[0]?.headers["t-last"] === undefined);
+        expect(signature).toBe(first?.id);
+    });
+    it("cuts the answer where a stream that cannot be resumed breaks", async () => {
+        const { host, endpoints } = await startSystem((received, socket) => {
+            writeRest(socket, received, 3);
+            setTimeout(() => socket.end(), 50);
+        }, { canResume: false });
+        expect((await send(host)).body).toBe("cut");
+        expect(endpoints.flatMap(endpoint => endpoint.received)).toHaveLength(1);
+    });
+    it("does not try a stream that cannot be resumed again after a reset", async () => {
+        const { host, endpoints } = await startSystem((_received, socket) => socket.resetAndDestroy(), {
+            canResume: false,
+        });
+        expect((await send(host)).status).toBe(502);
+        expect(endpoints.flatMap(endpoint => endpoint.received)).toHaveLength(1);
+    });
+    // Guards against work at an endpoint for a caller that has left.
+    it("closes the endpoint's connection when the caller leaves", async () => {
+        const { host, endpoints } = await startSystem((received, socket) => writeRest(socket, received, 2));
+        const reply = await request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q1" } });
+        reply.body.on("error", () => undefined);
+        await new Promise(resolve => reply.body.once("data", resolve));
+        reply.body.destroy();
+        await waitUntil(() => endpoints.some(endpoint => endpoint.received.length === 1 && endpoint.closed >= 1));
+        await waitUntil(() => host.host.context.inFlight === 0);
+        expect(host.host.context.ledger.listOwn()).toEqual([]);
+    });
+    it("ends a stream at its route's time", async () => {
+        const { host } = await startSystem((received, socket) => writeRest(socket, received, 2), {
+            timeoutMs: 400,
+            attempts: 1,
+        });
+        expect((await send(host)).body).toBe("cut");
+    });
+});
--- /dev/null
+++ b/packages/forwarding/tests/streams/model/eventSplitter.test.ts
@@ -0,0 +1,28 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { createEventSplitter } from "../../../src/streams/model/eventSplitter.js";
+
+const text = "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\ndata: c\r\n\r\nid: 30\ndata: d\n\n";
+
+describe("createEventSplitter", () => {
+    // Guards against an event that is passed on in part, and against changed bytes.
+    it("yields the same events however the bytes arrive", () => {
+        fc.assert(
+            fc.property(fc.array(fc.integer({ min: 1, max: text.length - 1 }), { maxLength: 12 }), cuts => {
+                const splitter = createEventSplitter();
+                const ends = [...new Set([...cuts, text.length])].sort((a, b) => a - b);
+                const chunks = ends.map((end, index) => Buffer.from(text.slice(ends[index - 1] ?? 0, end)));
+                const events = chunks.flatMap(chunk => splitter.push(chunk));
+                expect(events.map(event => event.id)).toEqual([1, 2, undefined, 30]);
+                expect(Buffer.concat(events.map(event => event.bytes)).toString()).toBe(text);
+                expect(splitter.hasRest()).toBe(false);
+            }),
+            { seed: 20261204, numRuns: 200 },
+        );
+    });
+    it("holds an unfinished event back", () => {
+        const splitter = createEventSplitter();
+        expect(splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"))).toHaveLength(1);
+        expect(splitter.hasRest()).toBe(true);
+    });
+});
