Trace a request over the logs of all hosts, and test hosts together

Cause: an engineer had to search the logs of all hosts by hand; the settings of a forwarding host could not be checked without starting one; directory, reservations, relay and drain had no tests. Attempts log their longest pause.

--- a/packages/cli/src/commands/checkFiles.ts
+++ b/packages/cli/src/commands/checkFiles.ts
@@ -1,8 +1,8 @@
-import { parseHostSettings, parseTicket } from "@currantrill/settings";
+import { parseForwardingSettings, parseHostSettings, parseTicket } from "@currantrill/settings";
 import { readFileSync } from "node:fs";
 import { createFindingsReport, exitCodes, type Report } from "../model/report.js";
 
-const parsers = { settings: parseHostSettings, ticket: parseTicket } as const;
+const parsers = { host: parseHostSettings, forwarding: parseForwardingSettings, ticket: parseTicket } as const;
 
 /** Reads a file; `undefined` if it cannot be read. */
 export function readText(file: string): string | undefined {
--- a/packages/cli/src/commands/runApplication.ts
+++ b/packages/cli/src/commands/runApplication.ts
@@ -1,11 +1,12 @@
 /** The commands, their arguments and their help. */
 import { command, option, positional, restPositionals, runSafely, string, subcommands } from "cmd-ts";
-import { hosts, json, key, optionalNumber, wholeNumber } from "../model/arguments.js";
+import { hosts, json, key, optionalNumber, settingsKind, wholeNumber } from "../model/arguments.js";
 import { exitCodes, type Report } from "../model/report.js";
 import { checkFiles } from "./checkFiles.js";
 import { listHosts } from "./listHosts.js";
 import { reclaimEndpoint } from "./reclaimEndpoint.js";
 import { applyTicketFile, describeTicketStatus, listTickets, planTicketFile } from "./runTicketCommands.js";
+import { traceFiles } from "./traceFiles.js";
 
 const DEFAULT_WAIT_SECONDS = 16;
 const EXIT_CODES = "Exit codes: 0 done, 1 refused or conflict, 2 invalid input, 3 host or platform not reachable, "
@@ -104,11 +105,21 @@
                 check: command({
                     name: "check",
                     description: "Check host settings. Every finding names the file and the line.",
-                    args: { files, json },
-                    handler: args => printReport(checkFiles("settings", args.files), args),
+                    args: { files, json, kind: settingsKind },
+                    handler: args => printReport(checkFiles(args.kind, args.files), args),
                 }),
             },
         }),
+        trace: command({
+            name: "trace",
+            description: "Print what all hosts logged of a forwarded request and of its endpoints, in order of time.",
+            args: {
+                request: positional({ type: string, displayName: "request-id" }),
+                files: restPositionals({ type: string, displayName: "file", description: "log files of the hosts" }),
+                json,
+            },
+            handler: args => printReport(traceFiles(args.request, args.files), args),
+        }),
         endpoint: subcommands({ name: "endpoint", description: "Borrowed endpoints.", cmds: { reclaim } }),
         hosts: command({
             name: "hosts",
--- /dev/null
+++ b/packages/cli/src/commands/traceFiles.ts
@@ -0,0 +1,35 @@
+import { createFindingsReport, exitCodes, type Report } from "../model/report.js";
+import { type LogLine, parseLogLines, traceRequest } from "../queries/traceRequest.js";
+import { createMissingFileReport, readText } from "./checkFiles.js";
+
+/** Fields of every line, which the heading of a printed line shows. */
+const HEADING_FIELDS: ReadonlySet<string> = new Set(["time", "host", "msg", "name", "hostname", "pid", "level", "v"]);
+
+/** Prints the story of a request from the log files of all hosts. */
+export function traceFiles(request: string, files: readonly string[]): Report {
+    const lines: LogLine[] = [];
+    for (const file of files) {
+        const text = readText(file);
+        if (text === undefined) {
+            return createMissingFileReport(file);
+        }
+        lines.push(...parseLogLines(text));
+    }
+    const story = traceRequest(lines, request);
+    if (story.length === 0) {
+        return createFindingsReport([{
+            source: files.join(", "),
+            path: request,
+            found: `no line of this request among ${lines.length} lines`,
+            expected: "the logs of all hosts around the time of the request",
+        }]);
+    }
+    return { exitCode: exitCodes.done, data: { request, lines: story }, text: story.map(formatLine).join("\n") };
+}
+
+function formatLine(line: LogLine): string {
+    const fields = Object.entries(line)
+        .filter(([name]) => !HEADING_FIELDS.has(name))
+        .map(([name, value]) => `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`);
+    return `${line.time} ${line.host} ${line.msg} ${fields.join(" ")}`;
+}
--- a/packages/cli/src/model/arguments.ts
+++ b/packages/cli/src/model/arguments.ts
@@ -1,5 +1,5 @@
 /** Arguments that several commands take. */
-import { flag, multioption, option, optional, string, type Type } from "cmd-ts";
+import { flag, multioption, oneOf, option, optional, string, type Type } from "cmd-ts";
 
 const ENVIRONMENT_HOSTS = "CURRANTRILL_HOSTS";
 const ENVIRONMENT_KEY = "CURRANTRILL_OPERATOR_KEY";
@@ -28,6 +28,13 @@
     description: "operator key from the host's settings",
 });
 
+export const settingsKind = option({
+    long: "kind",
+    type: oneOf(["host", "forwarding"] as const),
+    defaultValue: () => "host" as const,
+    description: "settings of a host with the model interface, or of one that forwards whole requests",
+});
+
 export const json = flag({ long: "json", description: "print one JSON document in place of text" });
 
 export const wholeNumber: Type<string, number> = {
--- /dev/null
+++ b/packages/cli/tests/traceRequest.test.ts
@@ -0,0 +1,58 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { describe, expect, it } from "vitest";
+import { traceFiles } from "../src/commands/traceFiles.js";
+import { exitCodes } from "../src/model/report.js";
+import { parseLogLines, traceRequest } from "../src/queries/traceRequest.js";
+
+const at = (second: number): string => `2026-12-04T11:00:${String(second).padStart(2, "0")}.000Z`;
+const line = (second: number, host: string, msg: string, fields: object = {}): string =>
+    JSON.stringify({ name: "currantrill", host, msg, time: at(second), ...fields });
+
+const text = [
+    line(1, "h1", "configuration: in force", { version: 3 }),
+    line(20, "h1", "replica: store lost", { table: "op" }),
+    line(22, "h2", "endpoints: regained", { endpoint: "e1" }),
+    line(22, "h2", "endpoints: regained", { endpoint: "e9" }),
+    `  12.5 h1 ${
+        line(23, "h1", "requests: ended", { request: "q1", durationMs: 2_000, attempts: [{ endpoint: "e1" }] })
+    }`,
+    line(23, "h1", "requests: ended", { request: "q2", attempts: [{ endpoint: "e1" }] }),
+    line(30, "h1", "host: draining"),
+    "Error: not a log line",
+    "{\"cut",
+].join("\n");
+
+describe("traceRequest", () => {
+    // Guards against a story without the change of belief that explains it.
+    it("selects the request, its endpoints on all hosts, and its host's own changes", () => {
+        expect(traceRequest(parseLogLines(text), "q1").map(found => found.msg)).toEqual([
+            "replica: store lost",
+            "endpoints: regained",
+            "requests: ended",
+        ]);
+    });
+    it("finds nothing for a request that no line names", () => {
+        expect(traceRequest(parseLogLines(text), "q9")).toEqual([]);
+    });
+});
+
+describe("traceFiles", () => {
+    const folder = mkdtempSync(join(tmpdir(), "currantrill-trace-"));
+    const file = join(folder, "h1.log");
+    writeFileSync(file, text);
+    it("prints one line each, and the same as data", () => {
+        const report = traceFiles("q1", [file]);
+        expect(report.exitCode).toBe(exitCodes.done);
+        expect(report.text.split("\n")).toHaveLength(3);
+        expect(report.text).toContain(`${at(23)} h1 requests: ended request=q1 durationMs=2000`);
+        expect(report.data).toMatchObject({ request: "q1", lines: [{}, {}, { request: "q1" }] });
+    });
+    it.each([["q9", file], ["q1", join(folder, "none.log")]])(
+        "reports input that has no answer: %s",
+        (request, path) => {
+            expect(traceFiles(request, [path]).exitCode).toBe(exitCodes.invalid);
+        },
+    );
+});
--- a/packages/forwarding/src/placement/model/booking.ts
+++ b/packages/forwarding/src/placement/model/booking.ts
@@ -9,6 +9,8 @@
     readonly readTokens: number;
     /** Time to read them on an idle endpoint with the published figures. */
     readonly readMs: number;
+    /** Time from the start until its first event is late. */
+    readonly targetMs: number;
     /** Longest pause between events with which the answer is on time. */
     readonly targetPauseMs: number;
     /** Part of a prompt whose answer is written elsewhere. */
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -85,11 +85,15 @@
     const firstEventMs = waitMs + readMs + ownPassMs;
     const readPerPassMs = estimateReadPerPassMs(engine, readTokens, readMs);
     const pauseMs = passMs + Math.min(readPerPassMs + backlogMs, estimateLongestReadMs(engine));
-    const disturbed = writers.reduce(
-        (sum, writer) => sum + weighPrompt(writer.memoryTokens) * estimateMiss(pauseMs, writer.targetPauseMs),
-        0,
-    );
-    const delayed = isPart ? estimateDelayOfReaders(load, readMs) : 0;
+    // Prompts that are still being read will be writing when this one is read.
+    const disturbed = load.bookings
+        .filter(booking => !booking.isPart)
+        .reduce(
+            (sum, { memoryTokens, targetPauseMs }) =>
+                sum + weighPrompt(memoryTokens) * estimateMiss(pauseMs, targetPauseMs),
+            0,
+        );
+    const delayed = isPart ? estimateDelayOfReaders(load, readMs, nowMs) : 0;
     const freeTokens = getFreeTokens(engine, load);
     const neededTokens = readTokens + (isPart ? 0 : need.answerTokens);
     const isBusy = load.bookings.length > 0;
@@ -106,14 +110,15 @@
     return { load, cost, firstEventMs, freeTokens };
 }
 
-/** Cost of reading ahead of the prompts that wait on the endpoint. */
-function estimateDelayOfReaders(load: EndpointLoad, readMs: number): number {
+/** Additional risk of the prompts that wait on the endpoint, if a part is read ahead of them. */
+function estimateDelayOfReaders(load: EndpointLoad, readMs: number, nowMs: number): number {
+    const waitMs = estimateBacklogMs(load, nowMs);
     return load.bookings
         .filter(booking => booking.readAtMs === undefined && !booking.isPart)
-        .reduce(
-            (sum, booking) =>
-                sum
-                + weighPrompt(booking.readTokens) * Math.min(1, readMs / Math.max(1, booking.readMs + LONG_READ_MS)),
-            0,
-        );
+        .reduce((sum, booking) => {
+            const firstEventMs = nowMs + waitMs - booking.startedAtMs;
+            const before = estimateMiss(firstEventMs, booking.targetMs);
+            const after = estimateMiss(firstEventMs + readMs, booking.targetMs);
+            return sum + weighPrompt(booking.readTokens) * (after - before);
+        }, 0);
 }
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -26,7 +26,7 @@
 /** Callers leave after 2 s, or eight times the pause that their route allows. */
 const getPauseLimits = (targetPauseMs: number): WaitLimits => ({
     askAfterMs: Math.max(600, 1.5 * targetPauseMs),
-    giveUpMs: Math.max(1_500, 4 * targetPauseMs),
+    giveUpMs: Math.max(1_200, 4 * targetPauseMs),
 });
 
 const FIRST_FAILURE_STATUS = 300;
@@ -75,6 +75,7 @@
     attempt: RunningAttempt | undefined;
     stallTimer: NodeJS.Timeout | undefined;
     failure: EndpointFailure | undefined;
+    lastEventAtMs: number | undefined;
     isSettled: boolean;
 }
 
@@ -102,6 +103,7 @@
             attempt: undefined,
             stallTimer: undefined,
             failure: undefined,
+            lastEventAtMs: undefined,
             isSettled: false,
         };
         exchange.onGone = () => stopRun(run, { kind: "caller_gone" }, "caller gone");
@@ -221,6 +223,7 @@
     }
     progress.lastEventId = event.id ?? progress.lastEventId;
     progress.events += 1;
+    recordPause(run);
     if (record.firstAfterMs === undefined) {
         record.firstAfterMs = Math.round(performance.now() - exchange.startedAtMs);
         run.plan.onFirstEvent();
@@ -230,6 +233,15 @@
     }
 }
 
+function recordPause(run: StreamRun): void {
+    const nowMs = performance.now();
+    if (run.lastEventAtMs !== undefined) {
+        const pauseMs = Math.round(nowMs - run.lastEventAtMs);
+        run.record.longestPauseMs = Math.max(run.record.longestPauseMs ?? 0, pauseMs);
+    }
+    run.lastEventAtMs = nowMs;
+}
+
 function endAnswer(run: StreamRun): void {
     if (run.isSettled) {
         return;
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -102,7 +102,15 @@
     state.tried.add(endpoint);
     state.sends += 1;
     const booking = context.ledger.add(
-        { endpointId: endpoint.entry.id, memoryTokens: 0, readTokens: 0, readMs: 0, targetPauseMs: 0, isPart: false },
+        {
+            endpointId: endpoint.entry.id,
+            memoryTokens: 0,
+            readTokens: 0,
+            readMs: 0,
+            targetMs: exchange.route.targetMs,
+            targetPauseMs: 0,
+            isPart: false,
+        },
         nowMs,
     );
     const chunks: Buffer[] = [];
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -175,7 +175,12 @@
     const readMs = engine === undefined ? 0 : estimateReadMs(engine, promptTokens, count);
     const reserved = parts.reduce((sum, part) => sum + part.reserveTokens, 0);
     const answerTokens = exchange.facts.answerTokens ?? engine?.usualAnswerTokens ?? 0;
-    const common = { readTokens: Math.ceil(promptTokens / count), readMs, targetPauseMs: exchange.route.targetPauseMs };
+    const common = {
+        readTokens: Math.ceil(promptTokens / count),
+        readMs,
+        targetMs: exchange.route.targetMs - (nowMs - exchange.startedAtMs),
+        targetPauseMs: exchange.route.targetPauseMs,
+    };
     const first = {
         ...common,
         endpointId: chosen.endpoint.entry.id,
--- a/packages/forwarding/src/requests/model/attemptRecord.ts
+++ b/packages/forwarding/src/requests/model/attemptRecord.ts
@@ -19,6 +19,8 @@
     readonly cost?: number;
     readonly parts?: readonly string[];
     firstAfterMs?: number;
+    /** Longest time between two events. */
+    longestPauseMs?: number;
     endedAfterMs?: number;
     outcome: AttemptOutcome;
     reason?: string;
--- /dev/null
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -0,0 +1,105 @@
+import { request } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import {
+    createRoute,
+    createTestStore,
+    startEndpoint,
+    startTestHost,
+    type TestHost,
+    waitUntil,
+    writeAnswer,
+} from "../hostFixture.js";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+    await Promise.all(closers.splice(0).map(close => close()));
+});
+
+async function startHost(...args: Parameters<typeof startTestHost>): Promise<TestHost> {
+    const host = await startTestHost(...args);
+    closers.push(() => host.host.drain());
+    return host;
+}
+
+async function getStatus(url: string): Promise<number> {
+    const reply = await request(url, { headers: { "host": "desk.example", "t-id": "q" } });
+    await reply.body.dump();
+    return reply.statusCode;
+}
+
+describe("a host", () => {
+    // Guards against a host that serves or refuses for good before it knows a configuration.
+    it("is not ready and promises that nothing ran until it has a configuration", async () => {
+        const store = createTestStore();
+        store.isDown = true;
+        const host = await startHost([], [], { store, graceMs: 200 });
+        expect(await getStatus(`http://${host.listen.readiness}/ready`)).toBe(503);
+        expect(await getStatus(`${host.url}/r/x`)).toBe(503);
+    });
+    // Guards against a key that stays valid on a host that the store turns away.
+    it("takes tables from a peer while the store turns it away", async () => {
+        const first = await startHost([createRoute()], [], { graceMs: 200 });
+        const away = createTestStore();
+        away.isDown = true;
+        const second = await startHost([], [], {
+            store: away,
+            graceMs: 200,
+            ip: "127.0.0.2",
+            peerPort: Number(first.listen.peers.split(":")[1]),
+            seeds: ["127.0.0.1:1"],
+        });
+        await waitUntil(() => second.host.context.getConfiguration()?.configuration.version === 1);
+        first.configure({ routes: [createRoute({ prefix: "/new/" })] });
+        await waitUntil(() => second.host.context.getConfiguration()?.configuration.version === 2);
+        expect(await getStatus(`http://${second.listen.readiness}/ready`)).toBe(200);
+        expect(await getStatus(`${second.url}/r/x`)).toBe(404);
+    });
+    it("tells its peers its work in flight", async () => {
+        const endpoint = await startEndpoint(
+            "e0",
+            (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "late"), 700),
+        );
+        closers.push(endpoint.close);
+        const first = await startHost([createRoute({ kind: "once" })], [endpoint], { graceMs: 200 });
+        const second = await startHost([], [endpoint], {
+            store: first.store,
+            graceMs: 200,
+            ip: "127.0.0.2",
+            peerPort: Number(first.listen.peers.split(":")[1]),
+            seeds: ["127.0.0.1:1"],
+        });
+        await waitUntil(() => first.logged.some(entry => entry["msg"] === "peers: heard"));
+        const status = getStatus(`${first.url}/r/x`);
+        await waitUntil(() => second.host.context.ledger.groupByEndpoint(performance.now()).has("e0"));
+        expect(await status).toBe(200);
+        await waitUntil(() => !second.host.context.ledger.groupByEndpoint(performance.now()).has("e0"));
+    });
+    // Guards against a planned stop that cuts a request in flight.
+    it("ends requests in flight before it stops, and closes connections with their answers", async () => {
+        const endpoint = await startEndpoint(
+            "e0",
+            (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "late"), 600),
+        );
+        closers.push(endpoint.close);
+        const host = await startTestHost([createRoute({ kind: "once" })], [endpoint], { graceMs: 1_500 });
+        const early = getStatus(`${host.url}/r/x`);
+        await waitUntil(() => endpoint.received.length === 1);
+        const drained = host.host.drain();
+        expect(await getStatus(`http://${host.listen.readiness}/ready`)).toBe(503);
+        const during = await request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q" } });
+        expect(during.statusCode).toBe(200);
+        expect(during.headers["connection"]).toBe("close");
+        await during.body.dump();
+        expect(await early).toBe(200);
+        await drained;
+        await expect(getStatus(`${host.url}/r/x`)).rejects.toThrow();
+    });
+    it("serves its metrics", async () => {
+        const host = await startHost([createRoute()], [], { graceMs: 200 });
+        await getStatus(`${host.url}/r/x`);
+        const reply = await request(`http://${host.listen.metrics}/metrics`);
+        expect(await reply.body.text()).toContain(
+            "currantrill_forwarded_requests_total{kind=\"repeatable\",outcome=\"no_endpoint\"} 1",
+        );
+    });
+});
--- /dev/null
+++ b/packages/forwarding/tests/endpoints/model/endpointDirectory.test.ts
@@ -0,0 +1,98 @@
+import { toFailureDomainId } from "@currantrill/protocol";
+import bunyan from "bunyan";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { EndpointEntry } from "../../../src/configuration/model/servingConfiguration.js";
+import { createEndpointDirectory, type EndpointDirectory } from "../../../src/endpoints/model/endpointDirectory.js";
+import type { PlatformRows, TableRow } from "../../../src/ports/index.js";
+
+const log = bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 });
+const service = "s" as never;
+
+const createRow = (id: string, changes: Partial<EndpointEntry> | "unreadable" = {}, version = 1): TableRow => ({
+    key: id,
+    version,
+    value: Buffer.from(JSON.stringify(
+        changes === "unreadable"
+            ? null
+            : {
+                id,
+                service,
+                address: "127.0.0.1:1",
+                failureDomain: "a",
+                isDraining: false,
+                slots: 2,
+                bornAtMs: 1,
+                ...changes,
+            },
+    )),
+});
+const createRemoval = (id: string): TableRow => ({ key: id, version: 2 });
+
+function createDirectory(): EndpointDirectory {
+    const rows = {
+        decodeEndpoint: (_key: string, value: Buffer) => {
+            const entry = JSON.parse(value.toString()) as EndpointEntry | null;
+            return entry === null ? { ok: false, finding: { path: "", found: "null" } } : { ok: true, value: entry };
+        },
+    } as unknown as PlatformRows;
+    return createEndpointDirectory({ ownDomain: toFailureDomainId("a"), rows, log, onConnect: () => undefined });
+}
+
+describe("createEndpointDirectory", () => {
+    beforeEach(() => {
+        vi.useFakeTimers();
+    });
+    afterEach(() => {
+        vi.useRealTimers();
+    });
+    const listIds = (directory: EndpointDirectory): string[] =>
+        directory.listReady(service).map(({ entry }) => entry.id);
+
+    it("lists endpoints that are ready, and none that drain", () => {
+        const directory = createDirectory();
+        directory.applyRows([createRow("e1"), createRow("e2"), createRow("e3", { service: "other" as never })], false);
+        directory.applyRows([createRow("e2", { isDraining: true })], false);
+        expect(listIds(directory)).toEqual(["e1"]);
+    });
+    it("drops an endpoint whose entry is removed", () => {
+        const directory = createDirectory();
+        directory.applyRows([createRow("e1")], false);
+        directory.applyRows([createRemoval("e1")], false);
+        expect(listIds(directory)).toEqual([]);
+    });
+    // Guards against a deployment without endpoints after an outage of the store in which all entries lapsed.
+    it("keeps a lapsed endpoint until it had time to return", () => {
+        const directory = createDirectory();
+        directory.applyRows([createRow("e1"), createRow("e2")], false);
+        directory.applyRows([createRemoval("e1"), createRemoval("e2")], true);
+        vi.advanceTimersByTime(2_000);
+        expect(listIds(directory)).toEqual(["e1", "e2"]);
+        directory.applyRows([createRow("e1", {}, 3)], false);
+        vi.advanceTimersByTime(1_000);
+        expect(listIds(directory)).toEqual(["e1"]);
+    });
+    it("uses no entry that cannot be read, and takes it back when it can", () => {
+        const directory = createDirectory();
+        directory.applyRows([createRow("e1"), createRow("e2")], false);
+        directory.applyRows([createRow("e1", "unreadable")], false);
+        expect(listIds(directory)).toEqual(["e2"]);
+        directory.applyRows([createRow("e1")], false);
+        expect(listIds(directory)).toEqual(["e2", "e1"]);
+    });
+    // Guards against connections and beliefs of the process that ran before under the same id.
+    it("starts anew with an endpoint that was started again", () => {
+        const directory = createDirectory();
+        directory.applyRows([createRow("e1")], false);
+        const before = directory.get("e1");
+        directory.applyRows([createRow("e1", { slots: 3 })], false);
+        expect(directory.get("e1")).toBe(before);
+        directory.applyRows([createRow("e1", { bornAtMs: 2 })], false);
+        expect(directory.get("e1")).not.toBe(before);
+    });
+    it("forgets an entry whose address belongs to another endpoint", () => {
+        const directory = createDirectory();
+        directory.applyRows([createRow("e1")], false);
+        directory.markMisdirected(directory.get("e1")!);
+        expect(listIds(directory)).toEqual([]);
+    });
+});
--- a/packages/forwarding/tests/engineFixture.ts
+++ b/packages/forwarding/tests/engineFixture.ts
@@ -38,6 +38,7 @@
     memoryTokens: 6_000,
     readTokens: 5_000,
     readMs: 25,
+    targetMs: 300,
     targetPauseMs: 250,
     isPart: false,
     startedAtMs: 0,
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -210,6 +210,7 @@
 
 export interface TestHost {
     readonly store: TestStore;
+    readonly listen: ForwardingSettings["listen"];
     readonly url: string;
     readonly host: RunningForwarding;
     readonly logged: Record<string, unknown>[];
@@ -217,15 +218,31 @@
     readonly publish: (endpoint: Pick<TestEndpoint, "id" | "address">, changes?: Partial<EndpointEntry>) => void;
 }
 
+export interface HostOptions {
+    readonly graceMs?: number;
+    /** A store that another host uses too, in place of one of its own with a first configuration. */
+    readonly store?: TestStore;
+    readonly seeds?: readonly string[];
+    /** Address of the host on loopback. */
+    readonly ip?: string;
+    /** Hosts find each other on the same port. */
+    readonly peerPort?: number;
+}
+
 /** Starts a host with one configuration and waits until it is ready. */
 export async function startTestHost(
     routes: readonly Route[],
     endpoints: readonly TestEndpoint[],
-    options: { readonly graceMs?: number; readonly store?: TestStore; readonly seeds?: readonly string[]; } = {},
+    options: HostOptions = {},
 ): Promise<TestHost> {
     const store = options.store ?? createTestStore();
-    const [callers = "", readiness = "", peers = "", metrics = ""] = (await findFreePorts(4))
-        .map(port => `127.0.0.1:${port}`);
+    const ports = await findFreePorts(4);
+    const [callers = "", readiness = "", peers = "", metrics = ""] = [
+        ...ports.slice(0, 2),
+        options.peerPort ?? ports[2],
+        ports[3],
+    ]
+        .map(port => `${options.ip ?? "127.0.0.1"}:${port ?? 0}`);
     const listen = { callers, readiness, peers, metrics };
     const settings: ForwardingSettings = {
         host_id: "h",
@@ -298,9 +315,9 @@
         },
         createSource: () => store,
     });
-    await waitUntil(() => host.context.directory.listAll().length >= endpoints.length);
-    await waitUntil(() => host.context.getConfiguration() !== undefined || options.store !== undefined);
-    return { store, url: `http://${listen.callers}`, host, logged, configure, publish };
+    await waitUntil(() => store.isDown || host.context.directory.listAll().length >= endpoints.length);
+    await waitUntil(() => store.isDown || host.context.getConfiguration() !== undefined);
+    return { store, listen, url: `http://${listen.callers}`, host, logged, configure, publish };
 }
 
 /** Waits for a condition, at most 10 s. */
