--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -51,7 +51,7 @@
         },
     },
     {
-        files: ["**/tests/**/*.ts", "features/**/*.ts"],
+        files: ["**/tests/**/*.ts", "platform/soak/**/*.ts", "features/**/*.ts"],
         rules: { "max-lines-per-function": "off", "@typescript-eslint/no-non-null-assertion": "off" },
     },
 );
--- a/features/steps/tickets.steps.ts
+++ b/features/steps/tickets.steps.ts
@@ -82,7 +82,7 @@
 Then("one ticket is applied and the other is refused with a conflict that names both", function(this: SystemWorld) {
     const [winner, loser] = this.tickets.toSorted((left, right) => left.status - right.status);
     assert.equal(winner?.status, 200, JSON.stringify(winner?.body));
-    assert.equal(loser?.status, 409, JSON.stringify(loser.body));
+    assert.equal(loser?.status, 409, JSON.stringify(loser?.body));
     const text = JSON.stringify(loser.body);
     assert.match(text, /ticket 2/);
     assert.match(text, /ticket 3/);
--- a/packages/cli/src/queries/traceRequest.ts
+++ b/packages/cli/src/queries/traceRequest.ts
@@ -27,8 +27,8 @@
             return [];
         }
         try {
-            const value = JSON.parse(line.slice(start)) as Partial<LogLine>;
-            return typeof value.msg === "string" && typeof value.time === "string" ? [value] : [];
+            const value: unknown = JSON.parse(line.slice(start));
+            return isLogLine(value) ? [value] : [];
         }
         catch {
             // The output of other programs, or a line that was cut.
@@ -37,6 +37,11 @@
     });
 }
 
+function isLogLine(value: unknown): value is LogLine {
+    const { msg, time } = value as Partial<LogLine>;
+    return typeof msg === "string" && typeof time === "string";
+}
+
 /** Selects the lines of a request's story in the order of time. Empty if no line names the request. */
 export function traceRequest(lines: readonly LogLine[], request: string, options: TraceOptions = {}): LogLine[] {
     const { beforeMs } = { ...defaultOptions, ...options };
--- a/packages/host/tests/peers/gossip.test.ts
+++ b/packages/host/tests/peers/gossip.test.ts
@@ -56,7 +56,7 @@
         const [first, , , , , last] = fleet.hosts.map(host => host.context);
         await waitUntil("membership", () => first!.fleet.membership.members.has(last!.fleet.self));
         last!.fleet.listAliveAttempts = attempts => attempts.slice(0, 1);
-        const ask = (incarnation: typeof last.incarnation) =>
+        const ask = (incarnation: NonNullable<typeof last>["incarnation"]) =>
             requestOwnerAnswer(first!, last!.fleet.self, incarnation, ["x", "y"] as never);
         expect((await ask(last!.incarnation)).alive).toEqual(["x"]);
         expect((await ask("earlier run" as never)).alive).toEqual([]);
