Tell a removal from a lapse, and ask a regained store at once

It also noticed the store's return only after up to 3.4 s, since its feed call waited there, and the client's backoff went to 5 s. Ruled out: the relay's delay, 120 ms. Change: copies of tables say whether rows may still return; after a failure the feed is asked without waiting; the backoff towards the store ends at 500 ms. Tests fail without each.

--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -11,13 +11,17 @@
 import { startTableRelay } from "../peers/commands/relayTables.js";
 import { startPeers } from "../peers/commands/startPeers.js";
 import { createLedger } from "../placement/model/ledger.js";
-import type { CallerProtocol, EndpointProtocol, PlatformRows, TableSource } from "../ports/index.js";
+import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows } from "../ports/index.js";
 import type { TrackedTable } from "../replicas/commands/trackTable.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import { drainForwarding } from "./drainForwarding.js";
 import { serveForwarding } from "./serveForwarding.js";
 import { trackTables } from "./trackTables.js";
 
+/** The store answers within tens of milliseconds; a call without an answer after this time is lost. */
+const STORE_CALL_TIMEOUT_MS = 900;
+/** A change must be in force two seconds after the store is reached again. */
+const MAX_STORE_BACKOFF_MS = 500;
 const GAUGE_INTERVAL_MS = 1_000;
 
 export interface ForwardingOptions {
@@ -26,8 +30,7 @@
     readonly callers: CallerProtocol;
     readonly protocol: EndpointProtocol;
     readonly rows: PlatformRows;
-    /** Connects to the store at an IP address and port. */
-    readonly createSource: (address: string, onCall: (operation: string, outcome: string) => void) => TableSource;
+    readonly createSource: CreateTableSource;
 }
 
 export interface RunningForwarding {
@@ -42,10 +45,12 @@
 export async function startForwarding(options: ForwardingOptions): Promise<RunningForwarding> {
     const { settings, log, rows } = options;
     const metrics = createForwardingMetrics();
-    const source = options.createSource(
-        settings.store.address,
-        (operation, outcome) => metrics.storeCalls.inc({ operation, outcome }),
-    );
+    const source = options.createSource({
+        address: settings.store.address,
+        callTimeoutMs: STORE_CALL_TIMEOUT_MS,
+        maxBackoffMs: MAX_STORE_BACKOFF_MS,
+        onCall: (operation, outcome) => metrics.storeCalls.inc({ operation, outcome }),
+    });
     const configuration = createConfigurationHolder({
         rows,
         log,
--- a/packages/forwarding/src/peers/commands/relayTables.ts
+++ b/packages/forwarding/src/peers/commands/relayTables.ts
@@ -10,6 +10,8 @@
 
 interface TableCopy {
     readonly version: number;
+    /** Whether rows that lapsed in an outage of the store may still return. */
+    readonly isAfterOutage: boolean;
     /** Key, version, and value in base64. */
     readonly rows: readonly (readonly [string, number, string])[];
 }
@@ -48,7 +50,7 @@
             const reply = await requestJson(`http://${peer}/tables/${name}`, { timeoutMs: FETCH_TIMEOUT_MS });
             const copy = reply.body as TableCopy | undefined;
             if (reply.status === 200 && Array.isArray(copy?.rows)) {
-                table.adoptFromPeer(toChanges(copy));
+                table.adoptFromPeer(toChanges(copy), copy.isAfterOutage);
             }
         }
         catch (error) {
@@ -85,6 +87,7 @@
     const { rows, version } = table.getReplica();
     return {
         version,
+        isAfterOutage: table.isAfterOutage(),
         rows: [...rows.values()].map(row => [row.key, row.version, row.value?.toString("base64") ?? ""]),
     };
 }
--- a/packages/forwarding/src/ports/tableSource.ts
+++ b/packages/forwarding/src/ports/tableSource.ts
@@ -21,3 +21,16 @@
     /** Writes a row without a condition. */
     putRow(table: string, key: string, value: Buffer): Promise<void>;
 }
+
+export interface TableSourceOptions {
+    /** IP address and port of the store. */
+    readonly address: string;
+    /** Limit on a call, beyond the time that it waits at the store. */
+    readonly callTimeoutMs: number;
+    /** Longest pause between calls while the store fails. */
+    readonly maxBackoffMs: number;
+    readonly onCall: (operation: string, outcome: string) => void;
+}
+
+/** Connects to the store. */
+export type CreateTableSource = (options: TableSourceOptions) => TableSource;
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -6,6 +6,8 @@
 /** Wait after a failed call to the store; grows up to the second value. */
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 800;
+/** Time after an outage of the store in which rows that lapsed may return. */
+const LAPSE_MS = 2_300;
 /** Wait after a read that was older than the replica. */
 const STALE_READ_WAIT_MS = 250;
 
@@ -15,16 +17,19 @@
     readonly log: Logger;
     /** Time of one wait on the feed. A connection that went silent is noticed after it and the source's own limit. */
     readonly getWaitMs: () => number;
-    /** Called with changed rows. `afterOutage` is true for the first changes since the store was lost. */
+    /**
+     * Called with changed rows. `afterOutage` is true for the first changes since the store was lost: rows that lapsed
+     * meanwhile may return.
+     */
     readonly onChange: (changed: readonly TableRow[], afterOutage: boolean) => void;
 }
 
 export interface TrackedTable {
     readonly getReplica: () => TableReplica;
-    /** Whether the last call to the store succeeded. */
-    readonly isReachable: () => boolean;
-    /** Takes over a peer's copy if it is newer. Returns whether it was. */
-    readonly adoptFromPeer: (snapshot: TableChanges) => boolean;
+    /** Whether rows that lapsed in an outage of the store may still return. */
+    readonly isAfterOutage: () => boolean;
+    /** Takes over a peer's copy if it is newer. `afterOutage` is what the peer says of itself. */
+    readonly adoptFromPeer: (snapshot: TableChanges, afterOutage: boolean) => void;
     readonly stop: () => void;
 }
 
@@ -34,11 +39,14 @@
     let replica = createTableReplica(table);
     let isStopped = false;
     let isSynced = false;
-    let isReachable = true;
-    let failures = 0;
+    const outage = createOutage(table, log);
+    let lapsesUntilMs = -Infinity;
 
     const publish = (step: { replica: TableReplica; changed: readonly TableRow[]; }, afterOutage: boolean): void => {
         replica = step.replica;
+        if (afterOutage) {
+            lapsesUntilMs = performance.now() + LAPSE_MS;
+        }
         if (step.changed.length > 0) {
             onChange(step.changed, afterOutage);
         }
@@ -51,33 +59,18 @@
             return;
         }
         isSynced = true;
-        recordReachable();
-        publish(step, failures > 0);
-        failures = 0;
+        publish(step, outage.end(replica.version));
     };
     const readFeed = async (): Promise<void> => {
-        const changes = await source.awaitChanges(table, replica.version, options.getWaitMs());
+        // After a failure a call that returns at once tells soonest that the store is back.
+        const waitMs = outage.countFailures() > 0 ? 0 : options.getWaitMs();
+        const changes = await source.awaitChanges(table, replica.version, waitMs);
         if (changes === undefined) {
             log.warn({ table, version: replica.version }, "replica: history is gone, reading the whole table");
             isSynced = false;
             return;
         }
-        recordReachable();
-        publish(applyChanges(replica, changes), failures > 0);
-        failures = 0;
-    };
-    const recordReachable = (): void => {
-        if (!isReachable) {
-            log.info({ table, version: replica.version }, "replica: store regained");
-        }
-        isReachable = true;
-    };
-    const recordFailure = (error: unknown): void => {
-        if (isReachable) {
-            log.warn({ err: error, table, version: replica.version }, "replica: store lost");
-        }
-        isReachable = false;
-        failures += 1;
+        publish(applyChanges(replica, changes), outage.end(replica.version));
     };
     const run = async (): Promise<void> => {
         while (!isStopped) {
@@ -85,25 +78,22 @@
                 await (isSynced ? readFeed() : readAll());
             }
             catch (error) {
-                recordFailure(error);
-                await sleep(
-                    Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** Math.min(failures, 5)) * (0.5 + Math.random() / 2),
-                );
+                outage.recordFailure(error, replica.version);
+                await sleep(outage.getRetryWait());
             }
         }
     };
     void run();
     return {
         getReplica: () => replica,
-        isReachable: () => isReachable,
-        adoptFromPeer: snapshot => {
+        isAfterOutage: () => performance.now() < lapsesUntilMs,
+        adoptFromPeer: (snapshot, afterOutage) => {
             const step = snapshot.version > replica.version ? adoptSnapshot(replica, snapshot) : undefined;
-            if (step === undefined) {
-                return false;
+            if (step !== undefined) {
+                const versions = { version: snapshot.version, from: replica.version };
+                log.info({ table, ...versions, afterOutage }, "replica: adopted from a peer");
+                publish(step, afterOutage);
             }
-            log.info({ table, version: snapshot.version, from: replica.version }, "replica: adopted from a peer");
-            publish(step, !isReachable);
-            return true;
         },
         stop: () => {
             isStopped = true;
@@ -111,4 +101,35 @@
     };
 }
 
+interface Outage {
+    readonly countFailures: () => number;
+    readonly getRetryWait: () => number;
+    readonly recordFailure: (error: unknown, version: number) => void;
+    /** Ends the outage, and returns whether there was one. */
+    readonly end: (version: number) => boolean;
+}
+
+/** Counts failures of the store in a row, and logs when it is lost and regained. */
+function createOutage(table: string, log: Logger): Outage {
+    let failures = 0;
+    return {
+        countFailures: () => failures,
+        getRetryWait: () => Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures) * (0.5 + Math.random() / 2),
+        recordFailure: (error, version) => {
+            failures += 1;
+            if (failures === 1) {
+                log.warn({ err: error, table, version }, "replica: store lost");
+            }
+        },
+        end: version => {
+            if (failures === 0) {
+                return false;
+            }
+            log.info({ table, version, failures }, "replica: store regained");
+            failures = 0;
+            return true;
+        },
+    };
+}
+
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
--- /dev/null
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -0,0 +1,102 @@
+import bunyan from "bunyan";
+import { afterEach, describe, expect, it, vi } from "vitest";
+import type { TableChanges, TableRow, TableSource } from "../../../src/ports/tableSource.js";
+import { type TrackedTable, trackTable } from "../../../src/replicas/commands/trackTable.js";
+
+const log = bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 });
+const put = (key: string, version: number): TableRow => ({ key, version, value: Buffer.from(key) });
+
+type FeedAnswer = TableChanges | "gone" | "failed";
+
+interface Tracked {
+    readonly table: TrackedTable;
+    readonly changes: { keys: string[]; afterOutage: boolean; }[];
+    readonly waits: number[];
+    readonly reads: () => number;
+}
+
+let running: TrackedTable | undefined;
+afterEach(() => running?.stop());
+
+/** Follows a table whose feed gives the listed answers in turn, and then waits. */
+function startTracking(snapshots: readonly (TableChanges | "failed")[], feed: readonly FeedAnswer[]): Tracked {
+    let reads = 0;
+    const waits: number[] = [];
+    const changes: Tracked["changes"] = [];
+    const source: TableSource = {
+        readTable: () => {
+            const answer = snapshots[Math.min(reads, snapshots.length - 1)] ?? "failed";
+            reads += 1;
+            return answer === "failed" ? Promise.reject(new Error("failed")) : Promise.resolve(answer);
+        },
+        awaitChanges: (_table, _after, waitMs) => {
+            const answer = feed[waits.length];
+            waits.push(waitMs);
+            if (answer === "failed") {
+                return Promise.reject(new Error("failed"));
+            }
+            return answer === undefined
+                ? new Promise(() => undefined)
+                : Promise.resolve(answer === "gone" ? undefined : answer);
+        },
+        putRow: () => Promise.resolve(),
+    };
+    const table = trackTable({
+        table: "t",
+        source,
+        log,
+        getWaitMs: () => 2_500,
+        onChange: (changed, afterOutage) => changes.push({ keys: changed.map(row => row.key), afterOutage }),
+    });
+    running = table;
+    return { table, changes, waits, reads: () => reads };
+}
+
+describe("trackTable", () => {
+    it("reads the table, then follows the feed", async () => {
+        const { changes, waits } = startTracking([{ version: 5, rows: [put("a", 2)] }], [{
+            version: 7,
+            rows: [put("b", 7)],
+        }]);
+        await vi.waitFor(() => expect(waits).toHaveLength(2));
+        expect(changes).toEqual([{ keys: ["a"], afterOutage: false }, { keys: ["b"], afterOutage: false }]);
+        expect(waits).toEqual([2_500, 2_500]);
+    });
+    it("reads the whole table again where the history is gone", async () => {
+        const { table, reads, waits } = startTracking(
+            [{ version: 5, rows: [put("a", 2)] }, { version: 9, rows: [put("c", 9)] }],
+            ["gone"],
+        );
+        await vi.waitFor(() => expect(waits).toHaveLength(2));
+        expect(reads()).toBe(2);
+        expect([...table.getReplica().rows.keys()]).toEqual(["c"]);
+    });
+    it("reads again where a read is older than what is known", async () => {
+        const { table, waits } = startTracking(
+            [{ version: 5, rows: [put("a", 2)] }, { version: 4, rows: [] }, { version: 6, rows: [put("a", 2)] }],
+            ["gone"],
+        );
+        await vi.waitFor(() => expect(waits).toHaveLength(2));
+        expect([...table.getReplica().rows.keys()]).toEqual(["a"]);
+    });
+    // Guards against a host that learns seconds late that the store is back, since its call waits there.
+    it("asks without waiting after a failure, and marks the changes of an outage", async () => {
+        const { changes, waits, table } = startTracking(
+            [{ version: 5, rows: [put("a", 2)] }],
+            ["failed", { version: 7, rows: [{ key: "a", version: 7 }] }],
+        );
+        await vi.waitFor(() => expect(waits).toHaveLength(3));
+        expect(waits).toEqual([2_500, 0, 2_500]);
+        expect(changes.at(-1)).toEqual({ keys: ["a"], afterOutage: true });
+        expect(table.isAfterOutage()).toBe(true);
+    });
+    // Guards against endpoints that are used too long, because a host that was cut off takes a removal for a lapse.
+    it.each([true, false])("takes a peer's copy with what the peer says of an outage: %s", async afterOutage => {
+        const { changes, table, waits } = startTracking([{ version: 5, rows: [put("a", 2)] }], ["failed"]);
+        await vi.waitFor(() => expect(waits).toHaveLength(2));
+        table.adoptFromPeer({ version: 4, rows: [] }, afterOutage);
+        expect(changes).toHaveLength(1);
+        table.adoptFromPeer({ version: 8, rows: [] }, afterOutage);
+        expect(changes.at(-1)).toEqual({ keys: ["a"], afterOutage });
+    });
+});
