--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -59,7 +59,7 @@
             servers.applyLimits(index.configuration.limits);
         },
     });
-    const ledger = createLedger(() => peers.announce());
+    const ledger = createLedger(change => peers.announce(change));
     const directory = createEndpointDirectory({
         ownDomain: toFailureDomainId(settings.failure_domain),
         rows,
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -13,6 +13,8 @@
 export interface Endpoint {
     entry: EndpointEntry;
     readonly pool: ConnectionPool;
+    /** Random number of this host for the endpoint, from 0 to 1. */
+    readonly bias: number;
     health: EndpointHealth;
 }
 
@@ -68,6 +70,7 @@
         endpoints.set(entry.id, {
             entry,
             pool: createConnectionPool(entry.address, onConnect),
+            bias: Math.random(),
             health: createEndpointHealth(performance.now()),
         });
         log.info({ endpoint: entry.id, service: entry.service, address: entry.address }, "endpoints: added");
--- a/packages/forwarding/src/peers/commands/startPeers.ts
+++ b/packages/forwarding/src/peers/commands/startPeers.ts
@@ -1,14 +1,20 @@
 /** Tells peers this host's state over UDP, and hears theirs. */
 import type Logger from "bunyan";
 import { createSocket } from "node:dgram";
-import type { Ledger } from "../../placement/model/ledger.js";
+import type { Ledger, LedgerChange } from "../../placement/model/ledger.js";
+import { createBatchTimer } from "../model/batchTimer.js";
 import type { PeerState } from "../model/peerState.js";
 import { createPeerTable } from "../model/peerTable.js";
 import { decodePeerState, encodePeerState } from "../queries/peerStateCodec.js";
 
 /** Longest time between two messages. */
 const HEARTBEAT_MS = 500;
-/** Changes are sent together after this time for each peer, which bounds the messages of a large fleet. */
+/**
+ * Bookings that were added at the same time are sent together. In a fleet of 79 hosts a delay of 90 ms lets hosts place
+ * long prompts on top of each other.
+ */
+const URGENT_BATCH_MS = 1;
+/** Other changes are sent together after this time for each peer, which bounds the messages of a large fleet. */
 const BATCH_MS_PER_PEER = 1;
 const MAX_BATCH_MS = 100;
 /** Heartbeats between messages that carry the list of hosts. */
@@ -29,8 +35,8 @@
 }
 
 export interface Peers {
-    /** Sends the state soon. */
-    readonly announce: () => void;
+    /** Sends the state: at once where work was added, else soon. */
+    readonly announce: (change: LedgerChange) => void;
     /** Adds hosts to send to. */
     readonly addHosts: (addresses: readonly string[]) => void;
     /** Number of hosts heard lately, with this one. */
@@ -50,7 +56,6 @@
     let sequence = 0;
     let heartbeats = 0;
     let isLeaving = false;
-    let batchTimer: NodeJS.Timeout | undefined;
 
     const send = (hosts: readonly string[], targets: readonly string[]): void => {
         const nowMs = performance.now();
@@ -74,12 +79,10 @@
         heartbeats += 1;
         send(heartbeats % HEARTBEATS_PER_LIST === 1 ? listHeard() : [], table.listAll());
     };
-    const announce = (): void => {
-        const waitMs = Math.min(MAX_BATCH_MS, BATCH_MS_PER_PEER * table.listAll().length);
-        batchTimer ??= setTimeout(() => {
-            batchTimer = undefined;
-            send([], listHeard());
-        }, waitMs);
+    const batch = createBatchTimer(() => send([], listHeard()));
+    const announce = (change: LedgerChange): void => {
+        const batchMs = Math.min(MAX_BATCH_MS, BATCH_MS_PER_PEER * table.listAll().length);
+        batch.schedule(change === "urgent" ? Math.min(URGENT_BATCH_MS, batchMs) : batchMs);
     };
     const receive = (data: Buffer): void => {
         const nowMs = performance.now();
@@ -116,7 +119,7 @@
         },
         close: () => {
             clearInterval(timer);
-            clearTimeout(batchTimer);
+            batch.cancel();
             socket.close();
         },
     };
--- a/packages/forwarding/src/placement/model/endpointLoad.ts
+++ b/packages/forwarding/src/placement/model/endpointLoad.ts
@@ -11,6 +11,8 @@
     /** Recent failures, see `getFailures`. */
     readonly failures: number;
     readonly isSilent: boolean;
+    /** Number from 0 to 1 that differs from host to host, so that hosts do not all take the same one of equal endpoints. */
+    readonly bias: number;
     /** Observed slowness, 1 is as published. */
     readonly pace: number;
 }
--- a/packages/forwarding/src/placement/model/ledger.ts
+++ b/packages/forwarding/src/placement/model/ledger.ts
@@ -18,8 +18,11 @@
     readonly groupByEndpoint: (nowMs: number) => ReadonlyMap<string, readonly Booking[]>;
 }
 
+/** `urgent`: work was added, which peers must not place other work on. `later`: work has proceeded or ended. */
+export type LedgerChange = "urgent" | "later";
+
 /** Creates an empty ledger. `onChange` is called when the own bookings change. */
-export function createLedger(onChange: () => void): Ledger {
+export function createLedger(onChange: (change: LedgerChange) => void): Ledger {
     const own = new Map<number, Booking>();
     const peers = new Map<string, { readonly bookings: readonly Booking[]; readonly heardAtMs: number; }>();
     let nextId = 1;
@@ -28,19 +31,19 @@
             const booking = { ...work, id: nextId, startedAtMs: nowMs };
             nextId += 1;
             own.set(booking.id, booking);
-            onChange();
+            onChange("urgent");
             return booking;
         },
         markRead: (id, nowMs) => {
             const booking = own.get(id);
             if (booking !== undefined && booking.readAtMs === undefined) {
                 own.set(id, { ...booking, readAtMs: nowMs });
-                onChange();
+                onChange("later");
             }
         },
         remove: id => {
             if (own.delete(id)) {
-                onChange();
+                onChange("later");
             }
         },
         listOwn: () => [...own.values()],
--- a/packages/forwarding/src/placement/queries/choosePlacement.ts
+++ b/packages/forwarding/src/placement/queries/choosePlacement.ts
@@ -18,10 +18,6 @@
 
 /** Numbers of parts that are weighed. An endpoint takes at most 16 helpers. */
 const PART_COUNTS = [1, 2, 3, 4, 6, 8, 12, 16];
-/** Cost of each further endpoint: it is lost to short prompts meanwhile, and one more can fail. */
-const PART_COST = 0.12;
-/** Prompts below this reading time are read on one endpoint. */
-const MIN_READ_TO_SPLIT_MS = 300;
 /** Reserved beyond the part: memory is given out in blocks. */
 const RESERVE_MARGIN_TOKENS = 64;
 
@@ -32,7 +28,7 @@
     need: PromptNeed,
 ): Placement | undefined {
     const readMs = need.promptTokens / view.engine.readTokensPerMs;
-    const counts = readMs < MIN_READ_TO_SPLIT_MS ? [1] : PART_COUNTS.filter(count => count <= loads.length);
+    const counts = readMs < view.weights.minReadToSplitMs ? [1] : PART_COUNTS.filter(count => count <= loads.length);
     return counts
         .map(count => planParts(view, loads, need, count))
         .filter(placement => placement !== undefined)
@@ -85,6 +81,6 @@
         first: first.load,
         parts: helpers.map(helper => ({ load: helper.load, reserveTokens: partTokens })),
         firstEventMs: Math.max(first.firstEventMs, ...helpers.map(helper => helper.firstEventMs)),
-        cost: helpers.reduce((sum, helper) => sum + helper.cost + PART_COST, first.cost),
+        cost: helpers.reduce((sum, helper) => sum + helper.cost + view.weights.partCost, first.cost),
     };
 }
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -2,6 +2,7 @@
 import type { FailureDomainId } from "@currantrill/protocol";
 import type { EngineProfile } from "../../configuration/model/servingConfiguration.js";
 import type { EndpointLoad } from "../model/endpointLoad.js";
+import type { PlacementWeights } from "../model/placementWeights.js";
 import {
     estimateBacklogMs,
     estimateLongestReadMs,
@@ -22,6 +23,7 @@
 }
 
 export interface PlacementView {
+    readonly weights: PlacementWeights;
     readonly engine: EngineProfile;
     readonly ownDomain: FailureDomainId;
     readonly nowMs: number;
@@ -35,33 +37,14 @@
     readonly freeTokens: number;
 }
 
-/** Prompt tokens that count as one unit of harm; the worth of a request grows with its prompt. */
-const TOKENS_PER_WEIGHT = 20_000;
-/** Parts of a target from which on a prediction counts as a risk, and as a miss. */
-const SAFE_SHARE = 0.7;
-const MISS_SHARE = 0.95;
-/** A late answer keeps a part of its worth. */
-const LATE_COST = 0.75;
-/** A prompt that does not fit into memory evicts the newest one, which is read again. */
-const EVICTION_COST = 2;
-const FULL_SLOTS_COST = 1.5;
-const SILENT_COST = 10;
-const COST_PER_FAILURE = 0.5;
-/** Below the cost of any harm: order among endpoints that serve equally well. */
-const OTHER_DOMAIN_COST = 0.04;
-const WAIT_COST = 0.08;
-/** Idle endpoints are kept for prompts that cannot share one. */
-const IDLE_COST = 0.06;
-/** A part of its chunk budget from which a prompt's reading disturbs the answers of others. */
-const LONG_READ_MS = 120;
-
 /** Weight of a request's lateness, by the size of its prompt. */
-export const weighPrompt = (promptTokens: number): number => 1 + promptTokens / TOKENS_PER_WEIGHT;
+const weighPrompt = ({ tokensPerWeight }: PlacementWeights, promptTokens: number): number =>
+    1 + promptTokens / tokensPerWeight;
 
 /** 0 while a value is well below its limit, 1 when it is missed. */
-function estimateMiss(value: number, limit: number): number {
+function estimateMiss({ safeShare, missShare }: PlacementWeights, value: number, limit: number): number {
     const share = value / Math.max(1, limit);
-    return Math.min(1, Math.max(0, (share - SAFE_SHARE) / (MISS_SHARE - SAFE_SHARE)));
+    return Math.min(1, Math.max(0, (share - safeShare) / (missShare - safeShare)));
 }
 
 /** Scores an endpoint for a prompt that is read in `parts` even parts. `isPart` is a part whose answer is written elsewhere. */
@@ -72,8 +55,8 @@
     parts: number,
     isPart: boolean,
 ): EndpointScore {
-    const { engine, nowMs } = view;
-    const weight = weighPrompt(need.promptTokens);
+    const { engine, nowMs, weights } = view;
+    const weight = weighPrompt(weights, need.promptTokens);
     const writers = listWriters(load);
     const readMs = estimateReadMs(engine, need.promptTokens, parts) * load.pace;
     const readTokens = need.promptTokens / parts;
@@ -90,35 +73,36 @@
         .filter(booking => !booking.isPart)
         .reduce(
             (sum, { memoryTokens, targetPauseMs }) =>
-                sum + weighPrompt(memoryTokens) * estimateMiss(pauseMs, targetPauseMs),
+                sum + weighPrompt(weights, memoryTokens) * estimateMiss(weights, pauseMs, targetPauseMs),
             0,
         );
-    const delayed = isPart ? estimateDelayOfReaders(load, readMs, nowMs) : 0;
+    const delayed = isPart ? estimateDelayOfReaders(weights, load, readMs, nowMs) : 0;
     const freeTokens = getFreeTokens(engine, load);
     const neededTokens = readTokens + (isPart ? 0 : need.answerTokens);
     const isBusy = load.bookings.length > 0;
-    const cost = LATE_COST * weight * estimateMiss(firstEventMs, need.targetMs)
-        + LATE_COST * weight * (isPart ? 0 : estimateMiss(ownPassMs, need.targetPauseMs))
-        + LATE_COST * (disturbed + delayed)
-        + (freeTokens < neededTokens ? EVICTION_COST * weight : 0)
-        + (load.bookings.length >= load.slots ? FULL_SLOTS_COST * weight : 0)
-        + (load.isSilent ? SILENT_COST * weight : 0)
-        + COST_PER_FAILURE * load.failures * weight
-        + (load.failureDomain === view.ownDomain ? 0 : OTHER_DOMAIN_COST)
-        + WAIT_COST * firstEventMs / Math.max(1, need.targetMs)
-        + (isBusy || readMs >= LONG_READ_MS ? 0 : IDLE_COST);
+    const cost = weights.lateCost * weight * estimateMiss(weights, firstEventMs, need.targetMs)
+        + weights.lateCost * weight * (isPart ? 0 : estimateMiss(weights, ownPassMs, need.targetPauseMs))
+        + weights.lateCost * (disturbed + delayed)
+        + (freeTokens < neededTokens ? weights.evictionCost * weight : 0)
+        + (load.bookings.length >= load.slots ? weights.fullSlotsCost * weight : 0)
+        + (load.isSilent ? weights.silentCost * weight : 0)
+        + weights.costPerFailure * load.failures * weight
+        + (load.failureDomain === view.ownDomain ? 0 : weights.otherDomainCost)
+        + weights.biasCost * load.bias
+        + weights.waitCost * firstEventMs / Math.max(1, need.targetMs)
+        + (isBusy || readMs >= weights.longReadMs ? 0 : weights.idleCost);
     return { load, cost, firstEventMs, freeTokens };
 }
 
 /** Additional risk of the prompts that wait on the endpoint, if a part is read ahead of them. */
-function estimateDelayOfReaders(load: EndpointLoad, readMs: number, nowMs: number): number {
+function estimateDelayOfReaders(weights: PlacementWeights, load: EndpointLoad, readMs: number, nowMs: number): number {
     const waitMs = estimateBacklogMs(load, nowMs);
     return load.bookings
         .filter(booking => booking.readAtMs === undefined && !booking.isPart)
         .reduce((sum, booking) => {
             const firstEventMs = nowMs + waitMs - booking.startedAtMs;
-            const before = estimateMiss(firstEventMs, booking.targetMs);
-            const after = estimateMiss(firstEventMs + readMs, booking.targetMs);
-            return sum + weighPrompt(booking.readTokens) * (after - before);
+            const before = estimateMiss(weights, firstEventMs, booking.targetMs);
+            const after = estimateMiss(weights, firstEventMs + readMs, booking.targetMs);
+            return sum + weighPrompt(weights, booking.readTokens) * (after - before);
         }, 0);
 }
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -1,7 +1,7 @@
 /** Serves requests whose answer is one body. */
 import type { AnswerHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
-import { recordFailure, recordSilence } from "../../endpoints/model/endpointHealth.js";
+import { recordFailure } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { chooseServer } from "../../placement/queries/chooseServer.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
@@ -24,7 +24,7 @@
 }
 
 interface CallState {
-    readonly running: Set<RunningAttempt>;
+    readonly running: Map<RunningAttempt, Endpoint>;
     readonly tried: Set<Endpoint>;
     /** An endpoint's own failure, sent to the caller if no other endpoint does better. */
     fallback: CallAnswer | undefined;
@@ -40,7 +40,7 @@
     return new Promise(resolve => {
         const timers: NodeJS.Timeout[] = [];
         const state: CallState = {
-            running: new Set(),
+            running: new Map(),
             tried: new Set(),
             fallback: undefined,
             sends: 0,
@@ -51,7 +51,7 @@
                 if (!state.isDone) {
                     state.isDone = true;
                     timers.forEach(timer => clearTimeout(timer));
-                    state.running.forEach(attempt => attempt.abort(outcome));
+                    state.running.forEach((_endpoint, attempt) => attempt.abort(outcome));
                     resolve(outcome);
                 }
             },
@@ -147,7 +147,7 @@
         },
     });
     if (!state.isDone && record.outcome === "pending") {
-        state.running.add(attempt);
+        state.running.set(attempt, endpoint);
     }
 }
 
@@ -162,6 +162,7 @@
         return;
     }
     state.mayHaveRun = true;
+    recordUnanswered(state);
     if (answer.status >= FIRST_SERVER_ERROR && mayRepeat(exchange)) {
         endpoint.health = recordFailure(endpoint.health, performance.now());
         state.fallback = answer;
@@ -171,6 +172,14 @@
     sendAnswer(exchange, state, answer);
 }
 
+/** Counts a failure for endpoints that were overtaken by another one, or by the end of the request's time. */
+function recordUnanswered(state: CallState): void {
+    const nowMs = performance.now();
+    for (const endpoint of state.running.values()) {
+        endpoint.health = recordFailure(endpoint.health, nowMs);
+    }
+}
+
 function handleFailure(context: ForwardingContext, exchange: Exchange, state: CallState): void {
     if (state.isDone) {
         return;
@@ -210,9 +219,7 @@
 }
 
 function endOutOfTime(context: ForwardingContext, exchange: Exchange, state: CallState): void {
-    for (const endpoint of state.tried) {
-        endpoint.health = recordSilence(endpoint.health, performance.now());
-    }
+    recordUnanswered(state);
     sendRefusal(exchange.response, "out_of_time", context.callers.buildAnswerHeaders(exchange.requestId));
     state.finish("out_of_time");
 }
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -3,6 +3,7 @@
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { Booking } from "../../placement/model/booking.js";
 import type { EndpointLoad } from "../../placement/model/endpointLoad.js";
+import { defaultPlacementWeights } from "../../placement/model/placementWeights.js";
 import { choosePlacement, type Placement } from "../../placement/queries/choosePlacement.js";
 import { chooseServer } from "../../placement/queries/chooseServer.js";
 import { estimateReadMs } from "../../placement/queries/estimateEngine.js";
@@ -130,7 +131,7 @@
         const first = chooseServer(loads, ownDomain, Math.random());
         return first === undefined ? undefined : { first, parts: [], firstEventMs: 0, cost: 0 };
     }
-    return choosePlacement({ engine, ownDomain, nowMs }, loads, {
+    return choosePlacement({ engine, ownDomain, nowMs, weights: defaultPlacementWeights }, loads, {
         promptTokens: exchange.facts.promptTokens ?? DEFAULT_PROMPT_TOKENS,
         answerTokens: exchange.facts.answerTokens ?? engine.usualAnswerTokens,
         targetMs: exchange.route.targetMs - (nowMs - exchange.startedAtMs),
--- a/packages/forwarding/src/requests/queries/listLoads.ts
+++ b/packages/forwarding/src/requests/queries/listLoads.ts
@@ -20,6 +20,7 @@
         bookings: bookings.get(endpoint.entry.id) ?? [],
         failures: getFailures(endpoint.health, nowMs),
         isSilent: endpoint.health.isSilent,
+        bias: endpoint.bias,
         pace: endpoint.health.pace,
     }));
 }
--- a/packages/forwarding/tests/placement/queries/choosePlacement.test.ts
+++ b/packages/forwarding/tests/placement/queries/choosePlacement.test.ts
@@ -1,11 +1,12 @@
 import { toFailureDomainId } from "@currantrill/protocol";
 import { describe, expect, it } from "vitest";
 import type { EndpointLoad } from "../../../src/placement/model/endpointLoad.js";
+import { defaultPlacementWeights } from "../../../src/placement/model/placementWeights.js";
 import { choosePlacement } from "../../../src/placement/queries/choosePlacement.js";
 import type { PromptNeed } from "../../../src/placement/queries/scoreEndpoint.js";
 import { createBooking, createLoad, engine, ownDomain } from "../../engineFixture.js";
 
-const view = { engine, ownDomain, nowMs: 0 };
+const view = { engine, ownDomain, nowMs: 0, weights: defaultPlacementWeights };
 const short: PromptNeed = { promptTokens: 5_000, answerTokens: 1_000, targetMs: 300, targetPauseMs: 250 };
 const long: PromptNeed = { promptTokens: 130_000, answerTokens: 700, targetMs: 2_500, targetPauseMs: 1_000 };
 const huge: PromptNeed = { ...long, promptTokens: 400_000 };
