Keep parts in one domain, avoid domains that fall silent, pause the feed in large fleets

Change: a cost for parts in another domain and for endpoints of a domain in which others are silent; after changes the feed pauses 6 ms a host, at most 0.6 s.

--- a/packages/forwarding/src/commands/trackTables.ts
+++ b/packages/forwarding/src/commands/trackTables.ts
@@ -9,6 +9,10 @@
 /** Wait on the feed. Host addresses change rarely, and peers tell each other. */
 const FEED_WAIT_MS = 2_500;
 const HOST_FEED_WAIT_MS = 20_000;
+const HOST_FEED_GAP_MS = 2_000;
+/** Every change wakes all hosts; a pause for each host of the fleet bounds the calls of all together. */
+const GAP_MS_PER_HOST = 6;
+const MAX_GAP_MS = 600;
 /** In a larger fleet waits overlap and peers pass changes on, so that each host may wait longer. */
 const HOSTS_AT_SHORTEST_WAIT = 8;
 
@@ -31,18 +35,20 @@
 export function trackTables(options: TrackTablesOptions): TrackedTables {
     const { rows, source, log, configuration, directory, peers, shared } = options;
     const getWaitMs = (): number => FEED_WAIT_MS * Math.max(1, peers.countHosts() / HOSTS_AT_SHORTEST_WAIT);
+    const getGapMs = (): number => Math.min(MAX_GAP_MS, GAP_MS_PER_HOST * peers.countHosts());
     const handlers = [
         [rows.configurationTable, configuration.applyRows],
         [rows.endpointTable, directory.applyRows],
     ] as const;
     for (const [table, onChange] of handlers) {
-        shared.set(table, trackTable({ table, source, log, getWaitMs, onChange }));
+        shared.set(table, trackTable({ table, source, log, getWaitMs, getGapMs, onChange }));
     }
     const hosts = trackTable({
         table: rows.hostTable,
         source,
         log,
         getWaitMs: () => HOST_FEED_WAIT_MS,
+        getGapMs: () => HOST_FEED_GAP_MS,
         onChange: changed => peers.addHosts(changed.filter(row => row.value !== undefined).map(row => row.key)),
     });
     return {
--- a/packages/forwarding/src/placement/queries/choosePlacement.ts
+++ b/packages/forwarding/src/placement/queries/choosePlacement.ts
@@ -38,6 +38,20 @@
         );
 }
 
+/** Scores an endpoint for a part of a prompt that is written at `first`. */
+function scorePart(
+    view: PlacementView,
+    first: EndpointLoad,
+    load: EndpointLoad,
+    need: PromptNeed,
+    count: number,
+): EndpointScore {
+    const score = scoreEndpoint(view, load, need, count, true);
+    return load.failureDomain === first.failureDomain
+        ? score
+        : { ...score, cost: score.cost + view.weights.crossPartCost };
+}
+
 const compareScores = (a: EndpointScore, b: EndpointScore): number =>
     a.cost - b.cost || (a.load.id < b.load.id ? -1 : 1);
 
@@ -61,7 +75,7 @@
     }
     const helpers = loads
         .filter(load => load !== first.load && !load.isSilent)
-        .map(load => scoreEndpoint(view, load, need, count, true))
+        .map(load => scorePart(view, first.load, load, need, count))
         .sort(compareScores)
         .slice(0, count - 1);
     if (helpers.length < count - 1) {
--- a/packages/forwarding/src/placement/queries/chooseServer.ts
+++ b/packages/forwarding/src/placement/queries/chooseServer.ts
@@ -3,6 +3,7 @@
 import type { EndpointLoad } from "../model/endpointLoad.js";
 
 const SILENT_COST = 10;
+const SILENT_DOMAIN_COST = 2;
 const COST_PER_FAILURE = 1;
 const OTHER_DOMAIN_COST = 0.15;
 
@@ -24,4 +25,5 @@
     load.bookings.length / Math.max(1, load.slots)
     + COST_PER_FAILURE * load.failures
     + (load.isSilent ? SILENT_COST : 0)
+    + SILENT_DOMAIN_COST * load.domainSilence
     + (load.failureDomain === ownDomain ? 0 : OTHER_DOMAIN_COST);
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -86,6 +86,7 @@
         + (freeTokens < neededTokens ? weights.evictionCost * weight : 0)
         + (load.bookings.length >= load.slots ? weights.fullSlotsCost * weight : 0)
         + (load.isSilent ? weights.silentCost * weight : 0)
+        + weights.silentDomainCost * load.domainSilence * weight
         + weights.costPerFailure * load.failures * weight
         + (load.failureDomain === view.ownDomain ? 0 : weights.otherDomainCost)
         + weights.biasCost * load.bias
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -17,6 +17,8 @@
     readonly log: Logger;
     /** Time of one wait on the feed. A connection that went silent is noticed after it and the source's own limit. */
     readonly getWaitMs: () => number;
+    /** Pause after changes, so that the next ones arrive together. */
+    readonly getGapMs: () => number;
     /**
      * Called with changed rows. `afterOutage` is true for the first changes since the store was lost: rows that lapsed
      * meanwhile may return.
@@ -71,6 +73,9 @@
             return;
         }
         publish(applyChanges(replica, changes), outage.end(replica.version));
+        if (changes.rows.length > 0) {
+            await sleep(options.getGapMs());
+        }
     };
     const run = async (): Promise<void> => {
         while (!isStopped) {
--- a/packages/forwarding/tests/engineFixture.ts
+++ b/packages/forwarding/tests/engineFixture.ts
@@ -28,6 +28,7 @@
     bookings: [],
     failures: 0,
     isSilent: false,
+    domainSilence: 0,
     bias: 0,
     pace: 1,
     ...changes,
--- a/packages/forwarding/tests/placement/queries/choosePlacement.test.ts
+++ b/packages/forwarding/tests/placement/queries/choosePlacement.test.ts
@@ -55,6 +55,16 @@
             loads: [createLoad("1", { isSilent: true }), createLoad("2", { bookings: [reader] })],
             first: "2",
         },
+        {
+            // Guards against a connect timeout for each endpoint of a domain that is cut off.
+            name: "avoids a domain in which others are silent",
+            need: short,
+            loads: [
+                createLoad("1", { failureDomain: toFailureDomainId("b"), domainSilence: 0.4 }),
+                createLoad("2", { failureDomain: toFailureDomainId("c"), bookings: [writer, writer] }),
+            ],
+            first: "2",
+        },
         {
             name: "avoids an endpoint that failed lately",
             need: short,
@@ -94,6 +104,15 @@
         expect(placement?.parts.every(part => part.reserveTokens === 0)).toBe(true);
         expect(placement?.firstEventMs).toBeLessThan(2_500);
     });
+    // Guards against work that stalls at the first endpoint when the way to another domain is cut.
+    it("keeps the parts in one failure domain", () => {
+        const loads = ["a", "b", "c"].flatMap(domain =>
+            ["1", "2", "3"].map(id => createLoad(domain + id, { failureDomain: toFailureDomainId(domain) }))
+        );
+        const placement = choosePlacement(view, loads, { ...long, promptTokens: 220_000 });
+        expect(placement?.parts.length).toBeGreaterThan(0);
+        expect(placement?.parts.every(part => part.load.failureDomain === placement.first.failureDomain)).toBe(true);
+    });
     it("reserves memory for a prompt that is larger than an endpoint's memory", () => {
         const placement = choosePlacement(view, idle(8), huge);
         const reserved = placement?.parts.reduce((sum, part) => sum + part.reserveTokens, 0) ?? 0;
--- a/packages/measure/src/placement/commands/runFleet.ts
+++ b/packages/measure/src/placement/commands/runFleet.ts
@@ -160,6 +160,7 @@
         bookings: known.filter(each => each.booking.endpointId === String(index)).map(each => each.booking),
         failures: 0,
         isSilent: false,
+        domainSilence: 0,
         bias: fleet.biases[host]?.[index] ?? 0,
         pace: 1,
     }));
