--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -23,6 +23,7 @@
     const { listen } = context.settings;
     const readiness = await serveHttp({
         ...splitAddress(listen.readiness),
+        bodies: "raw",
         routes: [{
             method: "GET",
             path: context.callers.readinessPath,
@@ -34,6 +35,7 @@
     });
     const metrics = await serveHttp({
         ...splitAddress(listen.metrics),
+        bodies: "raw",
         routes: [{
             method: "GET",
             path: "/metrics",
--- a/packages/forwarding/src/peers/commands/relayTables.ts
+++ b/packages/forwarding/src/peers/commands/relayTables.ts
@@ -34,6 +34,7 @@
     const server: RunningServer = await serveHttp({
         host,
         port: Number(port),
+        bodies: "raw",
         routes: [{
             method: "GET",
             path: "/tables/:name",
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -1,5 +1,4 @@
 /** HTTP server on polka: routes with parsed JSON bodies. */
-import bodyParser from "body-parser";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -123,7 +122,7 @@
         settings.handleError(error as HttpError, request, response);
     }
     const parseBody = settings.bodies === "json"
-        ? bodyParser.json({ limit: readLimit(settings.bodyLimitBytes), strict: false, type: () => true })
+        ? await createJsonParser(readLimit(settings.bodyLimitBytes))
         : createRawParser(settings.bodyLimitBytes);
     app.use(parseBody, ...settings.middleware);
     for (const route of settings.routes) {
@@ -140,6 +139,12 @@
 
 const readLimit = (limit: number | (() => number)): number => typeof limit === "number" ? limit : limit();
 
+/** The parser with its tables of encodings is loaded only where it is used, since it makes up much of a start. */
+async function createJsonParser(limitBytes: number): Promise<HttpMiddleware> {
+    const { default: bodyParser } = await import("body-parser");
+    return bodyParser.json({ limit: limitBytes, strict: false, type: () => true }) as HttpMiddleware;
+}
+
 function createRawParser(limit: number | (() => number)): HttpMiddleware {
     return (request, _response, next) => {
         readRawBody(request, readLimit(limit)).then(
