Count a refusal against the endpoint at fault, and drop unused settings

Cause: a refusal that names another endpoint, one that was to read a part, made placement avoid the wrong one; three decoded fields were used by nothing. Ruled out: enforcing the connection limit, since a host never holds more connections than it has requests, far below the limit.

--- a/packages/cli/tests/forwardingSettings.test.ts
+++ b/packages/cli/tests/forwardingSettings.test.ts
@@ -23,7 +23,7 @@
     it("accepts settings and fills in defaults", () => {
         expect(parseForwardingSettings(valid, "s.toml")).toMatchObject({
             ok: true,
-            value: { store: { apply_ms: 2_000 }, reservations: { free_ms: 4_000 }, log_level: "info" },
+            value: { reservations: { free_ms: 4_000 }, log_level: "info" },
         });
     });
     // Guards against a host that starts with settings it does not understand, or reports one finding at a time.
--- a/packages/forwarding/src/configuration/model/servingConfiguration.ts
+++ b/packages/forwarding/src/configuration/model/servingConfiguration.ts
@@ -64,14 +64,11 @@
 
 export interface ServiceDefinition {
     readonly name: ServiceId;
-    /** Connections that one endpoint accepts from all hosts together. */
-    readonly maxConnections: number;
     /** Present for model engines. */
     readonly engine?: EngineProfile;
 }
 
 export interface CallerLimits {
-    readonly maxHeaderBytes: number;
     readonly maxBodyBytes: number;
     readonly headerTimeoutMs: number;
     readonly idleTimeoutMs: number;
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -22,6 +22,7 @@
     /** Failure domain of this host. */
     readonly ownDomain: FailureDomainId;
     readonly get: (id: string) => Endpoint | undefined;
+    readonly findByAddress: (address: string) => Endpoint | undefined;
     /** Endpoints of a service that take new requests. */
     readonly listReady: (service: ServiceId) => readonly Endpoint[];
     readonly listAll: () => readonly Endpoint[];
@@ -101,6 +102,7 @@
     return {
         ownDomain: options.ownDomain,
         get: id => endpoints.get(id),
+        findByAddress: address => [...endpoints.values()].find(({ entry }) => entry.address === address),
         listReady: service =>
             [...endpoints.values()].filter(({ entry }) => entry.service === service && !entry.isDraining),
         listAll: () => [...endpoints.values()],
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -63,10 +63,8 @@
             return false;
         }
         endpoint.health = recordAnswer(endpoint.health);
-        if (facts.isMisdirected) {
-            context.directory.markMisdirected(endpoint);
-        }
         if (facts.isNotExecuted || facts.isMisdirected) {
+            recordRefusal(context, endpoint, facts);
             refusal = "not_run";
             refusalReason = facts.isMisdirected ? "another endpoint has the address" : `not executed, status ${status}`;
             return true;
@@ -116,6 +114,19 @@
     }
 }
 
+/** A refusal may be the fault of an endpoint that was to read a part. */
+function recordRefusal(context: ForwardingContext, endpoint: Endpoint, facts: AnswerFacts): void {
+    const other = facts.faultAddress === undefined ? undefined : context.directory.findByAddress(facts.faultAddress);
+    const atFault = other ?? endpoint;
+    if (facts.isMisdirected) {
+        context.directory.markMisdirected(atFault);
+        return;
+    }
+    if (other !== undefined) {
+        other.health = recordFailure(other.health, performance.now());
+    }
+}
+
 function buildHeaders(context: ForwardingContext, exchange: Exchange, plan: AttemptPlan, nowMs: number): string[] {
     const own = context.protocol.buildHeaders({
         deadlineMs: Math.max(1, Math.floor(exchange.endsAtMs - nowMs)),
--- a/packages/forwarding/tests/configuration/queries/matchRoute.test.ts
+++ b/packages/forwarding/tests/configuration/queries/matchRoute.test.ts
@@ -29,7 +29,7 @@
         createRoute("other", { host: "x.example" }),
     ],
     services: [],
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     workspaces: [{ name: toWorkspaceId("w"), keys: ["k1", "k2"], priority: 0 }],
 };
 const index = buildConfigurationIndex(configuration);
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -38,6 +38,7 @@
     }),
     parseAnswer: (status, headers) => ({
         ...(headers["t-id"] === undefined ? {} : { requestId: String(headers["t-id"]) }),
+        ...(headers["t-fault"] === undefined ? {} : { faultAddress: String(headers["t-fault"]) }),
         isNotExecuted: headers["t-not-run"] !== undefined,
         isMisdirected: status === 421,
         isSigned: headers["t-signature"] !== undefined,
@@ -249,7 +250,7 @@
         failure_domain: "a",
         listen,
         seeds: [...options.seeds ?? []],
-        store: { address: "127.0.0.1:1", apply_ms: 2_000 },
+        store: { address: "127.0.0.1:1" },
         retries: { ratio: 0.2, extra: 1_000, window_ms: 10_000 },
         drain: { grace_ms: options.graceMs ?? 2_000 },
         reservations: { free_ms: 2_000 },
@@ -259,8 +260,8 @@
     let current: ServingConfiguration = {
         version,
         routes,
-        services: [{ name: service, maxConnections: 100 }],
-        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        services: [{ name: service }],
+        limits: { maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     };
     const configure = (changes: Partial<ServingConfiguration>): void => {
         version += 1;
--- a/packages/forwarding/tests/requests/commands/breakPoints.test.ts
+++ b/packages/forwarding/tests/requests/commands/breakPoints.test.ts
@@ -195,6 +195,17 @@
         expect(received?.headers).toMatchObject({ "t-endpoint": "e0", "t-id": "q1", "x-own": "kept" });
         expect(received?.headers["t-workspace"]).toBeUndefined();
     });
+    // Guards against an endpoint that is avoided for the fault of another one that was to read a part.
+    it("counts a refusal against the endpoint that it names", async () => {
+        const { host } = await startSystem("once", [
+            (received, socket) => writeAnswer(socket, received, 503, "", "t-not-run: 1\r\nt-fault: 127.0.0.1:9\r\n"),
+        ], 1);
+        host.publish({ id: "other", address: "127.0.0.1:9" }, { service: "parts" as never });
+        await expect.poll(() => host.host.context.directory.get("other")).toBeDefined();
+        expect((await send(host)).status).toBe(503);
+        expect(host.host.context.directory.get("other")?.health.failures).toBe(1);
+        expect(host.host.context.directory.get("e0")?.health.failures).toBe(0);
+    });
     it("tries another endpoint while none has accepted a connection", async () => {
         const { host, endpoints } = await startSystem("once", [answer], 1);
         for (const id of ["d1", "d2"]) {
--- a/packages/settings/src/model/forwardingSettings.ts
+++ b/packages/settings/src/model/forwardingSettings.ts
@@ -16,8 +16,6 @@
     seeds: z.array(z.string()).default([]),
     store: z.strictObject({
         address: addressSchema,
-        /** Longest time that a change of the configuration may take until it is in force. */
-        apply_ms: millisecondsSchema.default(2_000),
     }),
     retries: z.strictObject({
         /** Second sends for each request, over all hosts. */
