Hear a host again whose clock was set back, and share the list of connection headers

Cause: a host's incarnation is its start by the time of day; after a restart with the clock set back, its peers dropped its messages as old for up to a minute (found by reading; the test fails without the change). The list of connection headers stood twice. Change: a lower incarnation is accepted once the earlier run is silent; the list is in packages/http. Ruled out: a counter in the store, which costs a write a start and fails while the store is away.

--- a/packages/forwarding/src/peers/model/peerTable.ts
+++ b/packages/forwarding/src/peers/model/peerTable.ts
@@ -36,9 +36,10 @@
         },
         accept: (state, nowMs) => {
             const known = peers.get(state.address);
-            const isStale = state.address === ownAddress
-                || known !== undefined && (state.incarnation < known.incarnation
-                        || state.incarnation === known.incarnation && state.sequence <= known.sequence);
+            // A host whose clock was set back starts again with a lower incarnation, once the earlier run is silent.
+            const isEarlierRun = known !== undefined && state.incarnation < known.incarnation && isHeard(known, nowMs);
+            const isRepeated = known?.incarnation === state.incarnation && state.sequence <= known.sequence;
+            const isStale = state.address === ownAddress || isEarlierRun || isRepeated;
             if (isStale) {
                 return "stale";
             }
--- a/packages/forwarding/src/requests/queries/selectHeaders.ts
+++ b/packages/forwarding/src/requests/queries/selectHeaders.ts
@@ -1,27 +1,15 @@
 /** Headers that are passed on between callers and endpoints. */
+import { connectionHeaders, listConnectionNames } from "@currantrill/http";
 
-/** Headers of one connection, and those that the HTTP client sets itself. */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-    "connection",
-    "content-length",
-    "expect",
-    "http2-settings",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-]);
+/** Passed on as the caller sent it. */
+const HOST = "host";
 
 /** Selects what an endpoint receives of a caller's headers. Names and values in turn. */
 export function selectRequestHeaders(rawHeaders: readonly string[], ownHeaders: ReadonlySet<string>): string[] {
     const named = listNamedByConnection(rawHeaders);
     return selectWhere(
         rawHeaders,
-        name => !CONNECTION_HEADERS.has(name) && !named.has(name) && !ownHeaders.has(name),
+        name => (!connectionHeaders.has(name) || name === HOST) && !named.has(name) && !ownHeaders.has(name),
     );
 }
 
@@ -29,21 +17,19 @@
 export function selectAnswerHeaders(
     headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string | string[]> {
-    const named = new Set(splitList(String(headers["connection"] ?? "")));
+    const named = listConnectionNames(String(headers["connection"] ?? ""));
     return Object.fromEntries(
         Object.entries(headers).filter((entry): entry is [string, string | string[]] =>
-            entry[1] !== undefined && !CONNECTION_HEADERS.has(entry[0]) && !named.has(entry[0])
+            entry[1] !== undefined && !connectionHeaders.has(entry[0]) && !named.has(entry[0])
         ),
     );
 }
 
-const splitList = (text: string): string[] => text.toLowerCase().split(",").map(name => name.trim());
-
 function listNamedByConnection(rawHeaders: readonly string[]): ReadonlySet<string> {
     const names = new Set<string>();
     for (let index = 0; index < rawHeaders.length; index += 2) {
         if (rawHeaders[index]?.toLowerCase() === "connection") {
-            splitList(rawHeaders[index + 1] ?? "").forEach(name => names.add(name));
+            listConnectionNames(rawHeaders[index + 1] ?? "").forEach(name => names.add(name));
         }
     }
     return names;
--- a/packages/forwarding/tests/peers/model/peerTable.test.ts
+++ b/packages/forwarding/tests/peers/model/peerTable.test.ts
@@ -22,6 +22,13 @@
         expect(table.accept(createState("b:1", 3, 1), 20)).toBe("known");
         expect(table.accept(createState("a:1", 9, 1), 20)).toBe("stale");
     });
+    // Guards against a host that is not heard after a restart, because its clock was set back.
+    it("accepts a lower incarnation once the earlier run is silent", () => {
+        const table = createPeerTable("a:1");
+        table.accept(createState("b:1", 9, 5), 0);
+        expect(table.accept(createState("b:1", 8, 1), 1_000)).toBe("stale");
+        expect(table.accept(createState("b:1", 8, 2), 3_000)).toBe("heard");
+    });
     it("does not count a peer that is silent, and forgets it later", () => {
         const table = createPeerTable("a:1");
         table.add(["b:1", "a:1"], 0);
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./connectionHeaders.js";
 export * from "./createConnections.js";
 export * from "./readEvents.js";
 export * from "./readRawBody.js";
