Ignore a read of the store that a peer's copy has overtaken

Cause: the replica was taken before a read of the store and written after it, so a peer's newer copy that arrived meanwhile was lost and removed rows came back (found by reading; the test sees version 5 in place of 9 without the change). Change: the replica is looked up after the read. A request of a route without a usable weight is refused without a cast. Ruled out: the feed, which applies changes to the replica as it is when they arrive.

--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -54,7 +54,9 @@
         }
     };
     const readAll = async (): Promise<void> => {
-        const step = adoptSnapshot(replica, await source.readTable(table));
+        // The replica may change while the read is under way.
+        const snapshot = await source.readTable(table);
+        const step = adoptSnapshot(replica, snapshot);
         if (step === undefined) {
             log.warn({ table, version: replica.version }, "replica: store read is older than what is known, ignored");
             await sleep(STALE_READ_WAIT_MS);
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -76,7 +76,8 @@
     if (!authorization.allowed) {
         return "key_unknown";
     }
-    const service = index.services.get(chooseService(route, Math.random()) ?? route.shares[0]?.service ?? "" as never);
+    const serviceName = chooseService(route, Math.random());
+    const service = serviceName === undefined ? undefined : index.services.get(serviceName);
     if (service === undefined) {
         return "no_endpoint";
     }
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -23,7 +23,7 @@
     readonly parts?: readonly PromptPart[];
     readonly lastEventId?: number;
     readonly isFresh: boolean;
-    /** Header names in front of the values of `answer`. */
+    /** Called once the headers of an answer to this request have arrived. */
     readonly onAnswer: (status: number, headers: AnswerHeaders, facts: AnswerFacts) => void;
     readonly onData: (chunk: Buffer) => void;
     /** The answer has ended as its framing says, and belongs to the request. */
--- a/packages/forwarding/tests/replicas/commands/trackTable.test.ts
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -103,6 +103,33 @@
         expect(changes.at(-1)).toEqual({ keys: ["a"], afterOutage: true });
         expect(table.isAfterOutage()).toBe(true);
     });
+    // Guards against a replica that goes back, because a peer's copy arrived while an older read was under way.
+    it("ignores a read that a peer's copy has overtaken", async () => {
+        let finishRead: (snapshot: TableChanges) => void = () => undefined;
+        const changes: string[][] = [];
+        const table = trackTable({
+            table: "t",
+            source: {
+                readTable: () =>
+                    new Promise(resolve => {
+                        finishRead = resolve;
+                    }),
+                awaitChanges: () => new Promise(() => undefined),
+                putRow: () => Promise.resolve(),
+            },
+            log,
+            getWaitMs: () => 2_500,
+            getGapMs: () => 0,
+            onChange: changed => changes.push(changed.map(row => `${row.key}@${row.version}`)),
+        });
+        running = table;
+        table.adoptFromPeer({ version: 9, rows: [put("b", 9)] }, false);
+        finishRead({ version: 5, rows: [put("a", 2)] });
+        await new Promise(resolve => setTimeout(resolve, 20));
+        expect(table.getReplica().version).toBe(9);
+        expect([...table.getReplica().rows.keys()]).toEqual(["b"]);
+        expect(changes).toEqual([["b@9"]]);
+    });
     // Guards against endpoints that are used too long, because a host that was cut off takes a removal for a lapse.
     it.each([true, false])("takes a peer's copy with what the peer says of an outage: %s", async afterOutage => {
         const { changes, table, waits } = startTracking([{ version: 5, rows: [put("a", 2)] }], ["failed"]);
