Share what hosts see of endpoints, and tell work at once only within a domain of a large fleet

Cause: in a fleet of 79 hosts each host learned alone that an endpoint was silent or failing, and lost a request to each; the pace of slow endpoints was never recorded (recordPace had no caller).

Change: beyond 16 hosts a host tells its work at once within its failure domain and by heartbeats to the others, and places prompts on its own domain while that has at least half of the usual endpoints. Two hosts of a domain follow the store, the others read the configuration when a peer knows of a change, and copy changed endpoint rows from a peer.

--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -5,11 +5,14 @@
 import { createConfigurationHolder } from "../configuration/model/configurationHolder.js";
 import { startProbing } from "../endpoints/commands/startProbing.js";
 import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
+import { createSightingBoard } from "../endpoints/model/endpointSighting.js";
+import { listSightings } from "../endpoints/queries/listSightings.js";
+import { listWatched } from "../endpoints/queries/listWatched.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
 import { createForwardingMetrics } from "../model/forwardingMetrics.js";
 import { publishHost } from "../peers/commands/publishHost.js";
-import { startTableRelay } from "../peers/commands/relayTables.js";
-import { startPeers } from "../peers/commands/startPeers.js";
+import { startTableRelay, type TableRelay } from "../peers/commands/relayTables.js";
+import { type Peers, startPeers } from "../peers/commands/startPeers.js";
 import { createLedger } from "../placement/model/ledger.js";
 import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows } from "../ports/index.js";
 import type { TrackedTable } from "../replicas/commands/trackTable.js";
@@ -74,6 +77,8 @@
         protocol: options.protocol,
         directory,
         ledger,
+        sightings: createSightingBoard(),
+        isSmallFleet: () => peers.fleet.isSmallFleet(),
         budget: createSharedRetryBudget(() => context.settings.retries, () => peers.countHosts()),
         getConfiguration: configuration.get,
         createReservationId: createIdGenerator(settings.host_id),
@@ -83,18 +88,15 @@
     const servers = await serveForwarding(context);
     const shared = new Map<string, TrackedTable>();
     const relay = await startTableRelay(settings.listen.peers, shared, log);
-    const peers = startPeers({
-        address: settings.listen.peers,
-        seeds: settings.seeds,
-        ledger,
-        log,
-        getChangedAt: relay.getChangedAt,
-        onState: state => relay.compare(state.address, state.changedAt),
-        onDatagram: direction => metrics.datagrams.inc({ direction }),
-    });
+    const peers = startHostPeers(context, shared, relay);
     const tables = trackTables({ rows, source, log, configuration, directory, peers, shared });
     const stopPublishing = publishHost(source, rows.hostTable, settings.listen.peers, log);
-    const stopProbing = startProbing(directory, options.protocol, log);
+    const stopProbing = startProbing({
+        directory,
+        protocol: options.protocol,
+        log,
+        listWatched: () => listWatched(context, peers.fleet.listOwnDomain(), settings.listen.peers),
+    });
     const gauges = setInterval(() => updateGauges(context, peers.countHosts()), GAUGE_INTERVAL_MS);
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
     let drained: Promise<void> | undefined;
@@ -121,6 +123,30 @@
     };
 }
 
+/** Tells peers what this host does and knows, and takes what they tell. */
+function startHostPeers(
+    context: ForwardingContext,
+    shared: ReadonlyMap<string, TrackedTable>,
+    relay: TableRelay,
+): Peers {
+    const { settings, directory, ledger, log, metrics, sightings } = context;
+    return startPeers({
+        address: settings.listen.peers,
+        failureDomain: directory.ownDomain,
+        seeds: settings.seeds,
+        ledger,
+        log,
+        getChangedAt: relay.getChangedAt,
+        getSightings: () => listSightings(directory, performance.now()),
+        hasLostStore: () => [...shared.values()].some(table => table.hasLostStore()),
+        onState: state => {
+            relay.compare(state.address, state.changedAt);
+            sightings.setPeer(state.address, state.sightings, performance.now());
+        },
+        onDatagram: direction => metrics.datagrams.inc({ direction }),
+    });
+}
+
 /** Ids that are unique over all starts of all hosts. */
 function createIdGenerator(hostId: string): () => string {
     const incarnation = Date.now().toString(36);
--- a/packages/forwarding/src/commands/trackTables.ts
+++ b/packages/forwarding/src/commands/trackTables.ts
@@ -10,11 +10,8 @@
 const FEED_WAIT_MS = 2_500;
 const HOST_FEED_WAIT_MS = 20_000;
 const HOST_FEED_GAP_MS = 2_000;
-/** Every change wakes all hosts; a pause for each host of the fleet bounds the calls of all together. */
-const GAP_MS_PER_HOST = 6;
-const MAX_GAP_MS = 600;
-/** In a larger fleet waits overlap and peers pass changes on, so that each host may wait longer. */
-const HOSTS_AT_SHORTEST_WAIT = 8;
+/** Every change wakes all hosts that follow the store; a pause bounds their calls. */
+const FEED_GAP_MS = 36;
 
 export interface TrackTablesOptions {
     readonly rows: PlatformRows;
@@ -34,21 +31,33 @@
 /** Starts to follow the configuration, the endpoints and the hosts. */
 export function trackTables(options: TrackTablesOptions): TrackedTables {
     const { rows, source, log, configuration, directory, peers, shared } = options;
-    const getWaitMs = (): number => FEED_WAIT_MS * Math.max(1, peers.countHosts() / HOSTS_AT_SHORTEST_WAIT);
-    const getGapMs = (): number => Math.min(MAX_GAP_MS, GAP_MS_PER_HOST * peers.countHosts());
     const handlers = [
         [rows.configurationTable, configuration.applyRows],
         [rows.endpointTable, directory.applyRows],
     ] as const;
     for (const [table, onChange] of handlers) {
-        shared.set(table, trackTable({ table, source, log, getWaitMs, getGapMs, onChange }));
+        shared.set(
+            table,
+            trackTable({
+                table,
+                source,
+                log,
+                waitMs: FEED_WAIT_MS,
+                gapMs: FEED_GAP_MS,
+                shouldFollow: peers.fleet.shouldFollowStore,
+                prefersStore: table === rows.configurationTable,
+                onChange,
+            }),
+        );
     }
     const hosts = trackTable({
         table: rows.hostTable,
         source,
         log,
-        getWaitMs: () => HOST_FEED_WAIT_MS,
-        getGapMs: () => HOST_FEED_GAP_MS,
+        waitMs: HOST_FEED_WAIT_MS,
+        gapMs: HOST_FEED_GAP_MS,
+        shouldFollow: peers.fleet.shouldFollowStore,
+        prefersStore: false,
         onChange: changed => peers.addHosts(changed.filter(row => row.value !== undefined).map(row => row.key)),
     });
     return {
--- a/packages/forwarding/src/endpoints/model/endpointHealth.ts
+++ b/packages/forwarding/src/endpoints/model/endpointHealth.ts
@@ -6,21 +6,26 @@
     readonly updatedAtMs: number;
     /** Set while the endpoint did not answer at all; it is probed until it answers. */
     readonly isSilent: boolean;
-    /** Observed time of a pass relative to the published figures, 1 is as published. */
+    /** When the endpoint last answered the host. */
+    readonly answeredAtMs: number;
+    /** Time of its work relative to the published figures, as it reported last; 1 is as published. */
     readonly pace: number;
+    readonly paceAtMs: number;
 }
 
 /** Failures of one in fifty requests leave little trace; a failing endpoint is avoided within two requests. */
 const FAILURE_HALF_LIFE_MS = 3_000;
-/** Weight of one observation of the pace. */
-const PACE_WEIGHT = 0.2;
+/** A reported pace counts for this time; endpoints are asked every second. */
+const PACE_VALID_MS = 3_000;
 const MAX_PACE = 20;
 
 export const createEndpointHealth = (nowMs: number): EndpointHealth => ({
     failures: 0,
     updatedAtMs: nowMs,
     isSilent: false,
+    answeredAtMs: -Infinity,
     pace: 1,
+    paceAtMs: -Infinity,
 });
 
 /** Number of recent failures at a time. */
@@ -39,11 +44,19 @@
     isSilent: true,
 });
 
-export const recordAnswer = (health: EndpointHealth): EndpointHealth =>
-    health.isSilent ? { ...health, isSilent: false } : health;
+export const recordAnswer = (health: EndpointHealth, nowMs: number): EndpointHealth => ({
+    ...health,
+    isSilent: false,
+    answeredAtMs: nowMs,
+});
 
-/** Records the ratio of an observed time to the expected one. */
-export const recordPace = (health: EndpointHealth, ratio: number): EndpointHealth => ({
+/** Records the pace that an endpoint reports of itself. */
+export const recordPace = (health: EndpointHealth, pace: number, nowMs: number): EndpointHealth => ({
     ...health,
-    pace: Math.min(MAX_PACE, Math.max(1, health.pace + PACE_WEIGHT * (ratio - health.pace))),
+    pace: Math.min(MAX_PACE, Math.max(1, pace)),
+    paceAtMs: nowMs,
 });
+
+/** The pace that was reported lately, `undefined` if none was. */
+export const getPace = (health: EndpointHealth, nowMs: number): number | undefined =>
+    nowMs - health.paceAtMs < PACE_VALID_MS ? health.pace : undefined;
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -3,6 +3,7 @@
 import type Logger from "bunyan";
 import type { ConfigurationIndex } from "../configuration/model/configurationIndex.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
+import type { SightingBoard } from "../endpoints/model/endpointSighting.js";
 import type { Ledger } from "../placement/model/ledger.js";
 import type { CallerProtocol } from "../ports/callerProtocol.js";
 import type { EndpointProtocol } from "../ports/endpointProtocol.js";
@@ -18,6 +19,10 @@
     readonly protocol: EndpointProtocol;
     readonly directory: EndpointDirectory;
     readonly ledger: Ledger;
+    /** What peers have seen of endpoints. */
+    readonly sightings: SightingBoard;
+    /** Whether all hosts tell each other their work at once. */
+    readonly isSmallFleet: () => boolean;
     readonly budget: SharedRetryBudget;
     /** The configuration in force, `undefined` until the first one is known. */
     readonly getConfiguration: () => ConfigurationIndex | undefined;
--- a/packages/forwarding/src/peers/commands/relayTables.ts
+++ b/packages/forwarding/src/peers/commands/relayTables.ts
@@ -3,16 +3,22 @@
 import type Logger from "bunyan";
 import type { TableChanges } from "../../ports/tableSource.js";
 import type { TrackedTable } from "../../replicas/commands/trackTable.js";
+import type { TableReplica } from "../../replicas/model/tableReplica.js";
 
 /** Time in which a host usually hears of a change from the store itself. */
-const STORE_FIRST_MS = 120;
+const STORE_FIRST_MS = 250;
 const FETCH_TIMEOUT_MS = 800;
 
+/** Hosts that copy from peers do so within this time after the news, so that not all ask the same peer at once. */
+const COPY_SPREAD_MS = 60;
+
 interface TableCopy {
     readonly version: number;
     /** Whether rows that lapsed in an outage of the store may still return. */
     readonly isAfterOutage: boolean;
-    /** Key, version, and value in base64. */
+    /** Keys of all rows. */
+    readonly keys: readonly string[];
+    /** Rows that changed after the position that was asked for: key, version, and value in base64. */
     readonly rows: readonly (readonly [string, number, string])[];
 }
 
@@ -40,18 +46,21 @@
             path: "/tables/:name",
             handle: (request, response) => {
                 const table = tables.get(request.params["name"] ?? "");
+                const after = Number(new URLSearchParams(request.search).get("after") ?? -1);
                 response.writeHead(table === undefined ? 404 : 200, { "content-type": "application/json" });
-                response.end(JSON.stringify(table === undefined ? {} : exportTable(table)));
+                response.end(JSON.stringify(table === undefined ? {} : exportTable(table, after)));
             },
         }],
     });
     const fetching = new Set<string>();
     const fetch = async (name: string, table: TrackedTable, peer: string): Promise<void> => {
         try {
-            const reply = await requestJson(`http://${peer}/tables/${name}`, { timeoutMs: FETCH_TIMEOUT_MS });
+            const after = table.getReplica().version;
+            const url = `http://${peer}/tables/${name}?after=${after}`;
+            const reply = await requestJson(url, { timeoutMs: FETCH_TIMEOUT_MS });
             const copy = reply.body as TableCopy | undefined;
             if (reply.status === 200 && Array.isArray(copy?.rows)) {
-                table.adoptFromPeer(toChanges(copy), copy.isAfterOutage);
+                table.adoptFromPeer(toChanges(copy, table.getReplica()), copy.isAfterOutage);
             }
         }
         catch (error) {
@@ -71,29 +80,36 @@
                     continue;
                 }
                 fetching.add(name);
+                const waitMs = table.noteNews() ? STORE_FIRST_MS : Math.random() * COPY_SPREAD_MS;
                 setTimeout(() => {
                     if (theirs <= table.getReplica().version) {
                         fetching.delete(name);
                         return;
                     }
                     void fetch(name, table, peer);
-                }, STORE_FIRST_MS);
+                }, waitMs);
             }
         },
         close: () => server.close(),
     };
 }
 
-function exportTable(table: TrackedTable): TableCopy {
+function exportTable(table: TrackedTable, after: number): TableCopy {
     const { rows, version } = table.getReplica();
     return {
         version,
         isAfterOutage: table.isAfterOutage(),
-        rows: [...rows.values()].map(row => [row.key, row.version, row.value?.toString("base64") ?? ""]),
+        keys: [...rows.keys()],
+        rows: [...rows.values()]
+            .filter(row => row.version > after)
+            .map(row => [row.key, row.version, row.value?.toString("base64") ?? ""]),
     };
 }
 
-const toChanges = (copy: TableCopy): TableChanges => ({
-    version: copy.version,
-    rows: copy.rows.map(([key, version, value]) => ({ key, version, value: Buffer.from(value, "base64") })),
-});
+/** Completes a copy with the rows that have not changed since the position of the own replica. */
+function toChanges(copy: TableCopy, replica: TableReplica): TableChanges {
+    const changed = copy.rows.map(([key, version, value]) => ({ key, version, value: Buffer.from(value, "base64") }));
+    const present = new Set(copy.keys);
+    const known = [...replica.rows.values()].filter(row => present.has(row.key));
+    return { version: copy.version, rows: [...new Map([...known, ...changed].map(row => [row.key, row])).values()] };
+}
--- a/packages/forwarding/src/peers/model/peerTable.ts
+++ b/packages/forwarding/src/peers/model/peerTable.ts
@@ -1,4 +1,5 @@
 /** The hosts that a host sends to, and when it heard them. */
+import type { FailureDomainId } from "@currantrill/protocol";
 import type { PeerState } from "./peerState.js";
 
 /** A peer that is not heard for this time takes no part in decisions. */
@@ -10,6 +11,9 @@
     heardAtMs: number;
     incarnation: number;
     sequence: number;
+    /** Unknown until the peer is heard. */
+    failureDomain: FailureDomainId | undefined;
+    hasLostStore: boolean;
 }
 
 export interface PeerTable {
@@ -18,6 +22,12 @@
     readonly accept: (state: PeerState, nowMs: number) => "stale" | "heard" | "known";
     readonly listAll: () => readonly string[];
     readonly listHeard: (nowMs: number) => readonly string[];
+    /** Peers that are heard and have news from the store, of one failure domain. */
+    readonly listWithStore: (domain: FailureDomainId, nowMs: number) => readonly string[];
+    /** Whether a peer belongs to a failure domain, or is not known well enough to say. */
+    readonly mayBeIn: (domain: FailureDomainId, address: string) => boolean;
+    /** Peers that are heard, of one failure domain. */
+    readonly listHeardIn: (domain: FailureDomainId, nowMs: number) => readonly string[];
     /** Forgets peers that have been silent for long, and returns them. */
     readonly forgetOld: (nowMs: number) => readonly string[];
 }
@@ -30,7 +40,13 @@
         add: (addresses, nowMs) => {
             for (const address of addresses) {
                 if (address !== ownAddress && !peers.has(address)) {
-                    peers.set(address, { heardAtMs: nowMs - SILENT_MS, incarnation: 0, sequence: 0 });
+                    peers.set(address, {
+                        heardAtMs: nowMs - SILENT_MS,
+                        incarnation: 0,
+                        sequence: 0,
+                        failureDomain: undefined,
+                        hasLostStore: false,
+                    });
                 }
             }
         },
@@ -43,12 +59,24 @@
             if (isStale) {
                 return "stale";
             }
-            const { incarnation, sequence } = state;
-            peers.set(state.address, { heardAtMs: nowMs, incarnation, sequence });
+            const { incarnation, sequence, failureDomain, hasLostStore } = state;
+            peers.set(state.address, { heardAtMs: nowMs, incarnation, sequence, failureDomain, hasLostStore });
             return known !== undefined && isHeard(known, nowMs) ? "known" : "heard";
         },
         listAll: () => [...peers.keys()],
         listHeard: nowMs => [...peers].filter(([, peer]) => isHeard(peer, nowMs)).map(([address]) => address),
+        listHeardIn: (domain, nowMs) =>
+            [...peers]
+                .filter(([, peer]) => peer.failureDomain === domain && isHeard(peer, nowMs))
+                .map(([address]) => address),
+        listWithStore: (domain, nowMs) =>
+            [...peers]
+                .filter(([, peer]) => peer.failureDomain === domain && !peer.hasLostStore && isHeard(peer, nowMs))
+                .map(([address]) => address),
+        mayBeIn: (domain, address) => {
+            const known = peers.get(address)?.failureDomain;
+            return known === undefined || known === domain;
+        },
         forgetOld: nowMs => {
             const old = [...peers].filter(([, peer]) => nowMs - peer.heardAtMs > FORGET_MS).map(([address]) => address);
             old.forEach(address => peers.delete(address));
--- a/packages/forwarding/src/ports/endpointProtocol.ts
+++ b/packages/forwarding/src/ports/endpointProtocol.ts
@@ -45,6 +45,12 @@
     readonly body?: string;
 }
 
+/** What an endpoint says of itself. */
+export interface EndpointReport {
+    /** Time of its work relative to the published figures; above 1 it is slow. */
+    readonly pace?: number;
+}
+
 export interface EndpointProtocol {
     /** Header names, in lower case, that only the host sets. They are removed from what callers send. */
     readonly ownHeaders: ReadonlySet<string>;
@@ -55,4 +61,6 @@
     buildRelease(reservationId: string): EndpointCall;
     /** Asks an endpoint for its state, which needs no slot. */
     buildReport(): EndpointCall;
+    /** Reads an answer to `buildReport`; one that cannot be read says nothing but that the endpoint answers. */
+    parseReport(body: Buffer): EndpointReport;
 }
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -1,13 +1,14 @@
 /** Keeps a replica up to date: a full read, then the feed; a full read again where the feed has a gap. */
 import type Logger from "bunyan";
 import type { TableChanges, TableRow, TableSource } from "../../ports/tableSource.js";
+import { createNewsSignal } from "../model/newsSignal.js";
+import { createOutage } from "../model/outage.js";
 import { adoptSnapshot, applyChanges, createTableReplica, type TableReplica } from "../model/tableReplica.js";
 
-/** Wait after a failed call to the store; grows up to the second value. */
-const RETRY_MIN_MS = 100;
-const RETRY_MAX_MS = 800;
 /** Time after an outage of the store in which rows that lapsed may return. */
 const LAPSE_MS = 2_300;
+/** Interval at which a host that copies from peers checks whether it has to follow the store itself. */
+const RELIEVED_CHECK_MS = 200;
 /** Wait after a read that was older than the replica. */
 const STALE_READ_WAIT_MS = 250;
 
@@ -16,9 +17,13 @@
     readonly source: TableSource;
     readonly log: Logger;
     /** Time of one wait on the feed. A connection that went silent is noticed after it and the source's own limit. */
-    readonly getWaitMs: () => number;
+    readonly waitMs: number;
+    /** Whether this host reads the feed itself; otherwise `adoptFromPeer` brings the changes. */
+    readonly shouldFollow: () => boolean;
+    /** Whether a host that does not follow the feed reads changes from the store, because copies between hosts are large. */
+    readonly prefersStore: boolean;
     /** Pause after changes, so that the next ones arrive together. */
-    readonly getGapMs: () => number;
+    readonly gapMs: number;
     /**
      * Called with changed rows. `afterOutage` is true for the first changes since the store was lost: rows that lapsed
      * meanwhile may return.
@@ -30,6 +35,10 @@
     readonly getReplica: () => TableReplica;
     /** Whether rows that lapsed in an outage of the store may still return. */
     readonly isAfterOutage: () => boolean;
+    /** Whether the last call to the store failed. */
+    readonly hasLostStore: () => boolean;
+    /** A peer knows of a later change. Returns whether the store is asked for it, or a copy of the peer is needed. */
+    readonly noteNews: () => boolean;
     /** Takes over a peer's copy if it is newer. `afterOutage` is what the peer says of itself. */
     readonly adoptFromPeer: (snapshot: TableChanges, afterOutage: boolean) => void;
     readonly stop: () => void;
@@ -41,6 +50,7 @@
     let replica = createTableReplica(table);
     let isStopped = false;
     let isSynced = false;
+    const news = createNewsSignal();
     const outage = createOutage(table, log);
     let lapsesUntilMs = -Infinity;
 
@@ -57,17 +67,18 @@
         // The replica may change while the read is under way.
         const snapshot = await source.readTable(table);
         const step = adoptSnapshot(replica, snapshot);
-        if (step === undefined) {
-            log.warn({ table, version: replica.version }, "replica: store read is older than what is known, ignored");
-            await sleep(STALE_READ_WAIT_MS);
+        if (step !== undefined) {
+            isSynced = true;
+            publish(step, outage.end(replica.version));
             return;
         }
-        isSynced = true;
-        publish(step, outage.end(replica.version));
+        log.warn({ table, version: replica.version }, "replica: store read is older than what is known, ignored");
+        await sleep(STALE_READ_WAIT_MS);
     };
+    const isRelieved = (): boolean => isSynced && outage.countFailures() === 0 && !options.shouldFollow();
     const readFeed = async (): Promise<void> => {
         // After a failure a call that returns at once tells soonest that the store is back.
-        const waitMs = outage.countFailures() > 0 ? 0 : options.getWaitMs();
+        const waitMs = outage.countFailures() > 0 || isRelieved() ? 0 : options.waitMs;
         const changes = await source.awaitChanges(table, replica.version, waitMs);
         if (changes === undefined) {
             log.warn({ table, version: replica.version }, "replica: history is gone, reading the whole table");
@@ -76,12 +87,16 @@
         }
         publish(applyChanges(replica, changes), outage.end(replica.version));
         if (changes.rows.length > 0) {
-            await sleep(options.getGapMs());
+            await sleep(options.gapMs);
         }
     };
     const run = async (): Promise<void> => {
         while (!isStopped) {
             try {
+                if (isRelieved() && !news.take()) {
+                    await news.wait(RELIEVED_CHECK_MS);
+                    continue;
+                }
                 await (isSynced ? readFeed() : readAll());
             }
             catch (error) {
@@ -94,11 +109,18 @@
     return {
         getReplica: () => replica,
         isAfterOutage: () => performance.now() < lapsesUntilMs,
+        noteNews: () => {
+            if (options.prefersStore) {
+                news.raise();
+            }
+            return !isRelieved() || options.prefersStore;
+        },
+        hasLostStore: () => outage.countFailures() > 0,
         adoptFromPeer: (snapshot, afterOutage) => {
-            const step = snapshot.version > replica.version ? adoptSnapshot(replica, snapshot) : undefined;
+            const { version } = snapshot;
+            const step = version > replica.version ? adoptSnapshot(replica, snapshot) : undefined;
             if (step !== undefined) {
-                const versions = { version: snapshot.version, from: replica.version };
-                log.info({ table, ...versions, afterOutage }, "replica: adopted from a peer");
+                log.info({ table, version, from: replica.version, afterOutage }, "replica: adopted from a peer");
                 publish(step, afterOutage);
             }
         },
@@ -108,35 +130,4 @@
     };
 }
 
-interface Outage {
-    readonly countFailures: () => number;
-    readonly getRetryWait: () => number;
-    readonly recordFailure: (error: unknown, version: number) => void;
-    /** Ends the outage, and returns whether there was one. */
-    readonly end: (version: number) => boolean;
-}
-
-/** Counts failures of the store in a row, and logs when it is lost and regained. */
-function createOutage(table: string, log: Logger): Outage {
-    let failures = 0;
-    return {
-        countFailures: () => failures,
-        getRetryWait: () => Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures) * (0.5 + Math.random() / 2),
-        recordFailure: (error, version) => {
-            failures += 1;
-            if (failures === 1) {
-                log.warn({ err: error, table, version }, "replica: store lost");
-            }
-        },
-        end: version => {
-            if (failures === 0) {
-                return false;
-            }
-            log.info({ table, version, failures }, "replica: store regained");
-            failures = 0;
-            return true;
-        },
-    };
-}
-
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -62,7 +62,7 @@
             refusalReason = mismatch;
             return false;
         }
-        endpoint.health = recordAnswer(endpoint.health);
+        endpoint.health = recordAnswer(endpoint.health, performance.now());
         if (facts.isNotExecuted || facts.isMisdirected) {
             recordRefusal(context, endpoint, facts);
             refusal = "not_run";
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -166,9 +166,9 @@
     }
     const { events } = run.progress;
     run.stallTimer = setTimeout(() => {
-        void checkEndpoint(run.plan.endpoint, run.context.protocol).then(isAlive => {
+        void checkEndpoint(run.plan.endpoint, run.context.protocol).then(report => {
             if (!run.isSettled && run.progress.events === events) {
-                handleStall(run, limits, isAlive);
+                handleStall(run, limits, report !== undefined);
             }
         });
     }, limits.askAfterMs);
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -7,6 +7,7 @@
 import { choosePlacement, type Placement } from "../../placement/queries/choosePlacement.js";
 import { chooseServer } from "../../placement/queries/chooseServer.js";
 import { estimateReadMs } from "../../placement/queries/estimateEngine.js";
+import { selectCandidates } from "../../placement/queries/selectCandidates.js";
 import { type HeldParts, reserveParts } from "../../reservations/commands/reserveParts.js";
 import type { Exchange } from "../model/exchange.js";
 import { listLoads, type LoadOfEndpoint } from "../queries/listLoads.js";
@@ -87,9 +88,12 @@
     const refusing = new Set<EndpointLoad["id"]>();
     for (let attempt = 1;; attempt += 1) {
         const nowMs = performance.now();
-        const loads = listLoads(context, exchange.service.name, nowMs)
-            .filter(load => !tried.has(load.endpoint) && !refusing.has(load.id));
-        const placement = planStream(context, exchange, loads, nowMs);
+        const all = listLoads(context, exchange.service.name, nowMs);
+        const candidates = context.isSmallFleet() ? all : selectCandidates(all, context.directory.ownDomain);
+        const isUntried = (load: LoadOfEndpoint): boolean => !tried.has(load.endpoint) && !refusing.has(load.id);
+        const loads = all.filter(isUntried);
+        const placement = planStream(context, exchange, candidates.filter(isUntried), nowMs)
+            ?? planStream(context, exchange, loads, nowMs);
         const endpoint = loads.find(load => load.id === placement?.first.id)?.endpoint;
         if (placement === undefined || endpoint === undefined) {
             return undefined;
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -47,6 +47,7 @@
     buildReservation: order => ({ method: "POST", path: "/reserve", body: JSON.stringify(order) }),
     buildRelease: id => ({ method: "POST", path: "/release", body: JSON.stringify({ id }) }),
     buildReport: () => ({ method: "GET", path: "/report" }),
+    parseReport: body => JSON.parse(body.toString()) as { pace?: number; },
 };
 
 export interface TestStore extends TableSource {
--- a/packages/forwarding/tests/peers/model/peerTable.test.ts
+++ b/packages/forwarding/tests/peers/model/peerTable.test.ts
@@ -1,14 +1,20 @@
+import { toFailureDomainId } from "@currantrill/protocol";
 import { describe, expect, it } from "vitest";
+import type { PeerState } from "../../../src/peers/model/peerState.js";
 import { createPeerTable } from "../../../src/peers/model/peerTable.js";
 
-const createState = (address: string, incarnation: number, sequence: number) => ({
+const createState = (address: string, incarnation: number, sequence: number, changes: Partial<PeerState> = {}) => ({
     address,
     incarnation,
     sequence,
+    failureDomain: toFailureDomainId("north"),
     isLeaving: false,
+    hasLostStore: false,
+    sightings: [],
     changedAt: {},
     hosts: [],
     bookings: [],
+    ...changes,
 });
 
 describe("createPeerTable", () => {
@@ -41,4 +47,17 @@
         expect(table.forgetOld(70_000)).toEqual(["b:1"]);
         expect(table.listAll()).toEqual([]);
     });
+    // Guards against hosts that all leave the store to one that has lost it, or to one of a domain that is cut off.
+    it("lists the peers of a failure domain, and those that have the store", () => {
+        const table = createPeerTable("a:1");
+        const north = toFailureDomainId("north");
+        table.accept(createState("b:1", 1, 1), 0);
+        table.accept(createState("c:1", 1, 1, { hasLostStore: true }), 0);
+        table.accept(createState("d:1", 1, 1, { failureDomain: toFailureDomainId("south") }), 0);
+        table.add(["e:1"], 0);
+        expect(table.listHeardIn(north, 100)).toEqual(["b:1", "c:1"]);
+        expect(table.listWithStore(north, 100)).toEqual(["b:1"]);
+        expect(table.listWithStore(north, 3_000)).toEqual([]);
+        expect(["b:1", "d:1", "e:1"].map(address => table.mayBeIn(north, address))).toEqual([true, false, true]);
+    });
 });
--- a/packages/forwarding/tests/peers/queries/peerStateCodec.test.ts
+++ b/packages/forwarding/tests/peers/queries/peerStateCodec.test.ts
@@ -1,3 +1,4 @@
+import { toFailureDomainId } from "@currantrill/protocol";
 import { Packr } from "msgpackr";
 import { describe, expect, it } from "vitest";
 import { decodePeerState, encodePeerState } from "../../../src/peers/queries/peerStateCodec.js";
@@ -7,7 +8,13 @@
     address: "10.0.0.1:7000",
     incarnation: 5,
     sequence: 9,
+    failureDomain: toFailureDomainId("north"),
     isLeaving: false,
+    hasLostStore: true,
+    sightings: [
+        { endpointId: "e1", isSilent: true, failures: 2.5 },
+        { endpointId: "e2", isSilent: false, failures: 0, pace: 4 },
+    ],
     changedAt: { configuration: 12 },
     hosts: ["10.0.0.2:7000"],
 };
--- a/packages/forwarding/tests/replicas/commands/trackTable.test.ts
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -1,7 +1,7 @@
 import bunyan from "bunyan";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import type { TableChanges, TableRow, TableSource } from "../../../src/ports/tableSource.js";
-import { type TrackedTable, trackTable } from "../../../src/replicas/commands/trackTable.js";
+import { type TrackedTable, trackTable, type TrackTableOptions } from "../../../src/replicas/commands/trackTable.js";
 
 const log = bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 });
 const put = (key: string, version: number): TableRow => ({ key, version, value: Buffer.from(key) });
@@ -22,7 +22,7 @@
 function startTracking(
     snapshots: readonly (TableChanges | "failed")[],
     feed: readonly FeedAnswer[],
-    gapMs = 0,
+    options: Partial<Pick<TrackTableOptions, "gapMs" | "shouldFollow" | "prefersStore">> = {},
 ): Tracked {
     let reads = 0;
     const waits: number[] = [];
@@ -49,8 +49,11 @@
         table: "t",
         source,
         log,
-        getWaitMs: () => 2_500,
-        getGapMs: () => gapMs,
+        waitMs: 2_500,
+        gapMs: 0,
+        shouldFollow: () => true,
+        prefersStore: true,
+        ...options,
         onChange: (changed, afterOutage) => changes.push({ keys: changed.map(row => row.key), afterOutage }),
     });
     running = table;
@@ -69,7 +72,9 @@
     });
     // Guards against a call of each host for each of many changes in a large fleet.
     it("pauses after changes", async () => {
-        const { waits } = startTracking([{ version: 5, rows: [] }], [{ version: 7, rows: [put("b", 7)] }], 150);
+        const { waits } = startTracking([{ version: 5, rows: [] }], [{ version: 7, rows: [put("b", 7)] }], {
+            gapMs: 150,
+        });
         await vi.waitFor(() => expect(waits).toHaveLength(1));
         await new Promise(resolve => setTimeout(resolve, 50));
         expect(waits).toHaveLength(1);
@@ -118,8 +123,10 @@
                 putRow: () => Promise.resolve(),
             },
             log,
-            getWaitMs: () => 2_500,
-            getGapMs: () => 0,
+            waitMs: 2_500,
+            gapMs: 0,
+            shouldFollow: () => true,
+            prefersStore: true,
             onChange: changed => changes.push(changed.map(row => `${row.key}@${row.version}`)),
         });
         running = table;
@@ -139,4 +146,37 @@
         table.adoptFromPeer({ version: 8, rows: [] }, afterOutage);
         expect(changes.at(-1)).toEqual({ keys: ["a"], afterOutage });
     });
+    // Guards against idle calls of every host of a large fleet.
+    it("leaves the feed to other hosts after the first read", async () => {
+        const { changes, waits, table } = startTracking([{ version: 5, rows: [put("a", 2)] }], [], {
+            shouldFollow: () => false,
+            prefersStore: false,
+        });
+        await vi.waitFor(() => expect(changes).toHaveLength(1));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(table.noteNews()).toBe(false);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(waits).toEqual([]);
+    });
+    // Guards against copies of large rows over the small links of hosts.
+    it("reads a change that a peer knows from the store, without waiting there", async () => {
+        const { changes, waits, table } = startTracking([{ version: 5, rows: [put("a", 2)] }], [
+            { version: 7, rows: [put("b", 7)] },
+        ], { shouldFollow: () => false });
+        await vi.waitFor(() => expect(changes).toHaveLength(1));
+        expect(table.noteNews()).toBe(true);
+        await vi.waitFor(() => expect(changes).toHaveLength(2));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(waits).toEqual([0]);
+    });
+    // Guards against a host without news from anyone, because those that followed the store have gone.
+    it("follows the feed once it has to", async () => {
+        let isFollowing = false;
+        const { changes, waits } = startTracking([{ version: 5, rows: [put("a", 2)] }], [], {
+            shouldFollow: () => isFollowing,
+        });
+        await vi.waitFor(() => expect(changes).toHaveLength(1));
+        isFollowing = true;
+        await vi.waitFor(() => expect(waits).toEqual([2_500]));
+    });
 });
