--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -124,9 +124,7 @@
                 publish(step, afterOutage);
             }
         },
-        stop: () => {
-            isStopped = true;
-        },
+        stop: () => void (isStopped = true),
     };
 }
 
