--- a/packages/forwarding/src/placement/queries/choosePlacement.ts
+++ b/packages/forwarding/src/placement/queries/choosePlacement.ts
@@ -13,6 +13,8 @@
     readonly parts: readonly PlacedPart[];
     /** Expected time to the first event. */
     readonly firstEventMs: number;
+    /** Expected time until the prompts on the first endpoint have been read. */
+    readonly backlogMs: number;
     readonly cost: number;
 }
 
@@ -71,7 +73,8 @@
         return undefined;
     }
     if (count === 1) {
-        return { first: first.load, parts: [], firstEventMs: first.firstEventMs, cost: first.cost };
+        const { load, firstEventMs, backlogMs, cost } = first;
+        return { first: load, parts: [], firstEventMs, backlogMs, cost };
     }
     const helpers = loads
         .filter(load => load !== first.load && !load.isSilent)
@@ -95,6 +98,7 @@
         first: first.load,
         parts: helpers.map(helper => ({ load: helper.load, reserveTokens: partTokens })),
         firstEventMs: Math.max(first.firstEventMs, ...helpers.map(helper => helper.firstEventMs)),
+        backlogMs: first.backlogMs,
         cost: helpers.reduce((sum, helper) => sum + helper.cost + view.weights.partCost, first.cost),
     };
 }
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -34,6 +34,8 @@
     readonly cost: number;
     /** Expected time until the prompt or the part has been read, and the first event where it is written here. */
     readonly firstEventMs: number;
+    /** Expected time until the prompts that are known to be there have been read. */
+    readonly backlogMs: number;
     readonly freeTokens: number;
 }
 
@@ -92,7 +94,7 @@
         + weights.biasCost * load.bias
         + weights.waitCost * firstEventMs / Math.max(1, need.targetMs)
         + (isBusy || readMs >= weights.longReadMs ? 0 : weights.idleCost);
-    return { load, cost, firstEventMs, freeTokens };
+    return { load, cost, firstEventMs, backlogMs, freeTokens };
 }
 
 /** Additional risk of the prompts that wait on the endpoint, if a part is read ahead of them. */
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { recordFailure, recordSilence } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
+import type { Placement } from "../../placement/queries/choosePlacement.js";
 import type { PromptPart } from "../../ports/endpointProtocol.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
@@ -49,8 +50,7 @@
     readonly endpoint: Endpoint;
     /** No other endpoint may be tried, so the attempt goes on as long as there is time. */
     readonly isLast: boolean;
-    readonly expectedMs: number;
-    readonly cost: number;
+    readonly placement?: Placement;
     readonly parts: readonly PromptPart[];
     readonly onFirstEvent: () => void;
 }
@@ -123,7 +123,7 @@
                     wasSent: run.record.wasSent,
                 }),
         });
-        watchStall(run, getFirstEventLimits(plan.expectedMs));
+        watchStall(run, getFirstEventLimits(plan.placement?.firstEventMs ?? 0));
     });
 }
 
@@ -131,8 +131,7 @@
     const record: AttemptRecord = {
         endpoint: plan.endpoint.entry.id,
         sentAfterMs: Math.round(performance.now() - exchange.startedAtMs),
-        expectedMs: Math.round(plan.expectedMs),
-        cost: Number(plan.cost.toFixed(2)),
+        ...describePlacement(plan.placement),
         ...(plan.parts.length === 0 ? {} : { parts: plan.parts.map(part => part.address) }),
         outcome: "pending",
         wasSent: false,
@@ -141,6 +140,15 @@
     return record;
 }
 
+/** What placement expected, and of how much work on the endpoint it knew. */
+const describePlacement = (placement: Placement | undefined): Partial<AttemptRecord> =>
+    placement === undefined ? {} : {
+        expectedMs: Math.round(placement.firstEventMs),
+        backlogMs: Math.round(placement.backlogMs),
+        booked: placement.first.bookings.length,
+        cost: Number(placement.cost.toFixed(2)),
+    };
+
 function finishRun(run: StreamRun, end: StreamEnd): void {
     if (run.isSettled) {
         return;
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -133,7 +133,7 @@
     const { ownDomain } = context.directory;
     if (engine === undefined) {
         const first = chooseServer(loads, ownDomain, Math.random());
-        return first === undefined ? undefined : { first, parts: [], firstEventMs: 0, cost: 0 };
+        return first === undefined ? undefined : { first, parts: [], firstEventMs: 0, backlogMs: 0, cost: 0 };
     }
     return choosePlacement({ engine, ownDomain, nowMs, weights: defaultPlacementWeights }, loads, {
         promptTokens: exchange.facts.promptTokens ?? DEFAULT_PROMPT_TOKENS,
@@ -156,8 +156,7 @@
         return await runStreamAttempt(context, exchange, progress, {
             endpoint: chosen.endpoint,
             isLast,
-            expectedMs: chosen.placement?.firstEventMs ?? 0,
-            cost: chosen.placement?.cost ?? 0,
+            ...(chosen.placement === undefined ? {} : { placement: chosen.placement }),
             parts: (chosen.placement?.parts ?? []).map(part => {
                 const held = chosen.held?.reservations.find(each => each.endpoint.entry.id === part.load.id);
                 return { address: part.load.address, ...(held === undefined ? {} : { reservationId: held.id }) };
--- a/packages/forwarding/src/requests/model/attemptRecord.ts
+++ b/packages/forwarding/src/requests/model/attemptRecord.ts
@@ -16,6 +16,10 @@
     readonly sentAfterMs: number;
     /** Expected time to the first event. */
     readonly expectedMs?: number;
+    /** Part of it until the prompts that the host knew of on the endpoint have been read. */
+    readonly backlogMs?: number;
+    /** Number of bookings on the endpoint that the host knew of. */
+    readonly booked?: number;
     readonly cost?: number;
     readonly parts?: readonly string[];
     firstAfterMs?: number;
