Replay the reading on an endpoint: the latest part is read first

So a part is read ahead of all that is there, also of earlier parts; the estimate and the engine model read parts in the order of arrival.

Change: replayReading replays an endpoint's reading from the bookings, which now carry the number of parts. A part waits for the pass alone, and the risk of all that it delays counts, also of parts of other prompts, by the size of the whole prompt. The engine model reads the latest part first. Weights: safeShare 0.9, lateCost 1.5; costs of silence and failures doubled with it.

--- a/packages/forwarding/src/peers/queries/peerStateCodec.ts
+++ b/packages/forwarding/src/peers/queries/peerStateCodec.ts
@@ -14,6 +14,7 @@
     endpointId: string,
     memoryTokens: number,
     readTokens: number,
+    parts: number,
     readMs: number,
     targetMs: number,
     targetPauseMs: number,
@@ -35,6 +36,7 @@
         booking.endpointId,
         booking.memoryTokens,
         booking.readTokens,
+        booking.parts,
         Math.round(booking.readMs),
         Math.round(booking.targetMs),
         booking.targetPauseMs,
@@ -99,21 +101,39 @@
             failures,
             ...(pace === null ? {} : { pace }),
         })),
-        bookings: rows.map((row): Booking => ({
-            id: row[0],
-            endpointId: row[1],
-            memoryTokens: row[2],
-            readTokens: row[3],
-            readMs: row[4],
-            targetMs: row[5],
-            targetPauseMs: row[6],
-            isPart: row[7],
-            startedAtMs: nowMs - row[8],
-            ...(row[9] === null ? {} : { readAtMs: nowMs - row[9] }),
-        })),
+        bookings: rows.map(decodeBooking(nowMs)),
     };
 }
 
+const decodeBooking = (nowMs: number) => (row: BookingRow): Booking => {
+    const [
+        id,
+        endpointId,
+        memoryTokens,
+        readTokens,
+        parts,
+        readMs,
+        targetMs,
+        targetPauseMs,
+        isPart,
+        startedAge,
+        readAge,
+    ] = row;
+    return {
+        id,
+        endpointId,
+        memoryTokens,
+        readTokens,
+        parts,
+        readMs,
+        targetMs,
+        targetPauseMs,
+        isPart,
+        startedAtMs: nowMs - startedAge,
+        ...(readAge === null ? {} : { readAtMs: nowMs - readAge }),
+    };
+};
+
 function decodeArray(data: Buffer): readonly unknown[] | undefined {
     try {
         const value: unknown = packr.unpack(data);
--- a/packages/forwarding/src/placement/model/booking.ts
+++ b/packages/forwarding/src/placement/model/booking.ts
@@ -7,6 +7,8 @@
     readonly memoryTokens: number;
     /** Prompt tokens that are read there. */
     readonly readTokens: number;
+    /** Endpoints that read the prompt in even parts, 1 for a whole prompt. */
+    readonly parts: number;
     /** Time to read them on an idle endpoint with the published figures. */
     readonly readMs: number;
     /** Time from the start until its first event is late. */
--- a/packages/forwarding/src/placement/model/placementWeights.ts
+++ b/packages/forwarding/src/placement/model/placementWeights.ts
@@ -1,4 +1,4 @@
-/** Weights by which placement compares endpoints. Costs are in units of a short request that is served late. */
+/** Weights by which placement compares endpoints. Costs are relative to each other. */
 export interface PlacementWeights {
     /** Prompt tokens that add one unit to a request's weight; the worth of a request grows with its prompt. */
     readonly tokensPerWeight: number;
@@ -36,14 +36,14 @@
 /** From rounds on the two first deployments; `npm run placement` compares others. */
 export const defaultPlacementWeights: PlacementWeights = {
     tokensPerWeight: 20_000,
-    safeShare: 0.8,
+    safeShare: 0.9,
     missShare: 1.1,
-    lateCost: 0.75,
+    lateCost: 1.5,
     evictionCost: 2,
     fullSlotsCost: 1.5,
-    silentCost: 10,
-    silentDomainCost: 1.5,
-    costPerFailure: 0.5,
+    silentCost: 20,
+    silentDomainCost: 3,
+    costPerFailure: 1,
     otherDomainCost: 0.04,
     crossPartCost: 0.1,
     biasCost: 0.05,
--- a/packages/forwarding/src/placement/queries/choosePlacement.ts
+++ b/packages/forwarding/src/placement/queries/choosePlacement.ts
@@ -1,6 +1,13 @@
 /** Chooses the endpoint of a prompt, and further ones that read parts of it. */
 import type { EndpointLoad } from "../model/endpointLoad.js";
-import { type EndpointScore, type PlacementView, type PromptNeed, scoreEndpoint } from "./scoreEndpoint.js";
+import { replayReading } from "./replayReading.js";
+import {
+    type EndpointScore,
+    type PlacementView,
+    type PromptNeed,
+    scoreEndpoint,
+    type ScoreView,
+} from "./scoreEndpoint.js";
 
 export interface PlacedPart {
     readonly load: EndpointLoad;
@@ -29,10 +36,11 @@
     loads: readonly EndpointLoad[],
     need: PromptNeed,
 ): Placement | undefined {
+    const scoreView = { ...view, unread: new Map(loads.map(load => [load, replayReading(load, view.nowMs)])) };
     const readMs = need.promptTokens / view.engine.readTokensPerMs;
     const counts = readMs < view.weights.minReadToSplitMs ? [1] : PART_COUNTS.filter(count => count <= loads.length);
     return counts
-        .map(count => planParts(view, loads, need, count))
+        .map(count => planParts(scoreView, loads, need, count))
         .filter(placement => placement !== undefined)
         .reduce<Placement | undefined>(
             (best, placement) => best === undefined || placement.cost < best.cost ? placement : best,
@@ -42,7 +50,7 @@
 
 /** Scores an endpoint for a part of a prompt that is written at `first`. */
 function scorePart(
-    view: PlacementView,
+    view: ScoreView,
     first: EndpointLoad,
     load: EndpointLoad,
     need: PromptNeed,
@@ -58,7 +66,7 @@
     a.cost - b.cost || (a.load.id < b.load.id ? -1 : 1);
 
 function planParts(
-    view: PlacementView,
+    view: ScoreView,
     loads: readonly EndpointLoad[],
     need: PromptNeed,
     count: number,
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -4,7 +4,6 @@
 import type { EndpointLoad } from "../model/endpointLoad.js";
 import type { PlacementWeights } from "../model/placementWeights.js";
 import {
-    estimateBacklogMs,
     estimateLongestReadMs,
     estimatePassMs,
     estimateReadMs,
@@ -12,6 +11,7 @@
     getFreeTokens,
     listWriters,
 } from "./estimateEngine.js";
+import { estimateBacklogMs, type Unread } from "./replayReading.js";
 
 /** A prompt that is to be placed. */
 export interface PromptNeed {
@@ -29,6 +29,11 @@
     readonly nowMs: number;
 }
 
+/** A view with what is left to read on each endpoint. */
+export interface ScoreView extends PlacementView {
+    readonly unread: ReadonlyMap<EndpointLoad, readonly Unread[]>;
+}
+
 export interface EndpointScore {
     readonly load: EndpointLoad;
     readonly cost: number;
@@ -51,7 +56,7 @@
 
 /** Scores an endpoint for a prompt that is read in `parts` even parts. `isPart` is a part whose answer is written elsewhere. */
 export function scoreEndpoint(
-    view: PlacementView,
+    view: ScoreView,
     load: EndpointLoad,
     need: PromptNeed,
     parts: number,
@@ -62,23 +67,28 @@
     const writers = listWriters(load);
     const readMs = estimateReadMs(engine, need.promptTokens, parts) * load.pace;
     const readTokens = need.promptTokens / parts;
-    const backlogMs = estimateBacklogMs(load, nowMs, isPart);
+    const unread = view.unread.get(load) ?? [];
+    const allUnreadMs = estimateBacklogMs(unread);
+    const isJoint = parts > 1;
+    // A part is read ahead of what is there, once the pass has ended.
+    const backlogMs = isJoint ? 0 : allUnreadMs;
     const passMs = estimatePassMs(engine, load, writers);
-    const waitMs = backlogMs + (writers.length > 0 ? passMs / 2 : 0);
+    const readInPassMs = Math.min(allUnreadMs, estimateLongestReadMs(engine));
+    const waitMs = backlogMs + (writers.length > 0 ? (passMs + (isJoint ? readInPassMs : 0)) / 2 : 0);
     // An engine without writers gives the first token as soon as the prompt has been read.
     const ownPassMs = isPart || writers.length === 0 ? 0 : passMs + engine.stepsPerPass * engine.stepPerWriterMs;
     const firstEventMs = waitMs + readMs + ownPassMs;
     const readPerPassMs = estimateReadPerPassMs(engine, readTokens, readMs);
-    const pauseMs = passMs + Math.min(readPerPassMs + backlogMs, estimateLongestReadMs(engine));
+    const pauseMs = passMs + Math.min(readPerPassMs + allUnreadMs, estimateLongestReadMs(engine));
     // Prompts that are still being read will be writing when this one is read.
     const disturbed = load.bookings
         .filter(booking => !booking.isPart)
         .reduce(
-            (sum, { memoryTokens, targetPauseMs }) =>
-                sum + weighPrompt(weights, memoryTokens) * estimateMiss(weights, pauseMs, targetPauseMs),
+            (sum, { readTokens: tokens, parts: count, targetPauseMs }) =>
+                sum + weighPrompt(weights, tokens * count) * estimateMiss(weights, pauseMs, targetPauseMs),
             0,
         );
-    const delayed = isPart ? estimateDelayOfReaders(weights, load, readMs, nowMs) : 0;
+    const delayed = isJoint ? estimateDelayOfReaders(weights, unread, readMs, nowMs) : 0;
     const freeTokens = getFreeTokens(engine, load);
     const neededTokens = readTokens + (isPart ? 0 : need.answerTokens);
     const isBusy = load.bookings.length > 0;
@@ -97,15 +107,21 @@
     return { load, cost, firstEventMs, backlogMs, freeTokens };
 }
 
-/** Additional risk of the prompts that wait on the endpoint, if a part is read ahead of them. */
-function estimateDelayOfReaders(weights: PlacementWeights, load: EndpointLoad, readMs: number, nowMs: number): number {
-    const waitMs = estimateBacklogMs(load, nowMs);
-    return load.bookings
-        .filter(booking => booking.readAtMs === undefined && !booking.isPart)
-        .reduce((sum, booking) => {
-            const firstEventMs = nowMs + waitMs - booking.startedAtMs;
-            const before = estimateMiss(weights, firstEventMs, booking.targetMs);
-            const after = estimateMiss(weights, firstEventMs + readMs, booking.targetMs);
-            return sum + weighPrompt(weights, booking.readTokens) * (after - before);
-        }, 0);
+/** Additional risk of the prompts on an endpoint that have not been read, if a part is read ahead of them. */
+function estimateDelayOfReaders(
+    weights: PlacementWeights,
+    unread: readonly Unread[],
+    readMs: number,
+    nowMs: number,
+): number {
+    let endMs = nowMs;
+    let risk = 0;
+    for (const { booking, leftMs } of unread) {
+        endMs += leftMs;
+        const firstEventMs = endMs - booking.startedAtMs;
+        const before = estimateMiss(weights, firstEventMs, booking.targetMs);
+        const after = estimateMiss(weights, firstEventMs + readMs, booking.targetMs);
+        risk += weighPrompt(weights, booking.readTokens * booking.parts) * (after - before);
+    }
+    return risk;
 }
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -106,6 +106,7 @@
             endpointId: endpoint.entry.id,
             memoryTokens: 0,
             readTokens: 0,
+            parts: 1,
             readMs: 0,
             targetMs: exchange.route.targetMs,
             targetPauseMs: 0,
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -181,6 +181,7 @@
     const answerTokens = exchange.facts.answerTokens ?? engine?.usualAnswerTokens ?? 0;
     const common = {
         readTokens: Math.ceil(promptTokens / count),
+        parts: count,
         readMs,
         targetMs: exchange.route.targetMs - (nowMs - exchange.startedAtMs),
         targetPauseMs: exchange.route.targetPauseMs,
--- a/packages/forwarding/tests/engineFixture.ts
+++ b/packages/forwarding/tests/engineFixture.ts
@@ -38,6 +38,7 @@
     id: 1,
     endpointId: "1",
     memoryTokens: 6_000,
+    parts: 1,
     readTokens: 5_000,
     readMs: 25,
     targetMs: 300,
--- a/packages/measure/src/placement/commands/runFleet.ts
+++ b/packages/measure/src/placement/commands/runFleet.ts
@@ -250,6 +250,7 @@
             endpointId,
             memoryTokens,
             readTokens: Math.ceil(run.need.promptTokens / parts),
+            parts,
             readMs: estimateReadMs(workload.engine, run.need.promptTokens, parts),
             targetMs: run.kind.targetMs,
             targetPauseMs: run.kind.targetPauseMs,
--- a/packages/measure/src/placement/model/engineModel.ts
+++ b/packages/measure/src/placement/model/engineModel.ts
@@ -106,7 +106,10 @@
     };
 }
 
-/** Reads up to a number of tokens, parts first, and returns the time it takes and what was finished. */
+/**
+ * Reads up to a number of tokens: parts ahead of everything that came before them, then whole prompts in the order of
+ * their arrival. Returns the time it takes and what was finished.
+ */
 function readChunk(
     engine: EngineProfile,
     running: readonly Running[],
@@ -115,7 +118,8 @@
     let left = tokens;
     let ms = 0;
     const finished: Running[] = [];
-    const readers = [...running.filter(work => work.isPart), ...running.filter(work => !work.isPart)];
+    const joint = running.filter(work => work.parts > 1).reverse();
+    const readers = [...joint, ...running.filter(work => work.parts === 1)];
     for (const work of readers.filter(reader => reader.tokensLeft > 0)) {
         const taken = Math.min(left, work.tokensLeft);
         ms += taken / engine.readTokensPerMs + readPairs(engine, work, taken);
