--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -136,6 +136,7 @@
         seeds: settings.seeds,
         ledger,
         log,
+        findDomain: id => directory.get(id)?.entry.failureDomain,
         getChangedAt: relay.getChangedAt,
         getSightings: () => listSightings(directory, performance.now()),
         hasLostStore: () => [...shared.values()].some(table => table.hasLostStore()),
--- a/packages/forwarding/src/peers/commands/startPeers.ts
+++ b/packages/forwarding/src/peers/commands/startPeers.ts
@@ -34,6 +34,8 @@
     readonly getChangedAt: () => Readonly<Record<string, number>>;
     readonly getSightings: () => readonly EndpointSighting[];
     readonly hasLostStore: () => boolean;
+    /** Failure domain of an endpoint, `undefined` if it is not known any more. */
+    readonly findDomain: (endpointId: string) => FailureDomainId | undefined;
     /** Called for each state that is newer than the last one of its host. */
     readonly onState: (state: PeerState) => void;
     readonly onDatagram: (direction: "sent" | "received") => void;
@@ -71,9 +73,13 @@
         send(fleet.listHeard(), listed);
         send([], targets.filter(peer => !listed.includes(peer)));
     };
-    const batch = createBatchTimer(() => send([], fleet.listNear()));
+    const listNear = (): readonly string[] => {
+        const domains = ledger.listOwn().map(booking => options.findDomain(booking.endpointId));
+        return fleet.listNear(new Set(domains.filter(domain => domain !== undefined)));
+    };
+    const batch = createBatchTimer(() => send([], listNear()));
     const announce = (change: LedgerChange): void => {
-        const batchMs = Math.min(MAX_BATCH_MS, BATCH_MS_PER_PEER * fleet.listNear().length);
+        const batchMs = Math.min(MAX_BATCH_MS, BATCH_MS_PER_PEER * listNear().length);
         batch.schedule(change === "urgent" ? Math.min(URGENT_BATCH_MS, batchMs) : batchMs);
     };
     const receive = (data: Buffer): void => {
--- a/packages/forwarding/src/peers/model/fleetView.ts
+++ b/packages/forwarding/src/peers/model/fleetView.ts
@@ -14,8 +14,8 @@
     readonly listHeard: () => readonly string[];
     /** Whether all hosts tell each other their work at once, also over the borders of failure domains. */
     readonly isSmallFleet: () => boolean;
-    /** Hosts that are told at once. */
-    readonly listNear: () => readonly string[];
+    /** Hosts that are told at once: those of the own failure domain, and of others in which this host has work. */
+    readonly listNear: (workDomains: ReadonlySet<FailureDomainId>) => readonly string[];
     /** Hosts that a heartbeat is sent to, heard or not. */
     readonly listTargets: (isForAll: boolean) => readonly string[];
     /** Whether this host is to follow the store itself, instead of copying from peers of its failure domain. */
@@ -27,18 +27,19 @@
 /** Creates the view of the host with an address. */
 export function createFleetView(table: PeerTable, address: string, failureDomain: FailureDomainId): FleetView {
     const listHeard = (): readonly string[] => table.listHeard(performance.now());
-    const listHeardNear = (): readonly string[] => table.listHeardIn(failureDomain, performance.now());
+    const listHeardIn = (domain: FailureDomainId): readonly string[] => table.listHeardIn(domain, performance.now());
     const isSmallFleet = (): boolean => listHeard().length < MAX_HOSTS_TOLD_AT_ONCE;
     return {
         listHeard,
         isSmallFleet,
-        listNear: () => isSmallFleet() ? listHeard() : listHeardNear(),
+        listNear: workDomains =>
+            isSmallFleet() ? listHeard() : [...new Set([failureDomain, ...workDomains])].flatMap(listHeardIn),
         listTargets: isForAll =>
             table.listAll().filter(peer => isForAll || isSmallFleet() || table.mayBeIn(failureDomain, peer)),
         shouldFollowStore: () => {
             const before = table.listWithStore(failureDomain, performance.now()).filter(peer => peer < address);
             return isSmallFleet() || before.length < STORE_FOLLOWERS;
         },
-        listOwnDomain: () => [address, ...listHeardNear()].sort(),
+        listOwnDomain: () => [address, ...listHeardIn(failureDomain)].sort(),
     };
 }
--- a/packages/forwarding/tests/peers/model/fleetView.test.ts
+++ b/packages/forwarding/tests/peers/model/fleetView.test.ts
@@ -35,17 +35,23 @@
     it("tells all hosts of a small fleet at once, and has each follow the store", () => {
         const fleet = createFleet(3, "n3");
         expect(fleet.isSmallFleet()).toBe(true);
-        expect(fleet.listNear()).toHaveLength(5);
+        expect(fleet.listNear(new Set())).toHaveLength(5);
         expect(fleet.shouldFollowStore()).toBe(true);
     });
     it("tells the own domain of a large fleet at once", () => {
         const fleet = createFleet(9, "n3");
         expect(fleet.isSmallFleet()).toBe(false);
-        expect(fleet.listNear()).toHaveLength(8);
+        expect(fleet.listNear(new Set())).toHaveLength(8);
         expect(fleet.listTargets(false)).toHaveLength(8);
         expect(fleet.listTargets(true)).toHaveLength(17);
         expect(fleet.listOwnDomain()).toHaveLength(9);
     });
+    // Guards against hosts that place on endpoints of their domain on which a host of another domain has work.
+    it("tells another domain at once in which the host has work", () => {
+        const near = createFleet(9, "n3").listNear(new Set([south, north]));
+        expect(near).toHaveLength(17);
+        expect(new Set(near).size).toBe(17);
+    });
     // Guards against a failure domain in which no host follows the store.
     it.each([
         { own: "n1", lost: [], expected: true },
