Read several versions at once on hosts that do not follow the store

Change: a host that does not follow the store pauses for 500 ms after a change, and a peer's copy is taken only after 800 ms where the host has the store, at once (within 60 ms) where it has lost it; before, it waited there too. A change is in force within about a second (500 ms until the next message of a host that follows, 500 ms of pause). Tests in trackTable.test.ts.

--- a/packages/forwarding/src/peers/commands/relayTables.ts
+++ b/packages/forwarding/src/peers/commands/relayTables.ts
@@ -5,8 +5,8 @@
 import type { TrackedTable } from "../../replicas/commands/trackTable.js";
 import type { TableReplica } from "../../replicas/model/tableReplica.js";
 
-/** Time in which a host usually hears of a change from the store itself. */
-const STORE_FIRST_MS = 250;
+/** Time in which a host that has the store hears of a change from it, with the pause after an earlier change. */
+const STORE_FIRST_MS = 800;
 const FETCH_TIMEOUT_MS = 800;
 
 /** Hosts that copy from peers do so within this time after the news, so that not all ask the same peer at once. */
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -9,6 +9,8 @@
 const LAPSE_MS = 2_300;
 /** Interval at which a host that copies from peers checks whether it has to follow the store itself. */
 const RELIEVED_CHECK_MS = 200;
+/** Pause of such a host after a change: all hosts of a large fleet read each change, and one is in force in 2 s. */
+const RELIEVED_GAP_MS = 500;
 /** Wait after a read that was older than the replica. */
 const STALE_READ_WAIT_MS = 250;
 
@@ -87,7 +89,7 @@
         }
         publish(applyChanges(replica, changes), outage.end(replica.version));
         if (changes.rows.length > 0) {
-            await sleep(options.gapMs);
+            await sleep(isRelieved() ? RELIEVED_GAP_MS : options.gapMs);
         }
     };
     const run = async (): Promise<void> => {
@@ -113,7 +115,7 @@
             if (options.prefersStore) {
                 news.raise();
             }
-            return !isRelieved() || options.prefersStore;
+            return outage.countFailures() === 0 && (options.prefersStore || !isRelieved());
         },
         hasLostStore: () => outage.countFailures() > 0,
         adoptFromPeer: (snapshot, afterOutage) => {
--- a/packages/forwarding/tests/replicas/commands/trackTable.test.ts
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -179,4 +179,26 @@
         isFollowing = true;
         await vi.waitFor(() => expect(waits).toEqual([2_500]));
     });
+    // Guards against a call of every host of a large fleet for each of many versions in quick succession.
+    it("reads several changes at once where others follow the store", async () => {
+        const { waits, table, changes } = startTracking([{ version: 5, rows: [] }], [
+            { version: 7, rows: [put("b", 7)] },
+            { version: 9, rows: [put("b", 9)] },
+        ], { shouldFollow: () => false });
+        await vi.waitFor(() => expect(table.getReplica().version).toBe(5));
+        for (let news = 0; news < 8; news += 1) {
+            table.noteNews();
+            await new Promise(resolve => setTimeout(resolve, 40));
+        }
+        expect(waits).toHaveLength(1);
+        await vi.waitFor(() => expect(changes).toHaveLength(2));
+        expect(waits).toHaveLength(2);
+    });
+    // Guards against a host that waits for the store although it has lost it, while a peer knows of a change.
+    it("asks for a peer's copy while the store is lost", async () => {
+        const { table, waits } = startTracking([{ version: 5, rows: [] }], ["failed"]);
+        await vi.waitFor(() => expect(waits).toHaveLength(1));
+        await vi.waitFor(() => expect(table.hasLostStore()).toBe(true));
+        expect(table.noteNews()).toBe(false);
+    });
 });
