--- /dev/null
+++ b/packages/forwarding/tests/directoryFixture.ts
@@ -0,0 +1,39 @@
+/** A directory with endpoints `e1` to `e4` of one service in failure domain `a`. */
+import { toFailureDomainId, toServiceId } from "@currantrill/protocol";
+import bunyan from "bunyan";
+import { createEndpointDirectory, type EndpointDirectory } from "../src/endpoints/model/endpointDirectory.js";
+import { ownDomain } from "./engineFixture.js";
+
+export const endpointIds = ["e1", "e2", "e3", "e4"];
+export const directoryService = toServiceId("s");
+
+/** Creates the directory; `domains` are those of the endpoints in turn. */
+export function createDirectory(domains = "aaaa"): EndpointDirectory {
+    const directory = createEndpointDirectory({
+        ownDomain,
+        rows: {
+            configurationTable: "",
+            configurationKey: "",
+            endpointTable: "",
+            hostTable: "",
+            decodeConfiguration: () => ({ ok: false, finding: { path: "", found: "" } }),
+            decodeEndpoint: (id, value) => ({
+                ok: true,
+                value: {
+                    id,
+                    service: directoryService,
+                    address: "127.0.0.1:1",
+                    failureDomain: toFailureDomainId(value.toString()),
+                    isDraining: false,
+                    slots: 1,
+                    bornAtMs: 0,
+                },
+            }),
+        },
+        log: bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 }),
+        onConnect: () => undefined,
+    });
+    const rows = endpointIds.map((key, index) => ({ key, version: index, value: Buffer.from(domains[index] ?? "a") }));
+    directory.applyRows(rows, false);
+    return directory;
+}
--- a/packages/forwarding/tests/endpoints/queries/listSightings.test.ts
+++ b/packages/forwarding/tests/endpoints/queries/listSightings.test.ts
@@ -1,46 +1,12 @@
-import { toFailureDomainId, toServiceId } from "@currantrill/protocol";
-import bunyan from "bunyan";
 import { describe, expect, it } from "vitest";
-import { createEndpointDirectory } from "../../../src/endpoints/model/endpointDirectory.js";
 import { recordFailure, recordPace, recordSilence } from "../../../src/endpoints/model/endpointHealth.js";
 import { listSightings } from "../../../src/endpoints/queries/listSightings.js";
-
-const log = bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 });
-const ids = ["e1", "e2", "e3", "e4"];
-
-function createDirectory() {
-    const directory = createEndpointDirectory({
-        ownDomain: toFailureDomainId("a"),
-        rows: {
-            configurationTable: "",
-            configurationKey: "",
-            endpointTable: "",
-            hostTable: "",
-            decodeConfiguration: () => ({ ok: false, finding: { path: "", found: "" } }),
-            decodeEndpoint: id => ({
-                ok: true,
-                value: {
-                    id,
-                    service: toServiceId("s"),
-                    address: "127.0.0.1:1",
-                    failureDomain: toFailureDomainId("a"),
-                    isDraining: false,
-                    slots: 1,
-                    bornAtMs: 0,
-                },
-            }),
-        },
-        log,
-        onConnect: () => undefined,
-    });
-    directory.applyRows(ids.map((key, index) => ({ key, version: index, value: Buffer.from("") })), false);
-    return directory;
-}
+import { createDirectory, endpointIds } from "../../directoryFixture.js";
 
 describe("listSightings", () => {
     it("lists silent, failing and slow endpoints, and no others", () => {
         const directory = createDirectory();
-        const [first, second, third] = ids.map(id => directory.get(id)!);
+        const [first, second, third] = endpointIds.map(id => directory.get(id)!);
         first!.health = recordSilence(first!.health, 0);
         second!.health = recordFailure(second!.health, 0);
         third!.health = recordPace(third!.health, 4, 0);
