--- a/packages/core/src/calls/commands/advanceCall.ts
+++ b/packages/core/src/calls/commands/advanceCall.ts
@@ -1,5 +1,5 @@
 /** The state machine of one call that must not run twice. */
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 import type { CallEvent, CallPhase, CallRequest, CallState, CallStep } from "../model/callMachine.js";
 import { type CallOptions, defaultCallOptions, MAX_ROW_ANSWER_BYTES } from "../model/callOptions.js";
 import type { CallRowState } from "../model/callRow.js";
--- a/packages/core/src/calls/commands/callTransitions.ts
+++ b/packages/core/src/calls/commands/callTransitions.ts
@@ -1,6 +1,6 @@
 /** Transitions of the call machine. Each returns the new state and the effects whose results lead out of it. */
-import type { Clocks } from "../../model/clocks.js";
-import { measureElapsed } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
+import { measureElapsed } from "@currantrill/protocol";
 import type { CallEffect, CallErrorCode, CallPhase, CallResult, CallState, CallStep } from "../model/callMachine.js";
 import type { CallRow, CallRowState, StoredAnswer } from "../model/callRow.js";
 import { computeSendLimit, getRemainingMs } from "../queries/canSendCall.js";
--- a/packages/core/src/calls/commands/handleFoundRecord.ts
+++ b/packages/core/src/calls/commands/handleFoundRecord.ts
@@ -1,4 +1,4 @@
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 import type { CallState, CallStep } from "../model/callMachine.js";
 import type { CallRowState, VersionedCallRow } from "../model/callRow.js";
 import {
--- a/packages/core/src/calls/model/callMachine.ts
+++ b/packages/core/src/calls/model/callMachine.ts
@@ -4,7 +4,7 @@
  * same number; the machine ignores events of operations that it no longer awaits.
  */
 import type { AttemptId } from "@currantrill/protocol";
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 import type { CallOptions } from "./callOptions.js";
 import type { CallRow, StoredAnswer, VersionedCallRow } from "./callRow.js";
 
--- a/packages/core/src/calls/queries/canSendCall.ts
+++ b/packages/core/src/calls/queries/canSendCall.ts
@@ -1,5 +1,5 @@
-import type { Clocks } from "../../model/clocks.js";
-import { measureElapsed } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
+import { measureElapsed } from "@currantrill/protocol";
 import type { CallState, SendLimit } from "../model/callMachine.js";
 
 /** Whether the first byte may be sent now. The driver checks this immediately before it writes to the connection. */
--- a/packages/core/src/configuration/commands/advanceTicket.ts
+++ b/packages/core/src/configuration/commands/advanceTicket.ts
@@ -1,5 +1,5 @@
 /** The state machine that applies one ticket to the platform. */
-import { type Clocks, measureElapsed } from "../../model/clocks.js";
+import { type Clocks, measureElapsed } from "@currantrill/protocol";
 import type { Finding } from "../../model/finding.js";
 import type {
     TicketEffect,
--- a/packages/core/src/configuration/model/ticketMachine.ts
+++ b/packages/core/src/configuration/model/ticketMachine.ts
@@ -3,7 +3,7 @@
  * effects and passes each result to `advanceTicket`. Events with an operation number that is not awaited are ignored.
  */
 import type { AttemptId, Revision } from "@currantrill/protocol";
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 import type { Configuration, Ticket } from "../../model/configuration.js";
 import type { Finding } from "../../model/finding.js";
 import type { TicketChange } from "../queries/planTicket.js";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export { type Clocks, measureElapsed } from "@currantrill/protocol";
 export * from "./admission/commands/updateQueue.js";
 export * from "./admission/model/requestQueue.js";
 export * from "./admission/model/retryBudget.js";
@@ -45,7 +46,6 @@
 export * from "./memory/commands/trackAllocations.js";
 export * from "./memory/model/allocation.js";
 export * from "./memory/model/sweep.js";
-export * from "./model/clocks.js";
 export * from "./model/configuration.js";
 export * from "./model/finding.js";
 export * from "./model/lengthClass.js";
--- a/packages/core/src/lending/commands/recordConfirmation.ts
+++ b/packages/core/src/lending/commands/recordConfirmation.ts
@@ -1,6 +1,6 @@
 /** Updates the freshness of the configuration from reads of the platform and from heartbeat answers. */
 import type { PongMessage, Revision } from "@currantrill/protocol";
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 import type { Freshness } from "../model/lending.js";
 
 /**
--- a/packages/core/src/lending/commands/trackReclaims.ts
+++ b/packages/core/src/lending/commands/trackReclaims.ts
@@ -1,5 +1,5 @@
 import type { EndpointId } from "@currantrill/protocol";
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 import type { LendingDecision, ReclaimTimes } from "../model/lending.js";
 
 /**
--- a/packages/core/src/lending/model/lending.ts
+++ b/packages/core/src/lending/model/lending.ts
@@ -3,7 +3,7 @@
  * ticket (reclaim), by a local stop that an operator sets on a host, or at the endpoint itself (withdraw).
  */
 import type { EndpointId, StopFact } from "@currantrill/protocol";
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 
 /** Local stops known to the host: for each endpoint the one with the highest lend epoch. */
 export type LocalStops = Readonly<Record<EndpointId, StopFact>>;
--- a/packages/core/src/lending/queries/decideInFlight.ts
+++ b/packages/core/src/lending/queries/decideInFlight.ts
@@ -1,4 +1,4 @@
-import { type Clocks, measureElapsed } from "../../model/clocks.js";
+import { type Clocks, measureElapsed } from "@currantrill/protocol";
 import type { EndpointObject } from "../../model/configuration.js";
 import type { InFlightDecision, ReclaimTimes } from "../model/lending.js";
 
--- a/packages/core/src/lending/queries/decideLending.ts
+++ b/packages/core/src/lending/queries/decideLending.ts
@@ -1,6 +1,6 @@
 /** Decides whether an endpoint takes new work from this host. */
-import type { Clocks } from "../../model/clocks.js";
-import { measureElapsed } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
+import { measureElapsed } from "@currantrill/protocol";
 import type { EndpointObject } from "../../model/configuration.js";
 import {
     allLendingSafeguards,
--- a/packages/core/src/placement/model/lease.ts
+++ b/packages/core/src/placement/model/lease.ts
@@ -3,7 +3,7 @@
  * orders only while it holds the endpoint's lease.
  */
 import type { FencingToken, HostId, IncarnationId } from "@currantrill/protocol";
-import type { Clocks } from "../../model/clocks.js";
+import type { Clocks } from "@currantrill/protocol";
 
 /** Duration of a lease, from the start of the write that took it. */
 export const LEASE_MS = 30_000;
--- a/packages/core/src/placement/queries/decideLease.ts
+++ b/packages/core/src/placement/queries/decideLease.ts
@@ -1,5 +1,5 @@
 import { type IncarnationId, toFencingToken } from "@currantrill/protocol";
-import { type Clocks, measureElapsed } from "../../model/clocks.js";
+import { type Clocks, measureElapsed } from "@currantrill/protocol";
 import {
     type HeldLease,
     LEASE_MS,
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -4,6 +4,7 @@
 import type Logger from "bunyan";
 import { createConfigurationManager } from "../configuration/model/configurationManager.js";
 import { startProbing } from "../endpoints/commands/startProbing.js";
+import { createByteBudget } from "../endpoints/model/byteBudget.js";
 import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import { createEndpointObservationTable } from "../endpoints/model/endpointObservation.js";
 import { listEndpointObservations } from "../endpoints/queries/listEndpointObservations.js";
@@ -82,6 +83,7 @@
         assignmentRegistry: registry,
         peerObservations: createEndpointObservationTable(),
         isSmallFleet: () => peers.fleet.isSmallFleet(),
+        responseBudget: createByteBudget(() => context.settings.responses.max_buffered_bytes),
         retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.countHosts()),
         getConfiguration: configuration.get,
         createReservationId: createIdGenerator(settings.host_id),
--- a/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
@@ -14,7 +14,10 @@
     protocol: EndpointProtocol,
 ): Promise<EndpointReport | undefined> {
     try {
-        const reply = await requestEndpoint(endpoint.pool, protocol.buildReport(), PROBE_TIMEOUT_MS);
+        const reply = await requestEndpoint(endpoint.pool, protocol.buildReport(), {
+            timeoutMs: PROBE_TIMEOUT_MS,
+            protocol,
+        });
         return protocol.parseReport(reply.body);
     }
     catch {
--- a/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
@@ -1,6 +1,7 @@
 /** Requests that the host itself makes to an endpoint: reservation orders and probes. */
-import type { EndpointCall } from "../../ports/endpointProtocol.js";
+import type { EndpointCall, EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { ConnectionPool } from "../model/connectionPool.js";
+import { startTimeout } from "../model/startTimeout.js";
 import { sendAttempt } from "./sendAttempt.js";
 
 export interface EndpointReply {
@@ -8,34 +9,56 @@
     readonly body: Buffer;
 }
 
+/** Limit on a reply. Reports and replies to orders have a few hundred bytes. */
+const MAX_REPLY_BYTES = 65_536;
+
+export interface EndpointRequestOptions {
+    readonly timeoutMs: number;
+    readonly protocol: EndpointProtocol;
+    /** See `AttemptRequest`. Defaults to `false`. */
+    readonly usesNewConnection?: boolean;
+}
+
 /**
  * Sends a request and reads the complete reply. Rejects if none arrives within `timeoutMs`; the endpoint may still have
  * carried out the request.
  */
-export function requestEndpoint(pool: ConnectionPool, call: EndpointCall, timeoutMs: number): Promise<EndpointReply> {
+export function requestEndpoint(
+    pool: ConnectionPool,
+    call: EndpointCall,
+    options: EndpointRequestOptions,
+): Promise<EndpointReply> {
+    const { timeoutMs, protocol, usesNewConnection = false } = options;
     return new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
+        let bytes = 0;
         let status = 0;
-        const timer = setTimeout(() => attempt.abort(`no reply within ${timeoutMs} ms`), timeoutMs);
+        const cancelTimeout = startTimeout(timeoutMs, () => attempt.abort(`no reply within ${timeoutMs} ms`));
         const attempt = sendAttempt(pool, {
             method: call.method,
             target: call.path,
             headers: call.body === undefined ? [] : ["content-type", "application/json"],
             body: Buffer.from(call.body ?? ""),
-            usesNewConnection: false,
+            usesNewConnection,
         }, {
             onSent: () => undefined,
-            onResponse: responseStatus => {
+            onResponse: (responseStatus, headers) => {
                 status = responseStatus;
-                return true;
+                // A response with a request id answers a caller's request: an endpoint may send one a second time, late,
+                // on a connection that is in use again.
+                return (protocol.parseResponse(responseStatus, headers).requestId ?? "") === "";
+            },
+            onData: chunk => {
+                bytes += chunk.length;
+                chunks.push(chunk);
+                return bytes <= MAX_REPLY_BYTES;
             },
-            onData: chunk => void chunks.push(chunk),
             onEnd: () => {
-                clearTimeout(timer);
+                cancelTimeout();
                 resolve({ status, body: Buffer.concat(chunks) });
             },
             onFailure: (_failure, error) => {
-                clearTimeout(timer);
+                cancelTimeout();
                 reject(error);
             },
         });
--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -1,6 +1,6 @@
 /** Sends a request to an endpoint at most once and reports the result through callbacks. */
 import type { Dispatcher } from "undici";
-import { type ConnectionPool, detectReset } from "../model/connectionPool.js";
+import { type Connection, type ConnectionPool, detectReset, MAX_HEAD_BYTES } from "../model/connectionPool.js";
 
 /** Why an attempt ended without a complete response. */
 export type AttemptFailure =
@@ -14,11 +14,14 @@
 export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
 export interface AttemptEvents {
+    /** Returns whether the request may still be sent, when the connection is ready for its first byte. */
+    readonly canSend?: () => boolean;
     /** Called before the first byte of the request is written. */
     readonly onSent: () => void;
     /** Receives the response status and headers. Returns `false` if they cannot belong to this request. */
     readonly onResponse: (status: number, headers: ResponseHeaders) => boolean;
-    readonly onData: (chunk: Buffer) => unknown;
+    /** Receives a part of the body. Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
+    readonly onData: (chunk: Buffer) => boolean;
     /** Called when the response is complete. */
     readonly onEnd: () => void;
     readonly onFailure: (failure: AttemptFailure, error: Error) => void;
@@ -37,6 +40,12 @@
     readonly usesNewConnection: boolean;
 }
 
+/**
+ * Bytes of chunk framing allowed for each byte of the body. A chunk of one byte has six of them; only an endpoint that
+ * sends bytes which are no response exceeds this limit.
+ */
+const MAX_FRAMING_PER_BODY_BYTE = 16;
+
 /** Controls an attempt in progress. */
 export interface RunningAttempt {
     /** Aborts the attempt by closing its connection, which makes the endpoint stop working on the request. */
@@ -54,35 +63,31 @@
     let isSettled = false;
     let hasExplicitLength = false;
     let abortReason: string | undefined;
+    let bodyBytes = 0;
 
-    const fail = (error: Error): void => {
+    const endOnce = (): boolean => {
         if (isSettled) {
-            return;
+            return false;
         }
         isSettled = true;
+        connection.onBytesReceived = undefined;
+        return true;
+    };
+    const fail = (error: Error): void => {
+        if (!endOnce()) {
+            return;
+        }
         pool.discard(connection);
         events.onFailure(abortReason !== undefined ? "aborted" : wasSent ? "broken" : "not_connected", error);
     };
     const finish = (): void => {
-        if (isSettled) {
+        if (!endOnce()) {
             return;
         }
-        isSettled = true;
         pool[request.usesNewConnection ? "discard" : "release"](connection);
         events.onEnd();
     };
-    const handleResponseEnd = (): void => {
-        if (hasExplicitLength) {
-            finish();
-            return;
-        }
-        // Such a body ends only with the connection, and a reset must not be mistaken for a regular end.
-        detectReset(connection).then(
-            hasBeenReset =>
-                hasBeenReset ? fail(new Error("connection reset before the response was complete")) : finish(),
-            fail,
-        );
-    };
+    checkOverhead(connection, () => bodyBytes, fail);
     connection.client.dispatch({
         method: request.method,
         path: request.target,
@@ -92,6 +97,9 @@
     }, {
         onRequestStart: started => {
             controller = started;
+            if (events.canSend?.() === false) {
+                abortReason ??= "the request can no longer be sent";
+            }
             if (abortReason !== undefined || wasSent) {
                 started.abort(new Error(abortReason ?? "the request has already been sent once"));
                 return;
@@ -105,26 +113,48 @@
                 started.abort(new Error("the response does not belong to the request"));
             }
         },
-        onResponseData: (_controller, chunk) => {
-            if (!isSettled) {
-                events.onData(chunk);
+        onResponseData: (started, chunk) => {
+            bodyBytes += chunk.length;
+            if (!isSettled && !events.onData(chunk)) {
+                started.abort(new Error("the response exceeds a size limit"));
             }
         },
-        onResponseEnd: handleResponseEnd,
+        onResponseEnd: () => hasExplicitLength ? finish() : checkRegularEnd(connection, finish, fail),
         onResponseError: (_controller, error) => fail(error),
     });
     return {
         abort: reason => {
             abortReason ??= reason;
             const error = new Error(reason);
-            if (controller === undefined) {
-                fail(error);
-                return;
-            }
-            controller.abort(error);
+            controller?.abort(error);
             fail(error);
         },
         pause: () => controller?.pause(),
         resume: () => controller?.resume(),
     };
 }
+
+/**
+ * Calls `onExceeded` if the endpoint sends much more than the head and the body of a response. The parser drops status
+ * lines, informational responses and chunk extensions, and does not limit their length.
+ */
+function checkOverhead(connection: Connection, getBodyBytes: () => number, onExceeded: (error: Error) => void): void {
+    const bytesBefore = connection.socket?.bytesRead ?? 0;
+    connection.onBytesReceived = bytesReceived => {
+        // Bytes that are received and not yet parsed, for example while the attempt is paused, may belong to the body.
+        const unparsedBytes = connection.socket?.readableLength ?? 0;
+        const overheadBytes = bytesReceived - bytesBefore - unparsedBytes - getBodyBytes();
+        if (overheadBytes > 2 * MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * getBodyBytes()) {
+            onExceeded(new Error("the endpoint sends bytes that are not a response"));
+        }
+    };
+}
+
+/** Distinguishes the end of a body without a length, which ends only with the connection, from a reset. */
+function checkRegularEnd(connection: Connection, onEnd: () => void, onFailure: (error: Error) => void): void {
+    detectReset(connection).then(
+        hasBeenReset =>
+            hasBeenReset ? onFailure(new Error("connection reset before the response was complete")) : onEnd(),
+        onFailure,
+    );
+}
--- a/packages/forwarding/src/endpoints/model/connectionPool.ts
+++ b/packages/forwarding/src/endpoints/model/connectionPool.ts
@@ -13,6 +13,8 @@
 const IDLE_MARGIN_MS = 1_000;
 /** Time without data after which the operating system sends TCP keep-alive probes. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
+/** Limit on the header lines, or the trailer lines, of a response. Responses of endpoints have a few hundred bytes. */
+export const MAX_HEAD_BYTES = 32_768;
 
 /** One connection to the endpoint. It is discarded when its socket disconnects. */
 export interface Connection {
@@ -23,6 +25,8 @@
     hasSocketError: boolean;
     /** Number of requests sent on this connection, including the current one. */
     requestCount: number;
+    /** Called with the number of bytes received on the connection so far, whenever there are more. */
+    onBytesReceived: ((bytesReceived: number) => void) | undefined;
 }
 
 /** Connections that are in use are not held by the pool; callers return them by `release` or `discard`. */
@@ -60,12 +64,14 @@
             socket: undefined,
             hasSocketError: false,
             requestCount: 0,
+            onBytesReceived: undefined,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
                 keepAliveTimeout: IDLE_TIMEOUT_MS,
                 keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
                 headersTimeout: 0,
                 bodyTimeout: 0,
+                maxHeaderSize: MAX_HEAD_BYTES,
                 connect: (options, callback) =>
                     connector(options, (...result) => {
                         const [error, socket] = result;
@@ -75,6 +81,7 @@
                             socket.prependListener("error", () => {
                                 connection.hasSocketError = true;
                             });
+                            socket.on("readable", () => connection.onBytesReceived?.(socket.bytesRead));
                         }
                         callback(...result);
                     }),
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -2,6 +2,7 @@
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import type { ConfigurationIndex } from "../configuration/model/configurationIndex.js";
+import type { ByteBudget } from "../endpoints/model/byteBudget.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import type { EndpointObservationTable } from "../endpoints/model/endpointObservation.js";
 import type { AssignmentRegistry } from "../placement/model/assignmentRegistry.js";
@@ -23,6 +24,8 @@
     readonly peerObservations: EndpointObservationTable;
     /** Whether all hosts announce their assignments to each other at once, also between failure domains. */
     readonly isSmallFleet: () => boolean;
+    /** Limits the bytes of responses that this host buffers. */
+    readonly responseBudget: ByteBudget;
     /** Limits the retries of all hosts together. */
     readonly retryBudget: SharedRetryBudget;
     /** Returns the active configuration, `undefined` until the first one is known. */
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of an exchange at an endpoint, including the checks on the response. */
+import { measureElapsed, readClocks } from "@currantrill/protocol";
 import {
     type AttemptFailure,
     type ResponseHeaders,
@@ -16,6 +17,7 @@
 import type { PrefillShard, ResponseMetadata } from "../../ports/endpointProtocol.js";
 import type { AttemptOutcome, AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
+import { createRefusedResponse, type RefusedResponse } from "../model/refusedResponse.js";
 
 /** What to send in an attempt, and how to report its result. */
 export interface AttemptPlan {
@@ -29,7 +31,8 @@
     readonly usesNewConnection: boolean;
     /** Called when the headers of a response to this request have arrived. */
     readonly onResponse: (status: number, headers: ResponseHeaders, metadata: ResponseMetadata) => void;
-    readonly onData: (chunk: Buffer) => void;
+    /** Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
+    readonly onData: (chunk: Buffer) => boolean;
     /** Called when the response, which belongs to the request, is complete according to its framing. */
     readonly onEnd: () => void;
     /** Called instead of `onEnd`. */
@@ -43,15 +46,22 @@
     aborted: health => health,
 };
 
+/**
+ * Longest time from the decision to send until the first byte, a little more than the time limit of a connection. After
+ * a longer one the process was paused, and the request's headers and the choice of the endpoint are outdated.
+ */
+const MAX_SEND_DELAY_MS = 600;
+
 /** Starts an attempt. Exactly one of `onEnd` and `onFailure` is called. */
 export function runAttempt(context: ForwardingContext, exchange: Exchange, plan: AttemptPlan): RunningAttempt {
     const { endpoint, record } = plan;
     const nowMs = performance.now();
-    let refusalOutcome: AttemptOutcome | undefined;
-    let refusalReason = "";
+    let refused: RefusedResponse | undefined;
+    let mismatch: string | undefined;
     let hasEnded = false;
     const end = (outcome: AttemptOutcome, reason?: string): void => {
         hasEnded = true;
+        refused?.close();
         record.outcome = outcome;
         record.endedAfterMs = Math.round(performance.now() - exchange.startedAtMs);
         context.metrics.attempts.inc({ outcome });
@@ -61,18 +71,17 @@
     };
     const handleResponse = (status: number, headers: ResponseHeaders): boolean => {
         const metadata = context.protocol.parseResponse(status, headers);
-        const mismatch = describeMismatch(exchange, status, metadata);
+        mismatch = describeMismatch(exchange, status, metadata);
         if (mismatch !== undefined) {
-            refusalReason = mismatch;
             return false;
         }
         endpoint.health = recordResponse(endpoint.health, performance.now());
         if (metadata.isNotExecuted || metadata.isMisdirected) {
             recordRefusalFault(context, endpoint, metadata);
-            refusalOutcome = "not_run";
-            refusalReason = metadata.isMisdirected
+            const reason = metadata.isMisdirected
                 ? "address belongs to another endpoint"
                 : `not executed, status ${status}`;
+            refused = createRefusedResponse(reason, () => attempt.abort(reason));
             return true;
         }
         plan.onResponse(status, headers, metadata);
@@ -82,29 +91,34 @@
         if (hasEnded) {
             return;
         }
-        const outcome: AttemptOutcome = record.wasSent ? "unknown" : "not_run";
-        const reason = refusalReason === "" ? error.message : refusalReason;
+        const outcome = record.wasSent && refused === undefined ? "unknown" : "not_run";
+        const reason = refused?.reason ?? mismatch ?? error.message;
         endpoint.health = updateHealth[failure](endpoint.health, performance.now());
         end(outcome, reason);
         plan.onFailure(outcome, reason);
     };
+    const decidedAt = readClocks();
+    const canSend = (): boolean =>
+        measureElapsed(decidedAt, readClocks()) <= MAX_SEND_DELAY_MS && performance.now() < exchange.deadlineAtMs;
+    let attempt: RunningAttempt;
     try {
-        return sendAttempt(endpoint.pool, {
+        attempt = sendAttempt(endpoint.pool, {
             method: exchange.method,
             target: exchange.target,
             headers: buildHeaders(context, exchange, plan, nowMs),
             body: exchange.body,
             usesNewConnection: plan.usesNewConnection,
         }, {
+            canSend,
             onSent: () => {
                 record.wasSent = true;
             },
             onResponse: handleResponse,
-            onData: chunk => refusalOutcome === undefined && plan.onData(chunk),
+            onData: chunk => refused === undefined ? plan.onData(chunk) : refused.add(chunk),
             onEnd: () => {
-                if (refusalOutcome !== undefined) {
-                    end(refusalOutcome, refusalReason);
-                    plan.onFailure(refusalOutcome, refusalReason);
+                if (refused !== undefined) {
+                    end("not_run", refused.reason);
+                    plan.onFailure("not_run", refused.reason);
                     return;
                 }
                 end("answered");
@@ -112,6 +126,7 @@
             },
             onFailure: handleFailure,
         });
+        return attempt;
     }
     catch (error) {
         // The HTTP client throws on invalid request headers before it sends anything.
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -1,8 +1,10 @@
 /** One attempt of a stream: forwards events as they arrive and detects stalls. */
 import { probeEndpoint } from "../../endpoints/commands/probeEndpoint.js";
 import type { ResponseHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
+import { type BodyCollector, createBodyCollector } from "../../endpoints/model/bodyCollector.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { markUnresponsive, recordFailure } from "../../endpoints/model/endpointHealth.js";
+import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { Placement } from "../../placement/queries/choosePlacement.js";
 import type { PrefillShard } from "../../ports/endpointProtocol.js";
@@ -33,6 +35,9 @@
     abortAfterMs: Math.max(1_200, 4 * targetPauseMs),
 });
 
+/** Time for the body of an error response, which is a few hundred bytes long. */
+const ERROR_BODY_TIMEOUT_MS = 1_000;
+
 const MIN_UNSUCCESSFUL_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -66,7 +71,8 @@
 interface ErrorResponse {
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[]>>;
-    readonly body: Buffer[];
+    readonly body: BodyCollector;
+    readonly cancelTimeout: () => void;
 }
 
 interface StreamRun {
@@ -80,9 +86,11 @@
     readonly resumeEndpointStream: () => void;
     readonly deadlineTimer: NodeJS.Timeout;
     attempt: RunningAttempt | undefined;
-    stallTimer: NodeJS.Timeout | undefined;
+    cancelStallCheck: () => void;
     errorResponse: ErrorResponse | undefined;
     lastEventAtMs: number | undefined;
+    /** Bytes received since the last event that counts as progress. */
+    bytesWithoutProgress: number;
     isSettled: boolean;
 }
 
@@ -107,9 +115,10 @@
                 exchange.deadlineAtMs - performance.now(),
             ),
             attempt: undefined,
-            stallTimer: undefined,
+            cancelStallCheck: () => undefined,
             errorResponse: undefined,
             lastEventAtMs: undefined,
+            bytesWithoutProgress: 0,
             isSettled: false,
         };
         exchange.onDisconnect = () => abortRun(run, { kind: "caller_gone" }, "caller disconnected");
@@ -160,8 +169,10 @@
         return;
     }
     run.isSettled = true;
-    clearTimeout(run.stallTimer);
+    run.cancelStallCheck();
     clearTimeout(run.deadlineTimer);
+    run.errorResponse?.cancelTimeout();
+    run.errorResponse?.body.close();
     run.exchange.onDisconnect = undefined;
     run.exchange.response.off("drain", run.resumeEndpointStream);
     run.resolve(end);
@@ -174,18 +185,18 @@
 
 /** If no event arrives in time, probes the endpoint and handles the stall. Not done for the final attempt. */
 function scheduleStallCheck(run: StreamRun, limits: WaitLimits): void {
-    clearTimeout(run.stallTimer);
+    run.cancelStallCheck();
     if (run.plan.isFinalAttempt || run.isSettled) {
         return;
     }
     const { events } = run.progress;
-    run.stallTimer = setTimeout(() => {
+    run.cancelStallCheck = startTimeout(limits.probeAfterMs, () => {
         void probeEndpoint(run.plan.endpoint, run.context.protocol).then(report => {
             if (!run.isSettled && run.progress.events === events) {
                 handleStall(run, limits, report !== undefined);
             }
         });
-    }, limits.probeAfterMs);
+    });
 }
 
 /** Aborts the attempt at once if the endpoint did not respond to the probe, otherwise after `abortAfterMs`. */
@@ -200,20 +211,32 @@
         );
         return;
     }
-    run.stallTimer = setTimeout(() => {
+    run.cancelStallCheck = startTimeout(limits.abortAfterMs - limits.probeAfterMs, () => {
         endpoint.health = recordFailure(endpoint.health, performance.now());
         abortRun(
             run,
             { kind: "broken", wasSent: run.record.wasSent },
             `no event for ${Math.round(limits.abortAfterMs)} ms`,
         );
-    }, limits.abortAfterMs - limits.probeAfterMs);
+    });
 }
 
 function beginResponse(run: StreamRun, status: number, received: ResponseHeaders): void {
     const headers = selectResponseHeaders(received);
     if (status >= MIN_UNSUCCESSFUL_STATUS) {
-        run.errorResponse = { status, headers, body: [] };
+        run.cancelStallCheck();
+        run.errorResponse = {
+            status,
+            headers,
+            body: createBodyCollector({
+                maxBytes: run.context.settings.responses.max_body_bytes,
+                budget: run.context.responseBudget,
+            }),
+            cancelTimeout: startTimeout(
+                ERROR_BODY_TIMEOUT_MS,
+                () => abortRun(run, { kind: "broken", wasSent: true }, "error response not complete in time"),
+            ),
+        };
         return;
     }
     if (!run.progress.hasSentHeaders) {
@@ -223,19 +246,24 @@
     }
 }
 
-function handleData(run: StreamRun, chunk: Buffer): void {
+/** Handles a part of the body. Returns `false` if the endpoint sends too much without an event. */
+function handleData(run: StreamRun, chunk: Buffer): boolean {
     if (run.isSettled) {
-        return;
+        return true;
     }
     if (run.errorResponse !== undefined) {
-        run.errorResponse.body.push(chunk);
-        return;
+        return run.errorResponse.body.add(chunk);
     }
     const events = run.splitter.push(chunk);
     events.forEach(event => forwardEvent(run, event));
-    if (events.length > 0) {
+    // Comments and empty lines are forwarded, but an endpoint that sends nothing else has stalled.
+    if (events.some(event => event.hasContent)) {
+        run.bytesWithoutProgress = 0;
         scheduleStallCheck(run, getPauseLimits(run.exchange.route.targetPauseMs));
+        return true;
     }
+    run.bytesWithoutProgress += chunk.length;
+    return run.bytesWithoutProgress <= run.context.settings.responses.max_event_bytes;
 }
 
 /** Forwards an event, unless the caller has already received it from an earlier attempt. */
@@ -244,12 +272,14 @@
     if (event.id !== undefined && progress.lastEventId !== undefined && event.id <= progress.lastEventId) {
         return;
     }
-    progress.lastEventId = event.id ?? progress.lastEventId;
-    progress.events += 1;
-    recordEventGap(run);
-    if (record.firstAfterMs === undefined) {
-        record.firstAfterMs = Math.round(performance.now() - exchange.startedAtMs);
-        run.plan.onFirstEvent();
+    if (event.hasContent) {
+        progress.lastEventId = event.id ?? progress.lastEventId;
+        progress.events += 1;
+        recordEventGap(run);
+        if (record.firstAfterMs === undefined) {
+            record.firstAfterMs = Math.round(performance.now() - exchange.startedAtMs);
+            run.plan.onFirstEvent();
+        }
     }
     if (!exchange.response.write(event.bytes)) {
         run.attempt?.pause();
@@ -270,7 +300,8 @@
         return;
     }
     if (run.errorResponse !== undefined) {
-        finishRun(run, resolveErrorResponse(run, run.errorResponse));
+        const end = resolveErrorResponse(run, run.errorResponse);
+        finishRun(run, end);
         return;
     }
     if (run.splitter.hasIncompleteEvent()) {
@@ -288,7 +319,7 @@
     if (run.progress.hasSentHeaders || canTryAnother) {
         return { kind: "broken", wasSent: true };
     }
-    const body = Buffer.concat(errorResponse.body);
+    const body = errorResponse.body.read();
     run.exchange.response.writeHead(errorResponse.status, {
         ...errorResponse.headers,
         "content-length": String(body.length),
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -1,5 +1,6 @@
 /** Serves requests whose response is a single body. */
 import type { ResponseHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
+import { createBodyCollector } from "../../endpoints/model/bodyCollector.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { recordFailure } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
@@ -121,12 +122,16 @@
         },
         nowMs,
     );
-    const chunks: Buffer[] = [];
+    const collector = createBodyCollector({
+        maxBytes: context.settings.responses.max_body_bytes,
+        budget: context.responseBudget,
+    });
     let status = 0;
     let headers: ResponseHeaders = {};
     const releaseAttempt = (): void => {
         context.assignmentRegistry.remove(assignment.id);
         state.running.delete(attempt);
+        collector.close();
     };
     const attempt: RunningAttempt = runAttempt(context, exchange, {
         endpoint,
@@ -137,10 +142,11 @@
             status = responseStatus;
             headers = responseHeaders;
         },
-        onData: chunk => void chunks.push(chunk),
+        onData: collector.add,
         onEnd: () => {
+            const body = collector.read();
             releaseAttempt();
-            handleResponse(context, exchange, state, endpoint, { status, headers, body: Buffer.concat(chunks) });
+            handleResponse(context, exchange, state, endpoint, { status, headers, body });
         },
         onFailure: outcome => {
             releaseAttempt();
--- a/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
+++ b/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
@@ -96,7 +96,12 @@
 
 async function sendOrder(context: ForwardingContext, endpoint: Endpoint, call: EndpointCall): Promise<OrderResult> {
     try {
-        const reply = await requestEndpoint(endpoint.pool, call, ORDER_TIMEOUT_MS);
+        const reply = await requestEndpoint(endpoint.pool, call, {
+            timeoutMs: ORDER_TIMEOUT_MS,
+            protocol: context.protocol,
+            // On a reused connection, a late copy of the reply to an earlier order could be taken for a grant.
+            usesNewConnection: true,
+        });
         if (reply.status === 200) {
             return "held";
         }
--- a/packages/forwarding/src/streams/model/eventSplitter.ts
+++ b/packages/forwarding/src/streams/model/eventSplitter.ts
@@ -4,6 +4,8 @@
     readonly bytes: Buffer;
     /** Number in the event's `id` line; absent if the event has none. */
     readonly id?: number;
+    /** Whether the event has an `id` or `data` line. Otherwise it only has comments, or nothing. */
+    readonly hasContent: boolean;
 }
 
 export interface EventSplitter {
@@ -15,6 +17,7 @@
 
 const EVENT_END = /\r?\n\r?\n/g;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
+const DATA_LINE = /^data(:|\r?$)/m;
 
 /** Creates a splitter of one response body into complete events, whose bytes it keeps unchanged. */
 export function createEventSplitter(): EventSplitter {
@@ -39,5 +42,7 @@
 
 function describeEvent(bytes: Buffer, text: string): StreamEvent {
     const id = ID_LINE.exec(text)?.[1];
-    return id === undefined ? { bytes } : { bytes, id: Number(id) };
+    return id === undefined
+        ? { bytes, hasContent: DATA_LINE.test(text) }
+        : { bytes, id: Number(id), hasContent: true };
 }
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -260,6 +260,7 @@
         retries: { ratio: 0.2, extra: 1_000, window_ms: 10_000 },
         drain: { grace_ms: options.graceMs ?? 2_000 },
         reservations: { free_ms: 2_000 },
+        responses: { max_body_bytes: 300_000, max_event_bytes: 50_000, max_buffered_bytes: 400_000 },
         log_level: "info",
     };
     let version = 0;
--- /dev/null
+++ b/packages/forwarding/tests/requests/commands/endlessResponses.test.ts
@@ -0,0 +1,181 @@
+/** Endpoints that send bytes without end, until the host closes the connection. */
+import type { Socket } from "node:net";
+import { request } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import type { RequestKind } from "../../../src/configuration/model/servingConfiguration.js";
+import { probeEndpoint } from "../../../src/endpoints/commands/probeEndpoint.js";
+import { getFailures } from "../../../src/endpoints/model/endpointHealth.js";
+import {
+    beginStream,
+    createRoute,
+    type EndpointScript,
+    startEndpoint,
+    startTestHost,
+    type TestHost,
+    testProtocol,
+    waitUntil,
+    writeChunk,
+} from "../../hostFixture.js";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+    await Promise.all(closers.splice(0).map(close => close()));
+});
+
+const BLOCK_BYTES = 16_384;
+
+/** Writes a head, then blocks until the connection is closed. */
+const flood = (head: string, block: string): EndpointScript => (received, socket) => {
+    socket.write(head.replace("ID", received.headers["t-id"] ?? ""));
+    writeForever(socket, block);
+};
+
+function writeForever(socket: Socket, block: string): void {
+    const write = (): void => {
+        if (!socket.destroyed) {
+            socket.write(block.repeat(Math.ceil(BLOCK_BYTES / block.length)), () => setImmediate(write));
+        }
+    };
+    write();
+}
+
+const ok = "HTTP/1.1 200 OK\r\nt-id: ID\r\nt-signature: s\r\n";
+const chunkedStream = `${ok}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`;
+const formatChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+interface Case {
+    readonly name: string;
+    readonly kind: RequestKind;
+    readonly script: EndpointScript;
+}
+
+// Each row guards against a host whose memory, or whose connection, an endpoint can keep for as long as it sends.
+const cases: readonly Case[] = [
+    { name: "a status line", kind: "once", script: flood("HTTP/1.1 200 ", "a") },
+    { name: "header lines", kind: "once", script: flood("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n") },
+    { name: "informational responses", kind: "once", script: flood("", "HTTP/1.1 103 Early Hints\r\n\r\n") },
+    { name: "a body with a length", kind: "once", script: flood(`${ok}content-length: 99999999999\r\n\r\n`, "a") },
+    {
+        name: "a chunked body",
+        kind: "once",
+        script: flood(`${ok}transfer-encoding: chunked\r\n\r\n`, formatChunk("a".repeat(4_096))),
+    },
+    { name: "a chunk extension", kind: "once", script: flood(`${ok}transfer-encoding: chunked\r\n\r\n1;`, "x") },
+    { name: "a trailer", kind: "once", script: flood(`${ok}transfer-encoding: chunked\r\n\r\n0\r\n`, "x-more: 1\r\n") },
+    { name: "a body without a length", kind: "once", script: flood(`${ok}\r\n`, "a") },
+    { name: "a repeatable request's body", kind: "repeatable", script: flood(`${ok}\r\n`, "a") },
+    { name: "an event of a stream", kind: "stream", script: flood(chunkedStream, formatChunk("data: a")) },
+    { name: "comments of a stream", kind: "stream", script: flood(chunkedStream, formatChunk(": a\n\n")) },
+    { name: "empty lines of a stream", kind: "stream", script: flood(chunkedStream, formatChunk("\n\n")) },
+    {
+        name: "an error response to a stream",
+        kind: "stream",
+        script: flood("HTTP/1.1 500 X\r\nt-id: ID\r\nt-signature: s\r\n\r\n", "a"),
+    },
+    {
+        name: "a response that states that the request was not run",
+        kind: "stream",
+        script: flood("HTTP/1.1 503 X\r\nt-id: ID\r\nt-not-run: 1\r\n\r\n", "a"),
+    },
+];
+
+async function startSystem(script: EndpointScript, kind: RequestKind): Promise<TestHost> {
+    const endpoint = await startEndpoint("e0", script);
+    const host = await startTestHost([createRoute({ kind, attempts: 1 })], [endpoint], { graceMs: 200 });
+    closers.push(() => host.host.drain(), endpoint.close);
+    return host;
+}
+
+async function send(host: TestHost): Promise<{ status: number; isComplete: boolean; }> {
+    const reply = await request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q1" } });
+    return reply.body.text().then(
+        () => ({ status: reply.statusCode, isComplete: true }),
+        () => ({ status: reply.statusCode, isComplete: false }),
+    );
+}
+
+describe("endless responses", () => {
+    it.each(cases)("ends an attempt whose endpoint sends $name without end", async ({ script, kind }) => {
+        const host = await startSystem(script, kind);
+        const startedAtMs = performance.now();
+        const reply = await send(host);
+        expect(reply.status < 300 && reply.isComplete).toBe(false);
+        // The route's time limit is 5 s: the attempt must end because of what it received, not at its deadline.
+        expect(performance.now() - startedAtMs).toBeLessThan(4_000);
+        await waitUntil(() => host.host.context.responseBudget.getUsed() === 0);
+        expect(host.host.context.inFlight).toBe(0);
+    });
+    it("counts an endless response as a failure of the endpoint", async () => {
+        const host = await startSystem(flood(`${ok}\r\n`, "a"), "once");
+        await send(host);
+        const [endpoint] = host.host.context.directory.listAll();
+        expect(endpoint && getFailures(endpoint.health, performance.now())).toBeGreaterThan(0.5);
+    });
+    it("bounds what all responses together occupy", async () => {
+        const host = await startSystem(
+            // Each response stays below the limit on one body and does not end.
+            (received, socket) => {
+                beginStream(socket, received);
+                writeChunk(socket, "a".repeat(150_000));
+            },
+            "once",
+        );
+        const replies = Promise.all(Array.from({ length: 6 }, () => send(host)));
+        await waitUntil(() => host.host.context.responseBudget.getUsed() > 250_000);
+        expect(host.host.context.responseBudget.getUsed()).toBeLessThanOrEqual(400_000);
+        expect((await replies).every(reply => reply.status >= 500)).toBe(true);
+        expect(host.host.context.responseBudget.getUsed()).toBe(0);
+    });
+    it("ends a probe whose reply has no end", async () => {
+        const endpoint = await startEndpoint("e0", flood(`${ok}\r\n`, "a"));
+        const host = await startTestHost([createRoute()], [endpoint], { graceMs: 200 });
+        closers.push(() => host.host.drain(), endpoint.close);
+        const [known] = host.host.context.directory.listAll();
+        const protocol = { ...testProtocol, buildReport: () => ({ method: "GET", path: "/flood" } as const) };
+        expect(known && await probeEndpoint(known, protocol)).toBeUndefined();
+    });
+});
+
+describe("stalled streams", () => {
+    const trickle = (text: string): EndpointScript => (received, socket) => {
+        beginStream(socket, received);
+        writeChunk(socket, "id: 1\ndata: a\n\n");
+        const timer = setInterval(() => socket.destroyed ? clearInterval(timer) : writeChunk(socket, text), 100);
+    };
+    // Guards against a stalled stream that is kept because its endpoint sends a byte now and then.
+    it.each([{ name: "bytes", text: "d" }, { name: "comments", text: ":\n\n" }])(
+        "ends a stream that only trickles $name and continues it elsewhere",
+        async ({ text }) => {
+            const endpoints = await Promise.all([
+                startEndpoint("e0", trickle(text)),
+                startEndpoint("e1", trickle(text)),
+            ]);
+            const route = createRoute({ kind: "stream", canResume: true, targetPauseMs: 100, timeoutMs: 6_000 });
+            const host = await startTestHost([route], endpoints, { graceMs: 200 });
+            closers.push(() => host.host.drain(), ...endpoints.map(endpoint => endpoint.close));
+            void send(host);
+            await waitUntil(() => endpoints.every(endpoint => endpoint.received.length === 1));
+        },
+    );
+    // Guards against a sound stream that is cut because each of its events comes late.
+    it("does not cut a stream whose events are slow but regular", async () => {
+        const slow: EndpointScript = (received, socket) => {
+            beginStream(socket, received);
+            let id = Number(received.headers["t-last"] ?? 0);
+            const timer = setInterval(() => {
+                id += 1;
+                writeChunk(socket, `id: ${id}\ndata: a\n\n`);
+                if (id === 4) {
+                    clearInterval(timer);
+                    socket.write("0\r\n\r\n");
+                }
+            }, 900);
+        };
+        const endpoints = await Promise.all([startEndpoint("e0", slow), startEndpoint("e1", slow)]);
+        const route = createRoute({ kind: "stream", canResume: true, targetPauseMs: 100, timeoutMs: 9_000 });
+        const host = await startTestHost([route], endpoints, { graceMs: 200 });
+        closers.push(() => host.host.drain(), ...endpoints.map(endpoint => endpoint.close));
+        expect(await send(host)).toEqual({ status: 200, isComplete: true });
+        expect(endpoints.reduce((sum, endpoint) => sum + endpoint.received.length, 0)).toBe(1);
+    });
+});
--- a/packages/forwarding/tests/requests/commands/failurePoints.test.ts
+++ b/packages/forwarding/tests/requests/commands/failurePoints.test.ts
@@ -311,3 +311,30 @@
         await large.body.dump();
     });
 });
+
+// Guards against a host that was paused between its decision and the first byte, and acts on outdated knowledge.
+it("decides again if the process was paused before it could send", async () => {
+    const { host, endpoints } = await startSystem("once", [answer, answer], 1);
+    const { assignmentRegistry } = host.host.context;
+    const { add } = assignmentRegistry;
+    const pauseOnce: typeof add = (...work) => {
+        Object.assign(assignmentRegistry, { add });
+        // Runs once the attempt has started, before its connection is ready.
+        queueMicrotask(() => {
+            const resumeAtMs = performance.now() + 900;
+            while (performance.now() < resumeAtMs) {
+                // Blocks the event loop.
+            }
+        });
+        return add(...work);
+    };
+    Object.assign(assignmentRegistry, { add: pauseOnce });
+    const reply = request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q1" } });
+    expect((await reply).statusCode).toBe(200);
+    expect(endpoints.reduce((sum, endpoint) => sum + endpoint.received.length, 0)).toBe(1);
+    const ended = host.logged.find(line => line["msg"] === "requests: ended");
+    expect((ended?.["attempts"] as { outcome: string; }[]).map(attempt => attempt.outcome)).toEqual([
+        "not_run",
+        "answered",
+    ]);
+});
--- a/packages/host/src/calls/commands/runRecordedCall.ts
+++ b/packages/host/src/calls/commands/runRecordedCall.ts
@@ -18,11 +18,11 @@
     type StoredAnswer,
 } from "@currantrill/core";
 import { createHttpConnectionPool } from "@currantrill/http";
+import { readClocks } from "@currantrill/protocol";
 import type { AttemptId, EndpointId, IdempotencyKey, JsonValue } from "@currantrill/protocol";
 import { isStoreUnavailable } from "@currantrill/store";
 import { CallerError } from "../../callers/model/callerError.js";
 import { getRemainingMs } from "../../callers/model/requestScope.js";
-import { readClocks } from "../../configuration/model/configurationState.js";
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
 import type { ServiceAnswer, ServiceCall } from "../model/serviceCall.js";
 import { computeFingerprint } from "../queries/computeFingerprint.js";
--- a/packages/host/src/configuration/commands/pollConfiguration.ts
+++ b/packages/host/src/configuration/commands/pollConfiguration.ts
@@ -10,9 +10,9 @@
     listPollers,
     recordPlatformRead,
 } from "@currantrill/core";
+import { readClocks } from "@currantrill/protocol";
 import type { Revision, TableRow } from "@currantrill/protocol";
 import type { HostContext } from "../../model/hostContext.js";
-import { readClocks } from "../model/configurationState.js";
 import { computeConfirmationAge } from "../queries/computeConfirmationAge.js";
 import { adoptConfiguration } from "./adoptConfiguration.js";
 import { updateFreshness } from "./updateFreshness.js";
--- a/packages/host/src/configuration/model/configurationState.ts
+++ b/packages/host/src/configuration/model/configurationState.ts
@@ -1,6 +1,5 @@
 import {
     beginStart,
-    type Clocks,
     type Configuration,
     type ConfigurationDifference,
     emptyConfiguration,
@@ -37,6 +36,3 @@
         listeners: new Set(),
     };
 }
-
-/** Reads the wall clock and the monotonic clock, in milliseconds. */
-export const readClocks = (): Clocks => ({ wallMs: Date.now(), monotonicMs: performance.now() });
--- a/packages/host/src/configuration/queries/computeConfirmationAge.ts
+++ b/packages/host/src/configuration/queries/computeConfirmationAge.ts
@@ -1,5 +1,6 @@
 import { measureConfirmationAge } from "@currantrill/core";
-import { type ConfigurationState, readClocks } from "../model/configurationState.js";
+import { readClocks } from "@currantrill/protocol";
+import type { ConfigurationState } from "../model/configurationState.js";
 
 /**
  * Time since the platform read that last confirmed the configuration, in whole milliseconds. It is rounded up, so that
--- a/packages/host/src/lending/commands/handleReclaims.ts
+++ b/packages/host/src/lending/commands/handleReclaims.ts
@@ -1,8 +1,8 @@
 /** Ends the attempts in flight on reclaimed endpoints within the grace period of their owners. */
 import { decideInFlight, findObject, isAvailable, measureElapsed, type ReclaimTimes } from "@currantrill/core";
 import { requestJson } from "@currantrill/http";
+import { readClocks } from "@currantrill/protocol";
 import { type AttemptId, type EndpointId, kvStateSchema } from "@currantrill/protocol";
-import { readClocks } from "../../configuration/model/configurationState.js";
 import type { RunningAttempt } from "../../endpoints/model/runningAttempt.js";
 import type { HostContext } from "../../model/hostContext.js";
 
--- a/packages/host/src/lending/model/lendingManager.ts
+++ b/packages/host/src/lending/model/lendingManager.ts
@@ -14,8 +14,8 @@
     setUsable,
     trackReclaims,
 } from "@currantrill/core";
+import { readClocks } from "@currantrill/protocol";
 import type { EndpointId, StopFact } from "@currantrill/protocol";
-import { readClocks } from "../../configuration/model/configurationState.js";
 import type { EndpointStateTable } from "../../endpoints/model/endpointStateTable.js";
 
 /** What the lending decisions depend on. */
--- a/packages/host/src/operators/commands/applyTicket.ts
+++ b/packages/host/src/operators/commands/applyTicket.ts
@@ -17,11 +17,11 @@
     type TicketRow,
     type TicketStep,
 } from "@currantrill/core";
+import { readClocks } from "@currantrill/protocol";
 import { type JsonValue, type Revision, toRevision } from "@currantrill/protocol";
 import { isStoreAnswerLost } from "@currantrill/store";
 import { adoptConfiguration } from "../../configuration/commands/adoptConfiguration.js";
 import { readConfigurationRow } from "../../configuration/commands/pollConfiguration.js";
-import { readClocks } from "../../configuration/model/configurationState.js";
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
 import { formatHistoryKey } from "../model/historyRow.js";
 
--- a/packages/host/src/peers/commands/updateConnections.ts
+++ b/packages/host/src/peers/commands/updateConnections.ts
@@ -1,7 +1,7 @@
 /** Maintains and pings the peer connections that the topology requires of this host. */
 import { listConnections, listLiveHosts } from "@currantrill/core";
+import { readClocks } from "@currantrill/protocol";
 import type { HostId } from "@currantrill/protocol";
-import { readClocks } from "../../configuration/model/configurationState.js";
 import type { HostContext } from "../../model/hostContext.js";
 import { PEER_TIMEOUT_MS, type PeerConnection } from "../model/fleet.js";
 import { openConnection } from "./openConnection.js";
--- a/packages/host/src/placement/commands/acquireLease.ts
+++ b/packages/host/src/placement/commands/acquireLease.ts
@@ -1,7 +1,7 @@
 import { decideLease, type HeldLease, type LeaseRow, LEASES_TABLE } from "@currantrill/core";
+import { readClocks } from "@currantrill/protocol";
 import type { EndpointId, TableRow } from "@currantrill/protocol";
 import { isStoreAnswerLost } from "@currantrill/store";
-import { readClocks } from "../../configuration/model/configurationState.js";
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
 import type { PlacementState } from "../model/placementState.js";
 
--- a/packages/host/src/placement/commands/sendOrder.ts
+++ b/packages/host/src/placement/commands/sendOrder.ts
@@ -1,7 +1,7 @@
 import { canSendOrder, type EndpointObject, type HeldLease } from "@currantrill/core";
 import { requestJson } from "@currantrill/http";
+import { readClocks } from "@currantrill/protocol";
 import type { EngineOrder } from "@currantrill/protocol";
-import { readClocks } from "../../configuration/model/configurationState.js";
 import type { HostContext } from "../../model/hostContext.js";
 import type { PlacementState } from "../model/placementState.js";
 import { acquireLease } from "./acquireLease.js";
--- a/packages/http/src/requestJson.ts
+++ b/packages/http/src/requestJson.ts
@@ -7,11 +7,18 @@
     readonly headers?: Readonly<Record<string, string>>;
     /** Limit on the whole exchange, from the start of the request to the end of the response body. Defaults to 2 s. */
     readonly timeoutMs?: number;
+    /** Limit on the response body in bytes. Defaults to 32 MiB, several times the largest table of a store. */
+    readonly maxBodyBytes?: number;
     /** Connection pool to use in place of undici's global one. */
     readonly dispatcher?: Dispatcher;
 }
 
-const defaultOptions = { method: "GET", headers: {}, timeoutMs: 2_000 } satisfies RequestJsonOptions;
+const defaultOptions = {
+    method: "GET",
+    headers: {},
+    timeoutMs: 2_000,
+    maxBodyBytes: 32 * 1024 * 1024,
+} satisfies RequestJsonOptions;
 
 /** Response of any status. */
 export interface JsonResponse {
@@ -23,7 +30,7 @@
 
 /**
  * Sends a request with a JSON body over undici and parses the response. Rejects if the connection fails or the response
- * is incomplete when the time limit expires; does not reject on an error status.
+ * is incomplete when the time limit expires or exceeds the size limit; does not reject on an error status.
  */
 export async function requestJson(url: string, options: RequestJsonOptions = {}): Promise<JsonResponse> {
     const settings = { ...defaultOptions, ...options };
@@ -34,10 +41,24 @@
         signal: AbortSignal.timeout(settings.timeoutMs),
         ...(settings.dispatcher === undefined ? {} : { dispatcher: settings.dispatcher }),
     });
-    const text = await response.body.text();
+    const text = await readText(response.body, settings.maxBodyBytes);
     return { status: response.statusCode, headers: response.headers, body: parseJson(text) };
 }
 
+/** Reads a body. Rejects, and closes the connection, if it is longer than `maxBytes`. */
+async function readText(body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of body) {
+        bytes += chunk.length;
+        if (bytes > maxBytes) {
+            throw new Error(`the response body is longer than ${maxBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
 function parseJson(text: string): unknown {
     try {
         return JSON.parse(text);
--- a/packages/protocol/src/clocks.ts
+++ b/packages/protocol/src/clocks.ts
@@ -14,3 +14,6 @@
 export function measureElapsed(start: Clocks, now: Clocks): number {
     return Math.max(0, now.wallMs - start.wallMs, now.monotonicMs - start.monotonicMs);
 }
+
+/** Reads both clocks. */
+export const readClocks = (): Clocks => ({ wallMs: Date.now(), monotonicMs: performance.now() });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./callerApi.js";
+export * from "./clocks.js";
 export * from "./engineApi.js";
 export * from "./ids.js";
 export * from "./ledger.js";
--- a/packages/settings/src/model/forwardingSettings.ts
+++ b/packages/settings/src/model/forwardingSettings.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
 import { addressSchema, millisecondsSchema } from "./addressSchema.js";
 
+const bytesSchema = z.number().int().min(1);
+
 /** Settings of a host that forwards whole requests, read from a TOML file at startup and whenever the file changes. */
 export const forwardingSettingsSchema = z.strictObject({
     host_id: z.string().min(1),
@@ -34,6 +36,15 @@
         /** Maximum time that memory stays reserved after its last request. */
         free_ms: millisecondsSchema,
     }).prefault({ free_ms: 4_000 }),
+    /** Limits on responses of endpoints. A response over a limit counts as broken, and its connection is closed. */
+    responses: z.strictObject({
+        /** Longest body of a response that is not a stream, and of an error response. */
+        max_body_bytes: bytesSchema.default(8 * 1024 * 1024),
+        /** Most bytes of a stream without an event. */
+        max_event_bytes: bytesSchema.default(1024 * 1024),
+        /** Most bytes of bodies that the host holds at the same time. */
+        max_buffered_bytes: bytesSchema.default(48 * 1024 * 1024),
+    }).prefault({}),
     log_level: z.enum(["debug", "info", "warn", "error"]).default("info"),
 });
 
