Place prompts of a large fleet by coordinators, and drop the full mesh of messages

Cause: in a fleet of hundreds each host told all hosts of its domain of each change, sent heartbeats to everybody, and read each change of a table from the store. Ruled out: larger batches of the same messages, which make the knowledge older still. Change: two coordinators of each failure domain (ranked by capacity, then address) receive the states of its hosts and return digests. Hosts ask the first one where to serve a prompt and fall back to the second, then to what they know. Two hosts of a domain follow the store; the others copy tables from them, compressed, also at their start. Only followers publish their address. Observations of endpoints are merged by the coordinators.

--- /dev/null
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -0,0 +1,105 @@
+/** Connects a host with the others of its fleet: messages, copies of tables, and placement by coordinators. */
+import { type Coordination, startCoordination } from "../coordination/commands/startCoordination.js";
+import type { EndpointObservation } from "../endpoints/model/endpointObservation.js";
+import { listEndpointObservations } from "../endpoints/queries/listEndpointObservations.js";
+import { mergeObservations } from "../endpoints/queries/mergeObservations.js";
+import type { ForwardingContext } from "../model/forwardingContext.js";
+import { openPeerSocket, type PeerSocket } from "../peers/commands/openPeerSocket.js";
+import { type Peers, startPeers } from "../peers/commands/startPeers.js";
+import { startTableSynchronization, type TableSynchronization } from "../peers/commands/synchronizeTables.js";
+import type { TrackedTable } from "../replicas/commands/trackTable.js";
+
+export interface FleetConnection {
+    readonly peers: Peers;
+    readonly placePrompt: Coordination["placePrompt"];
+    readonly close: () => Promise<void>;
+}
+
+/** Connects the host. Rejects if the peer address cannot be bound. */
+export async function connectFleet(
+    context: ForwardingContext,
+    sharedTables: ReadonlyMap<string, TrackedTable>,
+): Promise<FleetConnection> {
+    const { log, metrics } = context;
+    const address = context.settings.listen.peers;
+    const synchronization = await startTableSynchronization(
+        address,
+        sharedTables,
+        log,
+        outcome => metrics.tableFetches.inc({ outcome }),
+    );
+    const socket = openPeerSocket({ address, log, onDatagram: direction => metrics.datagrams.inc({ direction }) });
+    const peers = startHostPeers({
+        context,
+        socket,
+        sharedTables,
+        synchronization,
+        getSettledQuery: () => coordination.getSettledQuery(),
+    });
+    const coordination = startCoordination({ context, socket, fleet: peers.fleet, address });
+    return {
+        peers,
+        placePrompt: coordination.placePrompt,
+        close: async () => {
+            peers.close();
+            coordination.close();
+            socket.close();
+            await synchronization.close();
+        },
+    };
+}
+
+interface HostPeersOptions {
+    readonly context: ForwardingContext;
+    readonly socket: PeerSocket;
+    readonly sharedTables: ReadonlyMap<string, TrackedTable>;
+    readonly synchronization: TableSynchronization;
+    readonly getSettledQuery: () => number;
+}
+
+/** Prefix of the source of observations that a failure domain's digest carries. */
+const DOMAIN_SOURCE_PREFIX = "domain:";
+
+function startHostPeers(options: HostPeersOptions): Peers {
+    const { context, sharedTables, synchronization } = options;
+    const { settings, directory, assignmentRegistry: registry, log, peerObservations: observations } = context;
+    const getObservations = (): readonly EndpointObservation[] =>
+        listEndpointObservations(directory, performance.now());
+    const peers: Peers = startPeers({
+        socket: options.socket,
+        address: settings.listen.peers,
+        failureDomain: directory.localFailureDomain,
+        capacity: settings.processor.cores * settings.processor.share,
+        seeds: settings.seeds,
+        registry,
+        log,
+        findDomain: id => directory.get(id)?.entry.failureDomain,
+        getLastChangeVersions: synchronization.getLastChangeVersions,
+        getObservations,
+        getMergedObservations: scope =>
+            mergeObservations(
+                getObservations(),
+                observations.summarize(
+                    performance.now(),
+                    source => scope === "fleet" || !source.startsWith(DOMAIN_SOURCE_PREFIX),
+                ),
+            ),
+        isStoreUnavailable: () => [...sharedTables.values()].some(table => table.isStoreUnavailable()),
+        getSettledQuery: options.getSettledQuery,
+        onState: state => {
+            synchronization.synchronizeWith(state.address, state.lastChangeVersions);
+            observations.setSource(state.address, state.observations, performance.now());
+        },
+        onDigest: digest => {
+            synchronization.synchronizeWith(digest.address, digest.lastChangeVersions);
+            // A coordinator receives the states from which another one of its domain has made its digest.
+            const isKnown = digest.failureDomain === directory.localFailureDomain && peers.fleet.isCoordinator();
+            observations.setSource(
+                `${DOMAIN_SOURCE_PREFIX}${digest.failureDomain}`,
+                isKnown ? [] : digest.observations,
+                performance.now(),
+            );
+        },
+    });
+    return peers;
+}
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -7,17 +7,15 @@
 import { createByteBudget } from "../endpoints/model/byteBudget.js";
 import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import { createEndpointObservationTable } from "../endpoints/model/endpointObservation.js";
-import { listEndpointObservations } from "../endpoints/queries/listEndpointObservations.js";
 import { listMonitoredEndpoints } from "../endpoints/queries/listMonitoredEndpoints.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
-import { createForwardingMetrics } from "../model/forwardingMetrics.js";
+import { createForwardingMetrics, type ForwardingMetrics } from "../model/forwardingMetrics.js";
 import { publishHost } from "../peers/commands/publishHost.js";
-import { type Peers, startPeers } from "../peers/commands/startPeers.js";
-import { startTableSynchronization, type TableSynchronization } from "../peers/commands/synchronizeTables.js";
 import { createAssignmentRegistry } from "../placement/model/assignmentRegistry.js";
 import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows } from "../ports/index.js";
 import type { TrackedTable } from "../replicas/commands/trackTable.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
+import { connectFleet } from "./connectFleet.js";
 import { drainForwarding } from "./drainForwarding.js";
 import { serveForwarding } from "./serveForwarding.js";
 import { trackTables } from "./trackTables.js";
@@ -52,12 +50,7 @@
 export async function startForwarding(options: ForwardingOptions): Promise<RunningForwarding> {
     const { settings, log, rows } = options;
     const metrics = createForwardingMetrics();
-    const source = options.createSource({
-        address: settings.store.address,
-        callTimeoutMs: STORE_CALL_TIMEOUT_MS,
-        maxBackoffMs: MAX_STORE_BACKOFF_MS,
-        onCall: (operation, outcome) => metrics.storeCalls.inc({ operation, outcome }),
-    });
+    const source = createStoreSource(options, metrics);
     const configuration = createConfigurationManager({
         rows,
         log,
@@ -83,8 +76,9 @@
         assignmentRegistry: registry,
         peerObservations: createEndpointObservationTable(),
         isSmallFleet: () => peers.fleet.isSmallFleet(),
+        placePrompt: query => fleet.placePrompt(query),
         responseBudget: createByteBudget(() => context.settings.responses.max_buffered_bytes),
-        retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.countHosts()),
+        retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.fleet.countHosts()),
         getConfiguration: configuration.get,
         createReservationId: createIdGenerator(settings.host_id),
         isDraining: false,
@@ -92,17 +86,23 @@
     };
     const servers = await serveForwarding(context);
     const sharedTables = new Map<string, TrackedTable>();
-    const synchronization = await startTableSynchronization(settings.listen.peers, sharedTables, log);
-    const peers = startHostPeers(context, sharedTables, synchronization);
+    const fleet = await connectFleet(context, sharedTables);
+    const { peers } = fleet;
     const tables = trackTables({ rows, source, log, configuration, directory, peers, sharedTables });
-    const stopPublishing = publishHost(source, rows.hostTable, settings.listen.peers, log);
+    const stopPublishing = publishHost({
+        source,
+        table: rows.hostTable,
+        address: settings.listen.peers,
+        shouldPublish: peers.fleet.shouldFollowStore,
+        log,
+    });
     const stopProbing = startProbing({
         directory,
         protocol: options.protocol,
         log,
         listMonitored: () => listMonitoredEndpoints(context, peers.fleet.listLocalDomain(), settings.listen.peers),
     });
-    const gaugeTimer = setInterval(() => updateGauges(context, peers.countHosts()), GAUGE_INTERVAL_MS);
+    const gaugeTimer = setInterval(() => updateGauges(context, peers.fleet.countHosts()), GAUGE_INTERVAL_MS);
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
     let drained: Promise<void> | undefined;
     const stop = async (): Promise<void> => {
@@ -112,9 +112,8 @@
         stopPublishing();
         stopProbing();
         clearInterval(gaugeTimer);
-        peers.close();
         directory.close();
-        await synchronization.close();
+        await fleet.close();
         log.info("host: stopped");
     };
     return {
@@ -128,29 +127,16 @@
     };
 }
 
-function startHostPeers(
-    context: ForwardingContext,
-    sharedTables: ReadonlyMap<string, TrackedTable>,
-    synchronization: TableSynchronization,
-): Peers {
-    const { settings, directory, assignmentRegistry: registry, log, metrics, peerObservations: observations } = context;
-    return startPeers({
-        address: settings.listen.peers,
-        failureDomain: directory.localFailureDomain,
-        seeds: settings.seeds,
-        registry,
-        log,
-        findDomain: id => directory.get(id)?.entry.failureDomain,
-        getLastChangeVersions: synchronization.getLastChangeVersions,
-        getObservations: () => listEndpointObservations(directory, performance.now()),
-        isStoreUnavailable: () => [...sharedTables.values()].some(table => table.isStoreUnavailable()),
-        onState: state => {
-            synchronization.synchronizeWith(state.address, state.lastChangeVersions);
-            observations.setPeer(state.address, state.observations, performance.now());
-        },
-        onDatagram: direction => metrics.datagrams.inc({ direction }),
+const createStoreSource = (
+    { settings, createSource }: ForwardingOptions,
+    metrics: ForwardingMetrics,
+): ReturnType<CreateTableSource> =>
+    createSource({
+        address: settings.store.address,
+        callTimeoutMs: STORE_CALL_TIMEOUT_MS,
+        maxBackoffMs: MAX_STORE_BACKOFF_MS,
+        onCall: (operation, outcome) => metrics.storeCalls.inc({ operation, outcome }),
     });
-}
 
 /** Creates a generator of ids that are unique among all hosts and all runs of their processes. */
 function createIdGenerator(hostId: string): () => string {
--- a/packages/forwarding/src/commands/trackTables.ts
+++ b/packages/forwarding/src/commands/trackTables.ts
@@ -51,8 +51,11 @@
                 waitMs: FEED_POLL_MS,
                 batchDelayMs: FEED_BATCH_DELAY_MS,
                 shouldFollow: peers.fleet.shouldFollowStore,
-                prefersStore: table === rows.configurationTable,
-                onChange,
+                isCopied: true,
+                onChange: (changed, afterOutage) => {
+                    onChange(changed, afterOutage);
+                    peers.announceTables();
+                },
             }),
         );
     }
@@ -63,7 +66,7 @@
         waitMs: HOST_FEED_POLL_MS,
         batchDelayMs: HOST_FEED_BATCH_DELAY_MS,
         shouldFollow: peers.fleet.shouldFollowStore,
-        prefersStore: false,
+        isCopied: false,
         onChange: changed => peers.addHosts(changed.filter(row => row.value !== undefined).map(row => row.key)),
     });
     return {
--- a/packages/forwarding/src/endpoints/queries/listEndpointObservations.ts
+++ b/packages/forwarding/src/endpoints/queries/listEndpointObservations.ts
@@ -25,7 +25,7 @@
         }
         return [{
             endpointId: entry.id,
-            isUnresponsive: health.isUnresponsive,
+            unresponsiveReports: health.isUnresponsive ? 1 : 0,
             failures,
             ...(isSlow ? { slowdown: currentSlowdown } : {}),
         }];
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -2,6 +2,7 @@
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import type { ConfigurationIndex } from "../configuration/model/configurationIndex.js";
+import type { Coordination } from "../coordination/commands/startCoordination.js";
 import type { ByteBudget } from "../endpoints/model/byteBudget.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import type { EndpointObservationTable } from "../endpoints/model/endpointObservation.js";
@@ -22,8 +23,10 @@
     readonly assignmentRegistry: AssignmentRegistry;
     /** Endpoint observations that peers have announced. */
     readonly peerObservations: EndpointObservationTable;
-    /** Whether all hosts announce their assignments to each other at once, also between failure domains. */
+    /** Whether each host knows all assignments and places prompts by itself. */
     readonly isSmallFleet: () => boolean;
+    /** Places prompts in a large fleet. */
+    readonly placePrompt: Coordination["placePrompt"];
     /** Limits the bytes of responses that this host buffers. */
     readonly responseBudget: ByteBudget;
     /** Limits the retries of all hosts together. */
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -13,6 +13,8 @@
     readonly storeCalls: Counter<"operation" | "outcome">;
     readonly reservations: Counter<"outcome">;
     readonly datagrams: Counter<"direction">;
+    readonly placementQueries: Counter<"outcome">;
+    readonly tableFetches: Counter<"outcome">;
     readonly inFlight: Gauge;
     readonly configurationVersion: Gauge;
     readonly endpoints: Gauge<"state">;
@@ -68,12 +70,6 @@
             labelNames: ["outcome"],
             registers,
         }),
-        datagrams: new Counter({
-            name: "currantrill_peer_datagrams_total",
-            help: "Datagrams between hosts.",
-            labelNames: ["direction"],
-            registers,
-        }),
         inFlight: new Gauge({ name: "currantrill_forwarded_in_flight", help: "Requests in flight.", registers }),
         configurationVersion: new Gauge({
             name: "currantrill_serving_configuration_version",
@@ -86,6 +82,33 @@
             labelNames: ["state"],
             registers,
         }),
+        ...createPeerMetrics(registers),
+    };
+}
+
+/** Creates the metrics of the exchange with other hosts. */
+function createPeerMetrics(
+    registers: Registry[],
+): Pick<ForwardingMetrics, "datagrams" | "placementQueries" | "tableFetches" | "peers"> {
+    return {
+        datagrams: new Counter({
+            name: "currantrill_peer_datagrams_total",
+            help: "Datagrams between hosts.",
+            labelNames: ["direction"],
+            registers,
+        }),
+        placementQueries: new Counter({
+            name: "currantrill_placement_queries_total",
+            help: "Questions to coordinators by outcome.",
+            labelNames: ["outcome"],
+            registers,
+        }),
+        tableFetches: new Counter({
+            name: "currantrill_table_fetches_total",
+            help: "Copies of tables from other hosts by outcome.",
+            labelNames: ["outcome"],
+            registers,
+        }),
         peers: new Gauge({ name: "currantrill_peers", help: "Hosts heard within the last seconds.", registers }),
     };
 }
--- /dev/null
+++ b/packages/forwarding/src/peers/commands/handlePeerMessages.ts
@@ -0,0 +1,61 @@
+/** Applies the states and digests of peers. */
+import type { FleetView } from "../model/fleetView.js";
+import type { PeerTable } from "../model/peerTable.js";
+import { decodeFleetDigest } from "../queries/fleetDigestCodec.js";
+import { decodePeerState } from "../queries/peerStateCodec.js";
+import type { Announcer } from "./createAnnouncer.js";
+import type { PeersOptions } from "./startPeers.js";
+
+export interface PeerMessagesOptions {
+    readonly peers: PeersOptions;
+    readonly table: PeerTable;
+    readonly fleet: FleetView;
+    readonly announcer: Announcer;
+    /** Times of the last state of each peer, which then expects digests. */
+    readonly subscribedAtMs: Map<string, number>;
+}
+
+/** Sets the handlers of states and digests. */
+export function handlePeerMessages({ peers, table, fleet, announcer, subscribedAtMs }: PeerMessagesOptions): void {
+    const { failureDomain, registry, socket, log } = peers;
+    /** Answers a host at once that has just started, which waits for it before it reads the store. */
+    const answerJoined = (peer: string): void => {
+        log.info({ peer }, "peers: peer is alive");
+        if (fleet.isSmallFleet()) {
+            announcer.sendState(fleet.listAlive(), [peer]);
+            return;
+        }
+        announcer.sendDigests([peer]);
+    };
+    socket.setHandler("state", (fields, nowMs) => {
+        const state = decodePeerState(fields, nowMs);
+        const result = table.accept(state, nowMs);
+        if (result === "stale") {
+            return;
+        }
+        table.add(state.hosts, nowMs);
+        peers.onState(state);
+        if (state.isLeaving) {
+            registry.removePeer(state.address);
+            subscribedAtMs.delete(state.address);
+            return;
+        }
+        registry.setPeer(state.address, state.assignments, nowMs, state.settledQuery);
+        subscribedAtMs.set(state.address, nowMs);
+        if (result === "joined") {
+            answerJoined(state.address);
+        }
+    });
+    socket.setHandler("digest", (fields, nowMs) => {
+        const digest = decodeFleetDigest(fields, nowMs);
+        if (table.accept(digest, nowMs) === "stale") {
+            return;
+        }
+        table.acceptMembers(digest.members, nowMs);
+        fleet.recordDigest(digest);
+        if (digest.failureDomain !== failureDomain && digest.assignments.length > 0) {
+            registry.setDomain(digest.failureDomain, digest.assignments, nowMs);
+        }
+        peers.onDigest(digest);
+    });
+}
--- a/packages/forwarding/src/peers/commands/publishHost.ts
+++ b/packages/forwarding/src/peers/commands/publishHost.ts
@@ -1,16 +1,33 @@
 import type Logger from "bunyan";
 import type { TableSource } from "../../ports/tableSource.js";
 
+/** Interval at which the host checks whether its address has to be published. */
+const CHECK_MS = 200;
 /** Mean delay before the write is retried. */
 const RETRY_MS = 1_000;
 
+export interface PublishHostOptions {
+    readonly source: TableSource;
+    /** Name of the host table. */
+    readonly table: string;
+    readonly address: string;
+    /** Returns whether other hosts have to find this one through the store: if it follows the store itself. */
+    readonly shouldPublish: () => boolean;
+    readonly log: Logger;
+}
+
 /**
- * Writes this host's address to the host table, from which other hosts learn it, and retries until that succeeds.
- * Returns a function that cancels the retries.
+ * Writes this host's address to the host table, from which other hosts learn it, once that is needed, and retries until
+ * it succeeds. Returns a function that cancels this.
  */
-export function publishHost(source: TableSource, table: string, address: string, log: Logger): () => void {
+export function publishHost(options: PublishHostOptions): () => void {
+    const { source, table, address, shouldPublish, log } = options;
     let timer: NodeJS.Timeout | undefined;
     const publish = (): void => {
+        if (!shouldPublish()) {
+            timer = setTimeout(publish, CHECK_MS);
+            return;
+        }
         source.putRow(table, address, Buffer.from("{}")).catch((error: unknown) => {
             log.warn({ err: error }, "peers: could not publish the address of this host, retrying");
             timer = setTimeout(publish, RETRY_MS * (0.5 + Math.random()));
--- a/packages/forwarding/src/peers/commands/synchronizeTables.ts
+++ b/packages/forwarding/src/peers/commands/synchronizeTables.ts
@@ -1,6 +1,7 @@
 /** Synchronizes tables between hosts, for hosts that do not receive changes from the store. */
-import { requestJson, type RunningServer, serveHttp } from "@currantrill/http";
+import { requestJson, type RunningServer, sendJson, serveHttp } from "@currantrill/http";
 import type Logger from "bunyan";
+import { gzipSync } from "node:zlib";
 import type { TableChanges } from "../../ports/tableSource.js";
 import type { TrackedTable } from "../../replicas/commands/trackTable.js";
 import type { TableReplica } from "../../replicas/model/tableReplica.js";
@@ -11,10 +12,13 @@
 const STORE_GRACE_MS = 800;
 const FETCH_TIMEOUT_MS = 800;
 
-/**
- * Hosts that copy from peers fetch within this time after an announcement, so that not all query the same peer at once.
- */
-const FETCH_JITTER_MS = 60;
+/** Hosts that copy from peers fetch within this time after an announcement, so that not all query the same peer at once. */
+const FETCH_JITTER_MS = 150;
+/** Shortest time between two fetches of a table, so that changes in quick succession are copied together. */
+const FETCH_INTERVAL_MS = 400;
+
+/** The fastest level: a copy of a large configuration then takes a few milliseconds. */
+const COMPRESSION_LEVEL = 1;
 
 /** Body of the response to a fetch. */
 interface TableCopy {
@@ -38,12 +42,13 @@
 
 /**
  * Serves copies of tables over HTTP on the peer address, and fetches newer ones from peers. Rejects if the address
- * cannot be bound.
+ * cannot be bound. `onFetch` is called with the outcome of each fetch, for metrics.
  */
 export async function startTableSynchronization(
     address: string,
     tables: ReadonlyMap<string, TrackedTable>,
     log: Logger,
+    onFetch: (outcome: "copied" | "refused" | "failed") => void = () => undefined,
 ): Promise<TableSynchronization> {
     const [host = "", port = "0"] = address.split(":");
     const server: RunningServer = await serveHttp({
@@ -56,13 +61,20 @@
             handle: (request, response) => {
                 const table = tables.get(request.params["name"] ?? "");
                 const after = Number(new URLSearchParams(request.search).get("after") ?? -1);
-                response.writeHead(table === undefined ? 404 : 200, { "content-type": "application/json" });
-                response.end(JSON.stringify(table === undefined ? {} : exportTable(table, after)));
+                if (table === undefined) {
+                    sendJson(response, 404, {});
+                    return;
+                }
+                response.writeHead(200, { "content-type": "application/json", "content-encoding": "gzip" });
+                response.end(exportCompressed(table, after));
             },
         }],
     });
+    const exportCompressed = createCompressedExport();
     const fetching = new Set<string>();
+    const fetchedAtMs = new Map<string, number>();
     const fetch = async (name: string, table: TrackedTable, peer: string): Promise<void> => {
+        fetchedAtMs.set(name, performance.now());
         try {
             const after = table.getReplica().version;
             const url = `http://${peer}/tables/${name}?after=${after}`;
@@ -71,8 +83,10 @@
             if (reply.status === 200 && Array.isArray(copy?.rows)) {
                 table.adoptFromPeer(toChanges(copy, table.getReplica()), copy.isAfterOutage);
             }
+            onFetch(reply.status === 200 ? "copied" : "refused");
         }
         catch (error) {
+            onFetch("failed");
             log.warn({ err: error, peer, table: name }, "peers: could not fetch a table");
         }
         finally {
@@ -89,7 +103,10 @@
                     continue;
                 }
                 fetching.add(name);
-                const waitMs = table.notifyChange() ? STORE_GRACE_MS : Math.random() * FETCH_JITTER_MS;
+                const sinceFetchMs = performance.now() - (fetchedAtMs.get(name) ?? -Infinity);
+                const waitMs = table.isFollowing()
+                    ? STORE_GRACE_MS
+                    : Math.max(FETCH_INTERVAL_MS - sinceFetchMs, Math.random() * FETCH_JITTER_MS);
                 setTimeout(() => {
                     if (peerVersion <= table.getReplica().version) {
                         fetching.delete(name);
@@ -116,6 +133,24 @@
     };
 }
 
+/**
+ * Creates an export of compressed copies, which keeps the last copy of each table: the hosts of a domain ask for the same
+ * one. Copies are compressed because many hosts have slow links.
+ */
+function createCompressedExport(): (table: TrackedTable, after: number) => Buffer {
+    const last = new Map<TrackedTable, { readonly key: string; readonly data: Buffer; }>();
+    return (table, after) => {
+        const key = `${after} ${table.getReplica().version} ${table.isAfterOutage()}`;
+        const known = last.get(table);
+        if (known?.key === key) {
+            return known.data;
+        }
+        const data = gzipSync(JSON.stringify(exportTable(table, after)), { level: COMPRESSION_LEVEL });
+        last.set(table, { key, data });
+        return data;
+    };
+}
+
 /** Completes a copy with the rows of the local replica that have not changed since its version. */
 function toChanges(copy: TableCopy, replica: TableReplica): TableChanges {
     const changed = copy.rows.map(([key, version, value]) => ({ key, version, value: Buffer.from(value, "base64") }));
--- a/packages/forwarding/src/peers/model/peerState.ts
+++ b/packages/forwarding/src/peers/model/peerState.ts
@@ -6,24 +6,34 @@
 import type { EndpointObservation } from "../../endpoints/model/endpointObservation.js";
 import type { Assignment } from "../../placement/model/assignment.js";
 
-/** State of a host at the time of a message. */
-export interface PeerState {
+/** What every announcement says of its sender. */
+export interface PeerHeader {
     /** IP address and port on which the host receives messages of peers. */
     readonly address: string;
     readonly failureDomain: FailureDomainId;
     /** Start of the host's process, in Unix milliseconds; distinguishes a restarted host from its earlier run. */
     readonly incarnation: number;
-    /** Sequence number of the message within the incarnation. */
+    /** Sequence number of the message within the incarnation, over messages of all kinds. */
     readonly sequence: number;
+    /** Processor capacity in cores. Hosts with the most capacity coordinate their failure domain. */
+    readonly capacity: number;
     /** Whether the host is shutting down. */
     readonly isLeaving: boolean;
     /** Whether the host's last call to the store failed, so that it receives no changes from it. */
     readonly isStoreUnavailable: boolean;
     /** Version of the newest change that the host knows, by table. */
     readonly lastChangeVersions: Readonly<Record<string, number>>;
+}
+
+/** State of a host at the time of a message. */
+export interface PeerState extends PeerHeader {
     /** Live peers of the sender in some heartbeats, so that hosts discover each other; empty in all other messages. */
     readonly hosts: readonly string[];
     readonly observations: readonly EndpointObservation[];
+    /**
+     * Id up to which all placement queries of the host are settled: their assignments are in this state, or have ended.
+     */
+    readonly settledQuery: number;
     /** Assignments of the host. On the wire their times are ages. */
     readonly assignments: readonly Assignment[];
 }
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -6,7 +6,7 @@
 import { markUnresponsive, recordFailure } from "../../endpoints/model/endpointHealth.js";
 import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
-import type { Placement } from "../../placement/queries/choosePlacement.js";
+import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import type { PrefillShard } from "../../ports/endpointProtocol.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
@@ -61,7 +61,7 @@
     readonly endpoint: Endpoint;
     /** No other endpoint may be tried, so the attempt continues until the deadline, without stall checks. */
     readonly isFinalAttempt: boolean;
-    readonly placement?: Placement;
+    readonly placement: PromptPlacement;
     /** Endpoints that prefill further shards of the prompt. */
     readonly shardTargets: readonly PrefillShard[];
     readonly onFirstEvent: () => void;
@@ -138,7 +138,7 @@
                     wasSent: run.record.wasSent,
                 }),
         });
-        scheduleStallCheck(run, getFirstEventLimits(plan.placement?.firstEventMs ?? 0));
+        scheduleStallCheck(run, getFirstEventLimits(plan.placement.firstEventMs));
     });
 }
 
@@ -146,7 +146,7 @@
     const record: AttemptRecord = {
         endpoint: plan.endpoint.entry.id,
         sentAfterMs: Math.round(performance.now() - exchange.startedAtMs),
-        ...describePlacement(plan.placement),
+        ...describeEstimate(plan.placement),
         ...(plan.shardTargets.length === 0 ? {} : { parts: plan.shardTargets.map(target => target.address) }),
         outcome: "pending",
         wasSent: false,
@@ -156,13 +156,12 @@
 }
 
 /** Describes the estimate of the placement and the work on the endpoint that it took into account. */
-const describePlacement = (placement: Placement | undefined): Partial<AttemptRecord> =>
-    placement === undefined ? {} : {
-        expectedMs: Math.round(placement.firstEventMs),
-        backlogMs: Math.round(placement.backlogMs),
-        booked: placement.primary.assignments.length,
-        cost: Number(placement.cost.toFixed(2)),
-    };
+const describeEstimate = (placement: PromptPlacement): Partial<AttemptRecord> => ({
+    expectedMs: Math.round(placement.firstEventMs),
+    backlogMs: Math.round(placement.backlogMs),
+    booked: placement.assignedCount,
+    cost: Number(placement.cost.toFixed(2)),
+});
 
 function finishRun(run: StreamRun, end: StreamAttemptResult): void {
     if (run.isSettled) {
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -1,16 +1,17 @@
 /** Serves requests whose response is a stream of server-sent events. */
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
-import type { Assignment } from "../../placement/model/assignment.js";
-import type { EndpointLoad } from "../../placement/model/endpointLoad.js";
 import { defaultPlacementWeights } from "../../placement/model/placementWeights.js";
+import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
+import { buildAssignedWork } from "../../placement/queries/buildAssignedWork.js";
 import { chooseLeastLoaded } from "../../placement/queries/chooseLeastLoaded.js";
-import { choosePlacement, type Placement } from "../../placement/queries/choosePlacement.js";
-import { estimatePrefillMs } from "../../placement/queries/estimateEngine.js";
+import { choosePlacement } from "../../placement/queries/choosePlacement.js";
+import { describePlacement } from "../../placement/queries/describePlacement.js";
+import type { PlacementRequest } from "../../placement/queries/scoreEndpoint.js";
 import { selectCandidates } from "../../placement/queries/selectCandidates.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
 import type { Exchange } from "../model/exchange.js";
-import { type CandidateLoad, listLoads } from "../queries/listLoads.js";
+import { listLoads } from "../queries/listLoads.js";
 import { runStreamAttempt, type StreamAttemptResult, type StreamProgress } from "./runStreamAttempt.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
@@ -23,9 +24,13 @@
 
 interface ChosenEndpoints {
     readonly endpoint: Endpoint;
-    readonly placement?: Placement;
+    readonly placement: PromptPlacement;
+    /** Endpoints of further shards, in the order of `placement.helperShards`. */
+    readonly helpers: readonly Endpoint[];
     /** Set if the shards need memory at other endpoints. */
     readonly reservedMemory?: ShardReservations;
+    /** To be called once the assignments have been added, or will not be. */
+    readonly settle: () => void;
 }
 
 /** Serves a stream. Resolves with the outcome when the caller has the complete response or can no longer get it. */
@@ -47,6 +52,7 @@
         const chosen = await chooseEndpoints(context, exchange, tried);
         if (exchange.isDisconnected) {
             chosen?.reservedMemory?.release();
+            chosen?.settle();
             return "caller_gone";
         }
         if (chosen === undefined) {
@@ -86,29 +92,22 @@
     exchange: Exchange,
     tried: ReadonlySet<Endpoint>,
 ): Promise<ChosenEndpoints | undefined> {
-    const refusedIds = new Set<EndpointLoad["id"]>();
+    const refusedIds = new Set<string>();
     for (let attempt = 1;; attempt += 1) {
-        const nowMs = performance.now();
-        const allLoads = listLoads(context, exchange.service.name, nowMs);
-        const candidates = context.isSmallFleet()
-            ? allLoads
-            : selectCandidates(allLoads, context.directory.localFailureDomain);
-        const isUntried = (load: CandidateLoad): boolean => !tried.has(load.endpoint) && !refusedIds.has(load.id);
-        const loads = allLoads.filter(isUntried);
-        const placement = planStream(context, exchange, candidates.filter(isUntried), nowMs)
-            ?? planStream(context, exchange, loads, nowMs);
-        const endpoint = loads.find(load => load.id === placement?.primary.id)?.endpoint;
-        if (placement === undefined || endpoint === undefined) {
+        const excludedIds = [...[...tried].map(endpoint => endpoint.entry.id), ...refusedIds];
+        const chosen = await decideEndpoints(context, exchange, excludedIds);
+        if (chosen === undefined) {
             return undefined;
         }
-        const needs = listShardNeeds(loads, placement);
+        const needs = listShardNeeds(chosen);
         if (needs.length === 0) {
-            return { endpoint, placement };
+            return chosen;
         }
         const reservedMemory = await reserveShardMemory(context, needs);
         if (reservedMemory !== undefined) {
-            return { endpoint, placement, reservedMemory };
+            return { ...chosen, reservedMemory };
         }
+        chosen.settle();
         if (
             attempt >= MAX_RESERVATION_ATTEMPTS || exchange.isDisconnected || performance.now() >= exchange.deadlineAtMs
         ) {
@@ -118,36 +117,85 @@
     }
 }
 
-function listShardNeeds(
-    loads: readonly CandidateLoad[],
-    placement: Placement,
-): { endpoint: Endpoint; tokens: number; }[] {
-    return placement.helperShards.flatMap(shard => {
-        const endpoint = loads.find(load => load.id === shard.load.id)?.endpoint;
-        return endpoint === undefined || shard.reserveTokens === 0 ? [] : [{ endpoint, tokens: shard.reserveTokens }];
+const listShardNeeds = ({ placement, helpers }: ChosenEndpoints): { endpoint: Endpoint; tokens: number; }[] =>
+    helpers.flatMap((endpoint, index) => {
+        const tokens = placement.helperShards[index]?.reserveTokens ?? 0;
+        return tokens === 0 ? [] : [{ endpoint, tokens }];
     });
+
+/** Places the stream by a coordinator, or in a small fleet and without an answer by this host. */
+async function decideEndpoints(
+    context: ForwardingContext,
+    exchange: Exchange,
+    excludedIds: readonly string[],
+): Promise<ChosenEndpoints | undefined> {
+    const isCoordinated = !context.isSmallFleet() && exchange.service.engine !== undefined;
+    const coordinated = isCoordinated
+        ? await context.placePrompt({
+            ...describePrompt(exchange, performance.now()),
+            service: exchange.service.name,
+            excludedIds,
+        })
+        : undefined;
+    const found = coordinated === undefined ? undefined : findEndpoints(context, coordinated.placement);
+    if (coordinated !== undefined && found !== undefined) {
+        return { ...found, placement: coordinated.placement, settle: coordinated.settle };
+    }
+    coordinated?.settle();
+    const placement = planStream(context, exchange, excludedIds);
+    const planned = placement === undefined ? undefined : findEndpoints(context, placement);
+    return placement === undefined || planned === undefined
+        ? undefined
+        : { ...planned, placement, settle: () => undefined };
+}
+
+/** Finds the endpoints of a placement. Returns `undefined` if this host does not know one of them. */
+function findEndpoints(
+    { directory }: ForwardingContext,
+    { primaryId, helperShards }: PromptPlacement,
+): Pick<ChosenEndpoints, "endpoint" | "helpers"> | undefined {
+    const endpoint = directory.get(primaryId);
+    const helpers = helperShards.flatMap(shard => directory.get(shard.endpointId) ?? []);
+    return endpoint === undefined || helpers.length < helperShards.length ? undefined : { endpoint, helpers };
 }
 
+function describePrompt(exchange: Exchange, nowMs: number): PlacementRequest {
+    return {
+        promptTokens: exchange.callerMetadata.promptTokens ?? DEFAULT_PROMPT_TOKENS,
+        answerTokens: exchange.callerMetadata.answerTokens ?? exchange.service.engine?.meanAnswerTokens ?? 0,
+        targetMs: exchange.route.targetMs - (nowMs - exchange.startedAtMs),
+        targetPauseMs: exchange.route.targetPauseMs,
+    };
+}
+
+/** Plans the stream by what this host knows. */
 function planStream(
     context: ForwardingContext,
     exchange: Exchange,
-    loads: readonly CandidateLoad[],
-    nowMs: number,
-): Placement | undefined {
+    excludedIds: readonly string[],
+): PromptPlacement | undefined {
+    const nowMs = performance.now();
     const { engine } = exchange.service;
     const { localFailureDomain: localDomain } = context.directory;
+    const allLoads = listLoads(context, exchange.service.name, nowMs);
+    const loads = allLoads.filter(load => !excludedIds.includes(load.id));
     if (engine === undefined) {
         const first = chooseLeastLoaded(loads, localDomain, Math.random());
-        return first === undefined
-            ? undefined
-            : { primary: first, helperShards: [], firstEventMs: 0, backlogMs: 0, cost: 0 };
+        return first === undefined ? undefined : {
+            primaryId: first.id,
+            helperShards: [],
+            firstEventMs: 0,
+            backlogMs: 0,
+            cost: 0,
+            assignedCount: first.assignments.length,
+        };
     }
-    return choosePlacement({ engine, hostDomain: localDomain, nowMs, weights: defaultPlacementWeights }, loads, {
-        promptTokens: exchange.callerMetadata.promptTokens ?? DEFAULT_PROMPT_TOKENS,
-        answerTokens: exchange.callerMetadata.answerTokens ?? engine.meanAnswerTokens,
-        targetMs: exchange.route.targetMs - (nowMs - exchange.startedAtMs),
-        targetPauseMs: exchange.route.targetPauseMs,
-    });
+    const candidates = context.isSmallFleet() ? loads : selectCandidates(loads, localDomain);
+    const placementContext = { engine, hostDomain: localDomain, nowMs, weights: defaultPlacementWeights };
+    const prompt = describePrompt(exchange, nowMs);
+    const placement = choosePlacement(placementContext, candidates, prompt)
+        ?? choosePlacement(placementContext, loads, prompt);
+    return placement === undefined ? undefined : describePlacement(placement);
 }
 
 /** Runs one attempt. Its assignments are announced to peers while it runs. */
@@ -158,65 +206,31 @@
     chosen: ChosenEndpoints,
     isFinalAttempt: boolean,
 ): Promise<StreamAttemptResult> {
-    const addedAssignments = addAssignments(context, exchange, chosen);
+    const nowMs = performance.now();
+    const prompt = describePrompt(exchange, nowMs);
+    const assignments = buildAssignedWork(exchange.service.engine, prompt, chosen.placement)
+        .map(work => context.assignmentRegistry.add(work, nowMs));
+    chosen.settle();
     try {
         return await runStreamAttempt(context, exchange, progress, {
             endpoint: chosen.endpoint,
             isFinalAttempt,
-            ...(chosen.placement === undefined ? {} : { placement: chosen.placement }),
-            shardTargets: (chosen.placement?.helperShards ?? []).map(shard => {
-                const reservation = chosen.reservedMemory?.reservations.find(each =>
-                    each.endpoint.entry.id === shard.load.id
-                );
+            placement: chosen.placement,
+            shardTargets: chosen.helpers.map(helper => {
+                const reservation = chosen.reservedMemory?.reservations.find(each => each.endpoint === helper);
                 return {
-                    address: shard.load.address,
+                    address: helper.entry.address,
                     ...(reservation === undefined ? {} : { reservationId: reservation.id }),
                 };
             }),
             onFirstEvent: () =>
-                addedAssignments.forEach(assignment =>
+                assignments.forEach(assignment =>
                     context.assignmentRegistry.markPrefilled(assignment.id, performance.now())
                 ),
         });
     }
     finally {
-        addedAssignments.forEach(assignment => context.assignmentRegistry.remove(assignment.id));
+        assignments.forEach(assignment => context.assignmentRegistry.remove(assignment.id));
         chosen.reservedMemory?.release();
     }
 }
-
-/** Adds an assignment for the endpoint that decodes, and one for each endpoint that prefills a further shard. */
-function addAssignments(
-    context: ForwardingContext,
-    exchange: Exchange,
-    chosen: ChosenEndpoints,
-): readonly Assignment[] {
-    const nowMs = performance.now();
-    const promptTokens = exchange.callerMetadata.promptTokens ?? DEFAULT_PROMPT_TOKENS;
-    const { engine } = exchange.service;
-    const placedShards = chosen.placement?.helperShards ?? [];
-    const endpointCount = placedShards.length + 1;
-    const estimatedPrefillMs = engine === undefined ? 0 : estimatePrefillMs(engine, promptTokens, endpointCount);
-    const reservedTokens = placedShards.reduce((sum, shard) => sum + shard.reserveTokens, 0);
-    const answerTokens = exchange.callerMetadata.answerTokens ?? engine?.meanAnswerTokens ?? 0;
-    const sharedFields = {
-        prefillTokens: Math.ceil(promptTokens / endpointCount),
-        promptShards: endpointCount,
-        prefillMs: estimatedPrefillMs,
-        targetMs: exchange.route.targetMs - (nowMs - exchange.startedAtMs),
-        targetPauseMs: exchange.route.targetPauseMs,
-    };
-    const primaryAssignment = {
-        ...sharedFields,
-        endpointId: chosen.endpoint.entry.id,
-        memoryTokens: Math.max(0, promptTokens - reservedTokens) + answerTokens,
-        isDecodedElsewhere: false,
-    };
-    const helperAssignments = placedShards.map(shard => ({
-        ...sharedFields,
-        endpointId: shard.load.id,
-        memoryTokens: shard.reserveTokens,
-        isDecodedElsewhere: true,
-    }));
-    return [primaryAssignment, ...helperAssignments].map(work => context.assignmentRegistry.add(work, nowMs));
-}
--- a/packages/forwarding/src/requests/queries/listLoads.ts
+++ b/packages/forwarding/src/requests/queries/listLoads.ts
@@ -1,7 +1,7 @@
 import type { FailureDomainId, ServiceId } from "@currantrill/protocol";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { type EndpointHealth, getFailures, getSlowdown } from "../../endpoints/model/endpointHealth.js";
-import type { ObservationSummary } from "../../endpoints/model/endpointObservation.js";
+import { emptyObservationSummary, type ObservationSummary } from "../../endpoints/model/endpointObservation.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { EndpointLoad } from "../../placement/model/endpointLoad.js";
 
@@ -10,19 +10,36 @@
     readonly endpoint: Endpoint;
 }
 
-/** Lists the endpoints of a service that are not draining, with the load figures that placement compares. */
-export function listLoads(context: ForwardingContext, service: ServiceId, nowMs: number): readonly CandidateLoad[] {
-    const assignmentsByEndpoint = context.assignmentRegistry.groupByEndpoint(nowMs);
-    const candidates = context.directory.listReady(service);
-    const unresponsiveFractions = computeUnresponsiveFractions(candidates, context.directory.localFailureDomain);
-    return candidates.map(endpoint => ({
-        ...mergeHealth(endpoint.health, context.peerObservations.get(endpoint.entry.id, nowMs), nowMs),
+/**
+ * Lists the endpoints of a service that are not draining, with the load figures that placement compares. `domain` limits
+ * them to one failure domain.
+ */
+export function listLoads(
+    context: ForwardingContext,
+    service: ServiceId,
+    nowMs: number,
+    domain?: FailureDomainId,
+): readonly CandidateLoad[] {
+    const { directory, assignmentRegistry: registry } = context;
+    const known = registry.groupByEndpoint(nowMs);
+    const summaries = context.peerObservations.summarize(nowMs);
+    const ready = directory.listReady(service);
+    const unresponsiveFractions = computeUnresponsiveFractions(ready, directory.localFailureDomain);
+    const groups = new Map(
+        [...new Set(ready.map(endpoint => endpoint.entry.failureDomain))].map(each => [
+            each,
+            // A digest of another domain lists all assignments there, also those of this host and its peers.
+            each === directory.localFailureDomain ? known : registry.groupDomain(each, nowMs) ?? known,
+        ]),
+    );
+    return ready.filter(({ entry }) => domain === undefined || entry.failureDomain === domain).map(endpoint => ({
+        ...mergeHealth(endpoint.health, summaries.get(endpoint.entry.id) ?? emptyObservationSummary, nowMs),
         endpoint,
         id: endpoint.entry.id,
         address: endpoint.entry.address,
         failureDomain: endpoint.entry.failureDomain,
         slots: endpoint.entry.slots,
-        assignments: assignmentsByEndpoint.get(endpoint.entry.id) ?? [],
+        assignments: groups.get(endpoint.entry.failureDomain)?.get(endpoint.entry.id) ?? [],
         domainUnresponsiveFraction: unresponsiveFractions.get(endpoint.entry.failureDomain) ?? 0,
         bias: endpoint.bias,
     }));
--- a/packages/http/src/requestJson.ts
+++ b/packages/http/src/requestJson.ts
@@ -1,3 +1,4 @@
+import { gunzipSync } from "node:zlib";
 import { type Dispatcher, request } from "undici";
 
 /** Options of `requestJson`. The method defaults to GET. */
@@ -41,12 +42,14 @@
         signal: AbortSignal.timeout(settings.timeoutMs),
         ...(settings.dispatcher === undefined ? {} : { dispatcher: settings.dispatcher }),
     });
-    const text = await readText(response.body, settings.maxBodyBytes);
+    const body = await readBody(response.body, settings.maxBodyBytes);
+    const isCompressed = response.headers["content-encoding"] === "gzip";
+    const text = (isCompressed ? gunzipSync(body, { maxOutputLength: settings.maxBodyBytes }) : body).toString("utf8");
     return { status: response.statusCode, headers: response.headers, body: parseJson(text) };
 }
 
 /** Reads a body. Rejects, and closes the connection, if it is longer than `maxBytes`. */
-async function readText(body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
+async function readBody(body: AsyncIterable<Buffer>, maxBytes: number): Promise<Buffer> {
     const chunks: Buffer[] = [];
     let bytes = 0;
     for await (const chunk of body) {
@@ -56,7 +59,7 @@
         }
         chunks.push(chunk);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return Buffer.concat(chunks);
 }
 
 function parseJson(text: string): unknown {
--- a/packages/settings/src/model/forwardingSettings.ts
+++ b/packages/settings/src/model/forwardingSettings.ts
@@ -36,6 +36,12 @@
         /** Maximum time that memory stays reserved after its last request. */
         free_ms: millisecondsSchema,
     }).prefault({ free_ms: 4_000 }),
+    processor: z.strictObject({
+        /** Number of cores. Hosts with the most capacity coordinate their failure domain. */
+        cores: z.number().positive().default(1),
+        /** Fraction of each core that this host may use. */
+        share: z.number().positive().default(1),
+    }).prefault({}),
     /** Limits on responses of endpoints. A response over a limit counts as broken, and its connection is closed. */
     responses: z.strictObject({
         /** Longest body of a response that is not a stream, and of an error response. */
