Wait for requests whose body is still arriving before a shutdown ends

Cause: a shutdown ended once no forwarded request was in flight. A request whose head had been accepted while its body was on its way did not count, and its connection was closed without an answer. Ruled out: answers that are cut under load (20 callers on kept connections, each accepted request was answered before). Change: the HTTP server counts requests from their head until their response has been sent, and the shutdown waits for these.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -21,9 +21,17 @@
     await sleep(graceMs * DRAIN_NOTICE_FRACTION);
     const closed = servers.callers.drain();
     const endAtMs = startedAtMs + graceMs * DRAIN_END_FRACTION;
-    await Promise.race([closed, waitUntil(() => context.inFlight === 0 || performance.now() >= endAtMs)]);
-    if (context.inFlight > 0) {
-        context.log.warn({ inFlight: context.inFlight }, "host: requests in flight at the end of the grace time");
+    // Requests whose body is still being received, and responses that are still being sent, count as well.
+    await Promise.race([
+        closed,
+        waitUntil(() => servers.callers.countPending() === 0 || performance.now() >= endAtMs),
+    ]);
+    const pending = servers.callers.countPending();
+    if (pending > 0) {
+        context.log.warn(
+            { inFlight: context.inFlight, pending },
+            "host: requests in flight at the end of the grace time",
+        );
     }
     await servers.callers.close();
     await servers.close();
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -1,4 +1,5 @@
-import { request } from "undici";
+import { connect } from "node:net";
+import { Agent, request } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import {
     createRoute,
@@ -95,6 +96,59 @@
         await drained;
         await expect(getStatus(`${host.url}/r/x`)).rejects.toThrow();
     });
+    // Guards against a shutdown that cuts off a request whose head has been accepted while its body is on its way.
+    it("answers a request whose body arrives during the shutdown", async () => {
+        const endpoint = await startEndpoint("e0", (received, socket) => writeAnswer(socket, received, 200, "whole"));
+        closers.push(endpoint.close);
+        const host = await startTestHost([createRoute({ kind: "once" })], [endpoint], { graceMs: 3_000 });
+        const [ip = "", port = "0"] = host.listen.callers.split(":");
+        const socket = connect(Number(port), ip);
+        let received = "";
+        socket.on("data", chunk => {
+            received += chunk.toString();
+        });
+        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        socket.on("error", () => undefined);
+        socket.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const drained = host.host.drain();
+        await new Promise(resolve => setTimeout(resolve, 1_500));
+        socket.write("cd");
+        await Promise.all([drained, isClosed]);
+        expect(received).toContain("HTTP/1.1 200");
+        expect(received).toContain("whole");
+        expect(endpoint.received[0]?.body).toBe("abcd");
+    });
+    // Guards against a shutdown that loses answers under load: each request that the host has accepted is answered.
+    it("answers every request that it accepts during the shutdown under load", async () => {
+        const endpoint = await startEndpoint(
+            "e0",
+            (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "a".repeat(50_000)), 20),
+        );
+        closers.push(endpoint.close);
+        const host = await startTestHost([createRoute({ kind: "repeatable" })], [endpoint], { graceMs: 1_500 });
+        const agent = new Agent({ connections: 20 });
+        closers.push(() => agent.close());
+        let answers = 0;
+        let isStopped = false;
+        const callers = Array.from({ length: 20 }, async () => {
+            while (!isStopped) {
+                await request(`${host.url}/r/x`, {
+                    dispatcher: agent,
+                    headers: { "host": "desk.example", "t-id": "q" },
+                }).then(async reply => {
+                    const body = await reply.body.text();
+                    answers += body.length === 50_000 ? 1 : 0;
+                }).catch(() => new Promise(resolve => setTimeout(resolve, 5)));
+            }
+        });
+        await new Promise(resolve => setTimeout(resolve, 200));
+        await host.host.drain();
+        isStopped = true;
+        await Promise.all(callers);
+        expect(answers).toBeGreaterThan(100);
+        expect(answers).toBe(host.logged.filter(line => line["msg"] === "requests: ended").length);
+    });
     it("serves its metrics", async () => {
         const host = await startHost([createRoute()], [], { graceMs: 200 });
         await getStatus(`${host.url}/r/x`);
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -96,6 +96,8 @@
 export interface RunningServer {
     readonly server: Server;
     readonly port: number;
+    /** Returns the number of requests whose head has been received and whose response has not been sent in full. */
+    readonly countPending: () => number;
     /** Stops accepting connections. Resolves when the requests in flight have ended. */
     readonly drain: () => Promise<void>;
     /** Closes the server at once, including connections with requests in flight. */
@@ -121,6 +123,13 @@
         requestTimeout: settings.requestTimeoutMs,
         headersTimeout: settings.requestTimeoutMs,
     });
+    let pendingCount = 0;
+    server.on("request", (_request, response) => {
+        pendingCount += 1;
+        response.once("close", () => {
+            pendingCount -= 1;
+        });
+    });
     server.on("clientError", (error, socket) => sendBadRequest(error, socket, settings.describeBadRequest));
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ server, onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
@@ -138,6 +147,7 @@
     return {
         server,
         port: (server.address() as AddressInfo).port,
+        countPending: () => pendingCount,
         drain: () => drainServer(server),
         close: () => closeServer(server),
     };
