--- a/packages/forwarding/src/commands/trackTables.ts
+++ b/packages/forwarding/src/commands/trackTables.ts
@@ -11,6 +11,11 @@
  * announce the hosts that they know.
  */
 const FEED_POLL_MS = 2_500;
+/**
+ * The same in a large fleet, where the first of many followers to notice that its connection is unresponsive tells the
+ * others of the changes; the waits differ, so that they do not all end at the same time.
+ */
+const LARGE_FLEET_FEED_POLL_MS = 5_000;
 const HOST_FEED_POLL_MS = 20_000;
 const HOST_FEED_BATCH_DELAY_MS = 2_000;
 /**
@@ -41,6 +46,8 @@
         [rows.configurationTable, configuration.applyRows],
         [rows.endpointTable, directory.applyRows],
     ] as const;
+    const getFeedWaitMs = (): number =>
+        peers.fleet.isSmallFleet() ? FEED_POLL_MS : LARGE_FLEET_FEED_POLL_MS * (0.5 + Math.random() / 2);
     for (const [table, onChange] of handlers) {
         sharedTables.set(
             table,
@@ -48,7 +55,7 @@
                 table,
                 source,
                 log,
-                waitMs: FEED_POLL_MS,
+                getWaitMs: getFeedWaitMs,
                 batchDelayMs: FEED_BATCH_DELAY_MS,
                 shouldFollow: peers.fleet.shouldFollowStore,
                 isCopied: true,
@@ -63,7 +70,7 @@
         table: rows.hostTable,
         source,
         log,
-        waitMs: HOST_FEED_POLL_MS,
+        getWaitMs: () => HOST_FEED_POLL_MS,
         batchDelayMs: HOST_FEED_BATCH_DELAY_MS,
         shouldFollow: peers.fleet.shouldFollowStore,
         isCopied: false,
--- a/packages/forwarding/src/peers/commands/startPeers.ts
+++ b/packages/forwarding/src/peers/commands/startPeers.ts
@@ -24,7 +24,7 @@
 /** Batch delay of other changes for each peer to notify, which bounds the number of messages. */
 const BATCH_DELAY_MS_PER_PEER = 2;
 const MAX_BATCH_DELAY_MS = 100;
-/** Batch delay of digests that announce a change of a table. */
+/** Batch delay of messages that announce a change of a table. */
 const TABLE_BATCH_DELAY_MS = 20;
 /** Number of peers, chosen at random, to which each heartbeat lists the live hosts in a small fleet. */
 const HOST_LISTS_PER_HEARTBEAT = 2;
@@ -66,7 +66,7 @@
 export interface Peers {
     /** Schedules a message with the current state: at once for an urgent change, otherwise after a batch delay. */
     readonly announce: (change: AssignmentChange) => void;
-    /** Schedules a digest to all hosts that expect one, after a change of a table. */
+    /** Schedules a message to all hosts that expect one, after a change of a table. */
     readonly announceTables: () => void;
     /** Adds hosts to which heartbeats are sent. */
     readonly addHosts: (addresses: readonly string[]) => void;
@@ -122,9 +122,11 @@
     };
     const announcement = createBatchTimer(() => sendState([], listImmediateTargets()));
     const tableAnnouncement = createBatchTimer(() => {
-        if (!fleet.isSmallFleet()) {
-            sendDigests(listSubscribers());
+        if (fleet.isSmallFleet()) {
+            sendState([], fleet.listAlive());
+            return;
         }
+        sendDigests(listSubscribers());
     });
     table.add(seeds, performance.now());
     const timer = setInterval(sendHeartbeats, HEARTBEAT_MS);
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -21,10 +21,10 @@
     readonly source: TableSource;
     readonly log: Logger;
     /**
-     * Longest wait of one call to the feed. An unresponsive connection is detected after it plus the source's call
+     * Returns the longest wait of the next call to the feed, in milliseconds. An unresponsive connection is detected after it plus the source's call
      * timeout.
      */
-    readonly waitMs: number;
+    readonly getWaitMs: () => number;
     /** Returns whether this host follows the feed itself; otherwise it receives changes through `adoptFromPeer`. */
     readonly shouldFollow: () => boolean;
     /** Whether peers provide copies of the table. A host that does not follow a table without copies does not read it. */
@@ -90,7 +90,7 @@
         outage.countFailures() === 0 && !options.shouldFollow() && !isCopyOverdue();
     const readFeed = async (): Promise<void> => {
         // After a failure, a call that returns at once is the fastest way to notice that the store is available again.
-        const waitMs = outage.countFailures() > 0 ? 0 : options.waitMs;
+        const waitMs = outage.countFailures() > 0 ? 0 : options.getWaitMs();
         const changes = await source.awaitChanges(table, replica.version, waitMs);
         if (changes === undefined) {
             log.warn({ table, version: replica.version }, "replica: history not available, reading the whole table");
