Reduce the hosts that follow the store to one a failure domain in fleets of three domains

Change: from 17 hosts in three domains on, one host of each domain follows the store; if it fails, its domain copies from the followers of others until the next host follows. Polls then last 2.5 to 5 s, and changes are collected for 150 ms.

--- a/packages/forwarding/src/commands/trackTables.ts
+++ b/packages/forwarding/src/commands/trackTables.ts
@@ -12,16 +12,18 @@
  */
 const FEED_POLL_MS = 2_500;
 /**
- * The same in a large fleet, where the first of many followers to notice that its connection is unresponsive tells the
- * others of the changes; the waits differ, so that they do not all end at the same time.
+ * The same while many hosts follow the store: the first of them to notice that its connection is unresponsive tells the
+ * others of the changes. The waits differ, so that they do not all end at the same time.
  */
-const LARGE_FLEET_FEED_POLL_MS = 5_000;
+const LONG_FEED_POLL_MS = 5_000;
 const HOST_FEED_POLL_MS = 20_000;
 const HOST_FEED_BATCH_DELAY_MS = 2_000;
 /**
  * Pause after changes. Every change wakes all hosts that follow the feed; the pause bounds their calls to the store.
  */
 const FEED_BATCH_DELAY_MS = 36;
+/** The same while many hosts follow the store, which is so in fleets whose endpoints change in long series. */
+const LONG_FEED_BATCH_DELAY_MS = 150;
 
 export interface TrackTablesOptions {
     readonly rows: PlatformRows;
@@ -47,7 +49,7 @@
         [rows.endpointTable, directory.applyRows],
     ] as const;
     const getFeedWaitMs = (): number =>
-        peers.fleet.isSmallFleet() ? FEED_POLL_MS : LARGE_FLEET_FEED_POLL_MS * (0.5 + Math.random() / 2);
+        peers.fleet.hasManyFollowers() ? LONG_FEED_POLL_MS * (0.5 + Math.random() / 2) : FEED_POLL_MS;
     for (const [table, onChange] of handlers) {
         sharedTables.set(
             table,
@@ -56,7 +58,7 @@
                 source,
                 log,
                 getWaitMs: getFeedWaitMs,
-                batchDelayMs: FEED_BATCH_DELAY_MS,
+                getBatchDelayMs: () => peers.fleet.hasManyFollowers() ? LONG_FEED_BATCH_DELAY_MS : FEED_BATCH_DELAY_MS,
                 shouldFollow: peers.fleet.shouldFollowStore,
                 isCopied: true,
                 onChange: (changed, afterOutage) => {
@@ -71,7 +73,7 @@
         source,
         log,
         getWaitMs: () => HOST_FEED_POLL_MS,
-        batchDelayMs: HOST_FEED_BATCH_DELAY_MS,
+        getBatchDelayMs: () => HOST_FEED_BATCH_DELAY_MS,
         shouldFollow: peers.fleet.shouldFollowStore,
         isCopied: false,
         onChange: changed => peers.addHosts(changed.filter(row => row.value !== undefined).map(row => row.key)),
--- a/packages/forwarding/src/peers/commands/startPeers.ts
+++ b/packages/forwarding/src/peers/commands/startPeers.ts
@@ -7,7 +7,7 @@
 import type { FleetDigest } from "../model/fleetDigest.js";
 import { createFleetView, type FleetView } from "../model/fleetView.js";
 import type { PeerState } from "../model/peerState.js";
-import { createPeerTable } from "../model/peerTable.js";
+import { createPeerTable, type PeerTable } from "../model/peerTable.js";
 import { createAnnouncer } from "./createAnnouncer.js";
 import { handlePeerMessages } from "./handlePeerMessages.js";
 import type { PeerSocket } from "./openPeerSocket.js";
@@ -97,11 +97,6 @@
         const nowMs = performance.now();
         return [...subscribedAtMs].filter(([, atMs]) => nowMs - atMs < SUBSCRIPTION_MS).map(([peer]) => peer);
     };
-    /** Selects a known peer that is not alive, so that hosts which lost each other meet again. */
-    const selectUnreachable = (): readonly string[] => {
-        const alive = new Set(fleet.listAlive());
-        return selectRandom(table.listAll().map(peer => peer.address).filter(peer => !alive.has(peer)), 1);
-    };
     const listImmediateTargets = (): readonly string[] => fleet.listImmediateTargets(listWorkDomains());
     const sendHeartbeats = (): void => {
         table.evictExpired(performance.now()).forEach(peer => {
@@ -117,7 +112,9 @@
             return;
         }
         sendState([], mergeTargets(targets, listImmediateTargets()));
-        const remoteTargets = fleet.isCoordinator() ? [...fleet.listRemoteTargets(), ...selectUnreachable()] : [];
+        const remoteTargets = fleet.isCoordinator()
+            ? [...fleet.listRemoteTargets(), ...selectUnreachable(table, fleet)]
+            : [];
         sendDigests(mergeTargets(listSubscribers(), remoteTargets));
     };
     const announcement = createBatchTimer(() => sendState([], listImmediateTargets()));
@@ -181,6 +178,12 @@
     };
 }
 
+/** Selects a known peer that is not alive, so that hosts which lost each other meet again. */
+function selectUnreachable(table: PeerTable, fleet: FleetView): readonly string[] {
+    const alive = new Set(fleet.listAlive());
+    return selectRandom(table.listAll().map(peer => peer.address).filter(peer => !alive.has(peer)), 1);
+}
+
 const mergeTargets = (...lists: readonly (readonly string[])[]): readonly string[] => [...new Set(lists.flat())];
 
 /** Selects consecutive addresses from a random offset. */
--- a/packages/forwarding/src/peers/model/fleetView.ts
+++ b/packages/forwarding/src/peers/model/fleetView.ts
@@ -17,6 +17,12 @@
 const COORDINATORS_PER_DOMAIN = 2;
 /** Number of hosts in each failure domain that follow the store; the rest copy changes from peers. */
 const STORE_FOLLOWERS = 2;
+/**
+ * From this number of hosts on, in three or more failure domains, one host of each follows the store: if it fails, its
+ * domain copies changes from the others until the next host of the domain follows.
+ */
+const MIN_HOSTS_FOR_ONE_FOLLOWER = 17;
+const MIN_DOMAINS_FOR_ONE_FOLLOWER = 3;
 /** Most peers of a failure domain without a live host to which digests are sent. */
 const MAX_LOST_TARGETS = 4;
 /** Time after the start in which a host waits for a peer before it takes itself for a part of a small fleet. */
@@ -55,6 +61,8 @@
     readonly recordSent: (targets: readonly string[]) => void;
     /** Records the host counts of a digest. */
     readonly recordDigest: (digest: FleetDigest) => void;
+    /** Whether so many domains follow the store that each of their hosts can do so with fewer calls. */
+    readonly hasManyFollowers: () => boolean;
     /** Whether this host has to follow the store itself instead of copying from peers in its failure domain. */
     readonly shouldFollowStore: () => boolean;
     /** Live hosts of the local failure domain, including this one, in an order that is the same on all of them. */
@@ -98,6 +106,9 @@
         hostCounts.merge(failureDomain, listAlivePeers(), performance.now());
     const countHosts = (): number => Object.values(countByDomain()).reduce((sum, count) => sum + count, 0);
     const isSmallFleet = (): boolean => countHosts() <= MAX_SMALL_FLEET_HOSTS;
+    const hasManyFollowers = (): boolean =>
+        countHosts() >= MIN_HOSTS_FOR_ONE_FOLLOWER
+        && Object.keys(countByDomain()).length >= MIN_DOMAINS_FOR_ONE_FOLLOWER;
     const isConnecting = (): boolean => {
         const nowMs = performance.now();
         if (listAlivePeers().length > 0) {
@@ -112,11 +123,6 @@
         [...new Set(table.listAll().flatMap(peer => peer.failureDomain ?? []))].filter(domain =>
             domain !== failureDomain
         );
-    const listLostPeers = (domain: FailureDomainId): readonly string[] =>
-        table.listAll().filter(peer => peer.failureDomain === domain).map(peer => peer.address).slice(
-            0,
-            MAX_LOST_TARGETS,
-        );
     const excludeSelf = (hosts: readonly string[]): readonly string[] =>
         [...new Set(hosts)].filter(host => host !== address);
     return {
@@ -129,7 +135,7 @@
         listRemoteTargets: () =>
             listRemoteDomains().flatMap(domain => {
                 const coordinators = listCoordinators(domain);
-                return coordinators.length > 0 ? coordinators : listLostPeers(domain);
+                return coordinators.length > 0 ? coordinators : listLostPeers(table, domain);
             }),
         isCoordinator: () => listCoordinators(failureDomain).includes(address),
         listHeartbeatTargets: () => {
@@ -145,15 +151,20 @@
                 : excludeSelf([...new Set([failureDomain, ...workDomains])].flatMap(listCoordinators)),
         recordSent: silence.recordSent,
         recordDigest: digest => hostCounts.record(digest.hostCounts, performance.now()),
+        hasManyFollowers,
         shouldFollowStore: () => {
             if (isConnecting()) {
                 return false;
             }
             const withAccess = listDomainPeers(failureDomain).filter(peer => !peer.isStoreUnavailable);
-            return rankDomain(failureDomain, withAccess).indexOf(address) < STORE_FOLLOWERS;
+            return rankDomain(failureDomain, withAccess).indexOf(address) < (hasManyFollowers() ? 1 : STORE_FOLLOWERS);
         },
         listLocalDomain: () => [address, ...listDomainPeers(failureDomain).map(peer => peer.address)].sort(),
         listLocalPeers: () => listDomainPeers(failureDomain),
         listAlive: () => listAlivePeers().map(peer => peer.address),
     };
 }
+
+/** Lists some hosts of a failure domain that were alive before. */
+const listLostPeers = (table: PeerTable, domain: FailureDomainId): readonly string[] =>
+    table.listAll().filter(peer => peer.failureDomain === domain).slice(0, MAX_LOST_TARGETS).map(peer => peer.address);
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -29,8 +29,8 @@
     readonly shouldFollow: () => boolean;
     /** Whether peers provide copies of the table. A host that does not follow a table without copies does not read it. */
     readonly isCopied: boolean;
-    /** Pause after changes, so that the next ones arrive in one batch. */
-    readonly batchDelayMs: number;
+    /** Returns the pause after changes in milliseconds, so that the next ones arrive in one batch. */
+    readonly getBatchDelayMs: () => number;
     /**
      * Called with changed rows. `afterOutage` is true for the first changes after an outage of the store: rows that
      * expired meanwhile may be written again.
@@ -99,7 +99,7 @@
         }
         adopt(applyChanges(replica, changes), outage.end(replica.version));
         if (changes.rows.length > 0) {
-            await sleep(options.batchDelayMs);
+            await sleep(options.getBatchDelayMs());
         }
     };
     const run = async (): Promise<void> => {
--- a/packages/forwarding/tests/peers/model/fleetView.test.ts
+++ b/packages/forwarding/tests/peers/model/fleetView.test.ts
@@ -156,4 +156,17 @@
             expect(createFleet(20, localHost, { withoutStore }).shouldFollowStore()).toBe(expected);
         },
     );
+    // Guards against store calls that grow with the fleet, and against a fleet with a single follower.
+    it("has one host of a domain follow the store if there are three domains and many hosts", () => {
+        const third = toFailureDomainId("west");
+        for (const [host, expected] of [["n001", true], ["n002", false]] as const) {
+            const fleet = createFleet(20, host);
+            expect(fleet.shouldFollowStore()).toBe(true);
+            fleet.table.accept(describeHost("w001", 1, { failureDomain: third }), performance.now());
+            expect(fleet.shouldFollowStore()).toBe(expected);
+        }
+        const small = createFleet(4, "n002");
+        small.table.accept(describeHost("w001", 1, { failureDomain: third }), performance.now());
+        expect(small.shouldFollowStore()).toBe(true);
+    });
 });
--- a/packages/forwarding/tests/replicas/commands/trackTable.test.ts
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -26,7 +26,7 @@
 function startTracking(
     snapshots: readonly (TableChanges | "failed")[],
     feed: readonly FeedAnswer[],
-    options: Partial<Pick<TrackTableOptions, "batchDelayMs" | "shouldFollow" | "isCopied">> = {},
+    options: Partial<Pick<TrackTableOptions, "getBatchDelayMs" | "shouldFollow" | "isCopied">> = {},
 ): Tracked {
     let readCount = 0;
     const waits: number[] = [];
@@ -54,7 +54,7 @@
         source,
         log,
         getWaitMs: () => 2_500,
-        batchDelayMs: 0,
+        getBatchDelayMs: () => 0,
         shouldFollow: () => true,
         isCopied: true,
         ...options,
@@ -77,7 +77,7 @@
     // Guards against a call from every host of a large fleet for each of many changes.
     it("pauses after changes", async () => {
         const { waits } = startTracking([{ version: 5, rows: [] }], [{ version: 7, rows: [put("b", 7)] }], {
-            batchDelayMs: 150,
+            getBatchDelayMs: () => 150,
         });
         await vi.waitFor(() => expect(waits).toHaveLength(1));
         await new Promise(resolve => setTimeout(resolve, 50));
@@ -129,7 +129,7 @@
             },
             log,
             getWaitMs: () => 2_500,
-            batchDelayMs: 0,
+            getBatchDelayMs: () => 0,
             shouldFollow: () => true,
             isCopied: true,
             onChange: changed => changes.push(changed.map(row => `${row.key}@${row.version}`)),
