--- a/packages/forwarding/src/requests/model/attemptRecord.ts
+++ b/packages/forwarding/src/requests/model/attemptRecord.ts
@@ -2,14 +2,10 @@
 export type AttemptOutcome =
     | "pending"
     | "answered"
-    /** The endpoint returned an error, which was forwarded or led to a retry. */
-    | "failed"
     /** No byte of the request was sent, or the endpoint stated that it did not run the request. */
     | "not_run"
     /** The request may have run. */
-    | "unknown"
-    | "caller_gone"
-    | "out_of_time";
+    | "unknown";
 
 /** Times are in milliseconds; those named `...AfterMs` count from the arrival of the request. */
 export interface AttemptRecord {
