Spread the suggested waits of refused callers

Cause: callers that were refused together were told the same time to come back, and came back together. Change: Retry-After is drawn from 1 to 1.6 times the former value.

--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -19,7 +19,7 @@
 interface Refusal {
     readonly status: number;
     readonly message: string;
-    /** Suggested wait before a retry, in seconds. Only set where the request is guaranteed not to have run. */
+    /** Shortest suggested wait before a retry, in seconds. Only set where the request is guaranteed not to have run. */
     readonly retryAfterSeconds?: number;
 }
 
@@ -35,6 +35,13 @@
     out_of_time: { status: 504, message: "no answer within the request's time; the request may have run" },
 };
 
+/** Longest suggested wait as a multiple of the shortest one: callers refused together do not all come back together. */
+const MAX_RETRY_SPREAD = 1.6;
+
+/** Spreads a suggested wait at random, rounded to milliseconds. */
+const spreadRetryAfter = (seconds: number): string =>
+    String(Math.round(seconds * (1 + (MAX_RETRY_SPREAD - 1) * Math.random()) * 1_000) / 1_000);
+
 /**
  * Sends a refusal and returns its status. If response headers have already been sent, closes the connection instead, so
  * that the caller cannot mistake the truncated response for a complete one.
@@ -51,7 +58,7 @@
     }
     response.writeHead(status, {
         "content-type": "application/json",
-        ...(retryAfterSeconds === undefined ? {} : { "retry-after": String(retryAfterSeconds) }),
+        ...(retryAfterSeconds === undefined ? {} : { "retry-after": spreadRetryAfter(retryAfterSeconds) }),
         ...headers,
     });
     response.end(JSON.stringify({ error: { code: reason, message } }));
