--- a/packages/forwarding/src/coordination/commands/startCoordination.ts
+++ b/packages/forwarding/src/coordination/commands/startCoordination.ts
@@ -1,7 +1,7 @@
 /**
  * Placement of prompts in a large fleet. The coordinator of a failure domain decides for all its hosts, because it alone
- * knows each assignment there at once. Nothing exclusive is granted: if two hosts coordinate for a while, their decisions
- * are only less well informed.
+ * knows each assignment there at once. Nothing exclusive is granted: if two hosts coordinate for a while, their
+ * decisions are only less well informed.
  */
 import { type FailureDomainId, readClocks } from "@currantrill/protocol";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
--- a/packages/forwarding/src/coordination/queries/decidePlacement.ts
+++ b/packages/forwarding/src/coordination/queries/decidePlacement.ts
@@ -9,8 +9,8 @@
 /** Other domains are considered from this cost of a local placement on; it is far below that of a late answer. */
 const MIN_REDIRECT_COST = 0.6;
 /**
- * Most that a placement in another domain may cost, as a fraction of the local cost. The loads of other domains are known
- * half a second late, and other coordinators redirect at the same time.
+ * Most that a placement in another domain may cost, as a fraction of the local cost. The loads of other domains are
+ * known half a second late, and other coordinators redirect at the same time.
  */
 const MAX_REDIRECT_FRACTION = 0.6;
 
--- a/packages/forwarding/src/peers/commands/synchronizeTables.ts
+++ b/packages/forwarding/src/peers/commands/synchronizeTables.ts
@@ -12,7 +12,9 @@
 const STORE_GRACE_MS = 800;
 const FETCH_TIMEOUT_MS = 800;
 
-/** Hosts that copy from peers fetch within this time after an announcement, so that not all query the same peer at once. */
+/**
+ * Hosts that copy from peers fetch within this time after an announcement, so that not all query the same peer at once.
+ */
 const FETCH_JITTER_MS = 150;
 /** Shortest time between two fetches of a table, so that changes in quick succession are copied together. */
 const FETCH_INTERVAL_MS = 400;
@@ -134,8 +136,8 @@
 }
 
 /**
- * Creates an export of compressed copies, which keeps the last copy of each table: the hosts of a domain ask for the same
- * one. Copies are compressed because many hosts have slow links.
+ * Creates an export of compressed copies, which keeps the last copy of each table: the hosts of a domain ask for the
+ * same one. Copies are compressed because many hosts have slow links.
  */
 function createCompressedExport(): (table: TrackedTable, after: number) => Buffer {
     const last = new Map<TrackedTable, { readonly key: string; readonly data: Buffer; }>();
--- a/packages/forwarding/src/peers/model/fleetView.ts
+++ b/packages/forwarding/src/peers/model/fleetView.ts
@@ -9,8 +9,8 @@
 /**
  * Largest number of hosts in a small fleet, where each host announces its state to all others and places prompts by
  * itself. The failure domains of such a fleet have too few endpoints to place long prompts on those of one domain. In a
- * larger fleet that would take each host a time that grows with their number (45,000 messages a second were counted at 195
- * hosts), so two coordinators of each failure domain know the state of its hosts.
+ * larger fleet that would take each host a time that grows with their number (45,000 messages a second were counted at
+ * 195 hosts), so two coordinators of each failure domain know the state of its hosts.
  */
 const MAX_SMALL_FLEET_HOSTS = 32;
 /** Coordinators of a failure domain: one places prompts and serves copies of tables, the other takes over. */
@@ -28,8 +28,8 @@
 /** Time after the start in which a host waits for a peer before it takes itself for a part of a small fleet. */
 const CONNECT_MS = 1_500;
 /**
- * Time after the first message of a peer in which a host does not decide yet whether the fleet is small: hosts that start
- * together learn of each other meanwhile.
+ * Time after the first message of a peer in which a host does not decide yet whether the fleet is small: hosts that
+ * start together learn of each other meanwhile.
  */
 const CONTACT_MS = 400;
 
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -21,13 +21,13 @@
     readonly source: TableSource;
     readonly log: Logger;
     /**
-     * Returns the longest wait of the next call to the feed, in milliseconds. An unresponsive connection is detected after it plus the source's call
-     * timeout.
+     * Returns the longest wait of the next call to the feed, in milliseconds. An unresponsive connection is detected
+     * after it plus the source's call timeout.
      */
     readonly getWaitMs: () => number;
     /** Returns whether this host follows the feed itself; otherwise it receives changes through `adoptFromPeer`. */
     readonly shouldFollow: () => boolean;
-    /** Whether peers provide copies of the table. A host that does not follow a table without copies does not read it. */
+    /** Whether peers provide copies of the table. A table without copies is only read by hosts that follow it. */
     readonly isCopied: boolean;
     /** Returns the pause after changes in milliseconds, so that the next ones arrive in one batch. */
     readonly getBatchDelayMs: () => number;
