Log the shared parts of a prompt and the arrival of response headers

Cause: a request's log line had its workspace but no parts of its prompt, and did not say whether the response had begun when an attempt was broken off. So a caller whose requests crash endpoints could not be told from a part of the prompt that does.

Change: the caller protocol decodes the parts that requests may share; the request's line lists them (sharedParts), and each attempt has respondedAfterMs and events.

--- a/packages/forwarding/src/ports/callerProtocol.ts
+++ b/packages/forwarding/src/ports/callerProtocol.ts
@@ -13,6 +13,11 @@
     readonly promptTokens?: number;
     /** Estimate of the answer's length in tokens. */
     readonly answerTokens?: number;
+    /**
+     * Ids of the prompt's parts that other requests may share, in the order of the prompt. The part that belongs to the
+     * request or its session alone is not listed.
+     */
+    readonly sharedParts?: readonly string[];
 }
 
 /** Protocol between callers and hosts, as the platform defines it. */
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -20,6 +20,9 @@
     stream: serveStream,
 };
 
+/** Limit on the shared parts of a prompt in its log line. */
+const MAX_LOGGED_PARTS = 16;
+
 /** Serves a request whose body has been received. An internal error ends in a refusal. */
 export async function forwardRequest(
     context: ForwardingContext,
@@ -143,6 +146,7 @@
             workspace: exchange.workspace,
             kind: route.kind,
             promptTokens: exchange.callerMetadata.promptTokens,
+            sharedParts: exchange.callerMetadata.sharedParts?.slice(0, MAX_LOGGED_PARTS),
             configuration: exchange.configurationVersion,
             attempts,
             status: exchange.response.statusCode,
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -75,7 +75,9 @@
         if (mismatch !== undefined) {
             return false;
         }
-        endpoint.health = recordResponse(endpoint.health, performance.now());
+        const respondedAtMs = performance.now();
+        record.respondedAfterMs = Math.round(respondedAtMs - exchange.startedAtMs);
+        endpoint.health = recordResponse(endpoint.health, respondedAtMs);
         if (metadata.isNotExecuted || metadata.isMisdirected) {
             recordRefusalFault(context, endpoint, metadata);
             const reason = metadata.isMisdirected
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -291,6 +291,7 @@
     if (event.hasContent) {
         progress.lastEventId = event.id ?? progress.lastEventId;
         progress.events += 1;
+        record.events = (record.events ?? 0) + 1;
         recordEventGap(run);
         if (record.firstAfterMs === undefined) {
             record.firstAfterMs = Math.round(performance.now() - exchange.startedAtMs);
--- a/packages/forwarding/src/requests/model/attemptRecord.ts
+++ b/packages/forwarding/src/requests/model/attemptRecord.ts
@@ -21,7 +21,11 @@
     readonly cost?: number;
     /** Addresses of the endpoints that prefill further shards of the prompt. */
     readonly parts?: readonly string[];
+    /** Arrival of the response headers. */
+    respondedAfterMs?: number;
     firstAfterMs?: number;
+    /** Number of events of a stream. */
+    events?: number;
     /** Longest time between two consecutive events. */
     longestPauseMs?: number;
     endedAfterMs?: number;
