--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -323,6 +323,7 @@
                 requestId: headers["t-id"]?.toString() ?? "",
                 ...(headers["t-deadline"] === undefined ? {} : { deadlineMs: Number(headers["t-deadline"]) }),
                 ...(headers.authorization === undefined ? {} : { authorization: headers.authorization }),
+                ...(headers["t-parts"] === undefined ? {} : { sharedParts: String(headers["t-parts"]).split(",") }),
             }),
         },
         protocol: testProtocol,
