Do not take a repeated refusal for the answer to the next request

What callers saw: 503, which promises that the request has not run, for a request that the endpoint was running or had run.

Cause: an endpoint that is full names no request in its refusal, so a refusal without an id was accepted on any connection. A faulty endpoint that writes an earlier refusal once more on a kept connection made the host give up the next request there. Requests that run at most once were not affected: they get a connection of their own.

Change: on a connection that has carried another request, a refusal without an id leaves the outcome unknown. The connection is closed, which ends the work on the request, and the endpoint is not held to be misdirected. Requests that may be repeated are tried elsewhere as before.

--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -16,8 +16,8 @@
 export interface AttemptEvents {
     /** Returns whether the request may still be sent, when the connection is ready for its first byte. */
     readonly canSend?: () => boolean;
-    /** Called before the first byte of the request is written. */
-    readonly onSent: () => void;
+    /** Called before the first byte is written. `isReused`: the connection carried another request before. */
+    readonly onSent: (isReused: boolean) => void;
     /** Receives the response status and headers. Returns `false` if they cannot belong to this request. */
     readonly onResponse: (status: number, headers: ResponseHeaders) => boolean;
     /** Receives a part of the body. Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
@@ -105,7 +105,7 @@
                 return;
             }
             wasSent = true;
-            events.onSent();
+            events.onSent(connection.requestCount > 1);
         },
         onResponseStart: (started, status, headers) => {
             hasExplicitLength = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -59,6 +59,7 @@
     let refused: RefusedResponse | undefined;
     let mismatch: string | undefined;
     let hasEnded = false;
+    let isReusedConnection = false;
     const end = (outcome: AttemptOutcome, reason?: string): void => {
         hasEnded = true;
         refused?.close();
@@ -79,11 +80,18 @@
         record.respondedAfterMs = Math.round(respondedAtMs - exchange.startedAtMs);
         endpoint.health = recordResponse(endpoint.health, respondedAtMs);
         if (metadata.isNotExecuted || metadata.isMisdirected) {
-            recordRefusalFault(context, endpoint, metadata);
             const reason = metadata.isMisdirected
                 ? "address belongs to another endpoint"
                 : `not executed, status ${status}`;
-            refused = createRefusedResponse(reason, () => attempt.abort(reason));
+            // On a reused connection, a refusal without an id may be a copy of an earlier one.
+            const isCertain = metadata.requestId !== undefined || !isReusedConnection;
+            refused = createRefusedResponse({ reason, isCertain, onTimeout: () => attempt.abort(reason) });
+            if (isCertain) {
+                recordRefusalFault(context, endpoint, metadata);
+            }
+            else {
+                attempt.abort(reason);
+            }
             return true;
         }
         plan.onResponse(status, headers, metadata);
@@ -93,7 +101,7 @@
         if (hasEnded) {
             return;
         }
-        const outcome = record.wasSent && refused === undefined ? "unknown" : "not_run";
+        const outcome = record.wasSent && refused?.isCertain !== true ? "unknown" : "not_run";
         const reason = refused?.reason ?? mismatch ?? error.message;
         endpoint.health = updateHealth[failure](endpoint.health, performance.now());
         end(outcome, reason);
@@ -112,8 +120,9 @@
             usesNewConnection: plan.usesNewConnection,
         }, {
             canSend,
-            onSent: () => {
+            onSent: isReused => {
                 record.wasSent = true;
+                isReusedConnection = isReused;
             },
             onResponse: handleResponse,
             onData: chunk => refused === undefined ? plan.onData(chunk) : refused.add(chunk),
--- a/packages/forwarding/src/requests/model/refusedResponse.ts
+++ b/packages/forwarding/src/requests/model/refusedResponse.ts
@@ -12,17 +12,25 @@
 export interface RefusedResponse {
     /** What the endpoint stated. */
     readonly reason: string;
+    /** Whether the statement is about this request. */
+    readonly isCertain: boolean;
     /** Counts a part of the body, which is dropped. Returns `false` if the body is too long. */
     readonly add: (chunk: Buffer) => boolean;
     /** Cancels the time limit. */
     readonly close: () => void;
 }
 
-/** Begins to receive the body. `onTimeout` is called if it is not complete in time. */
-export function createRefusedResponse(reason: string, onTimeout: () => void): RefusedResponse {
+export interface RefusedResponseOptions extends Pick<RefusedResponse, "reason" | "isCertain"> {
+    /** Called if the body is not complete in time. */
+    readonly onTimeout: () => void;
+}
+
+/** Begins to receive the body. */
+export function createRefusedResponse({ reason, isCertain, onTimeout }: RefusedResponseOptions): RefusedResponse {
     let bytes = 0;
     return {
         reason,
+        isCertain,
         add: chunk => {
             bytes += chunk.length;
             return bytes <= MAX_BODY_BYTES;
