--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -63,12 +63,9 @@
     const end = (outcome: AttemptOutcome, reason?: string): void => {
         hasEnded = true;
         refused?.close();
-        record.outcome = outcome;
-        record.endedAfterMs = Math.round(performance.now() - exchange.startedAtMs);
+        const endedAfterMs = Math.round(performance.now() - exchange.startedAtMs);
+        Object.assign(record, { outcome, endedAfterMs, ...(reason === undefined ? {} : { reason }) });
         context.metrics.attempts.inc({ outcome });
-        if (reason !== undefined) {
-            record.reason = reason;
-        }
     };
     const handleResponse = (status: number, headers: ResponseHeaders): boolean => {
         const metadata = context.protocol.parseResponse(status, headers);
@@ -80,17 +77,11 @@
         record.respondedAfterMs = Math.round(respondedAtMs - exchange.startedAtMs);
         endpoint.health = recordResponse(endpoint.health, respondedAtMs);
         if (metadata.isNotExecuted || metadata.isMisdirected) {
-            const reason = metadata.isMisdirected
-                ? "address belongs to another endpoint"
-                : `not executed, status ${status}`;
             // On a reused connection, a refusal without an id may be a copy of an earlier one.
             const isCertain = metadata.requestId !== undefined || !isReusedConnection;
-            refused = createRefusedResponse({ reason, isCertain, onTimeout: () => attempt.abort(reason) });
-            if (isCertain) {
-                recordRefusalFault(context, endpoint, metadata);
-            }
-            else {
-                attempt.abort(reason);
+            refused = acceptRefusal(context, endpoint, { status, metadata, isCertain, abort: attempt.abort });
+            if (!isCertain) {
+                attempt.abort(refused.reason);
             }
             return true;
         }
@@ -146,6 +137,26 @@
     }
 }
 
+interface Refusal {
+    readonly status: number;
+    readonly metadata: ResponseMetadata;
+    readonly isCertain: boolean;
+    readonly abort: RunningAttempt["abort"];
+}
+
+/** Begins to receive a refusal. Health is only changed if it is certainly about this request. */
+function acceptRefusal(
+    context: ForwardingContext,
+    endpoint: Endpoint,
+    { status, metadata, isCertain, abort }: Refusal,
+): RefusedResponse {
+    const reason = metadata.isMisdirected ? "address belongs to another endpoint" : `not executed, status ${status}`;
+    if (isCertain) {
+        recordRefusalFault(context, endpoint, metadata);
+    }
+    return createRefusedResponse({ reason, isCertain, onTimeout: () => abort(reason) });
+}
+
 /** Attributes a refusal to the endpoint at fault, which may be one that was to prefill a shard of the prompt. */
 function recordRefusalFault(context: ForwardingContext, endpoint: Endpoint, metadata: ResponseMetadata): void {
     const namedEndpoint = metadata.faultAddress === undefined
