--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -7,6 +7,7 @@
 import { openPeerSocket, type PeerSocket } from "../peers/commands/openPeerSocket.js";
 import { type Peers, startPeers } from "../peers/commands/startPeers.js";
 import { startTableSynchronization, type TableSynchronization } from "../peers/commands/synchronizeTables.js";
+import type { PeerHeader } from "../peers/model/peerState.js";
 import type { TrackedTable } from "../replicas/commands/trackTable.js";
 
 export interface FleetConnection {
@@ -65,6 +66,11 @@
     const { settings, directory, assignmentRegistry: registry, log, peerObservations: observations } = context;
     const getObservations = (): readonly EndpointObservation[] =>
         listEndpointObservations(directory, performance.now());
+    const mergeEvidence = ({ evidence }: PeerHeader): void => {
+        if (evidence !== undefined) {
+            context.quarantine.merge(evidence, performance.now());
+        }
+    };
     const peers: Peers = startPeers({
         socket: options.socket,
         address: settings.listen.peers,
@@ -84,14 +90,17 @@
                     source => scope === "fleet" || !source.startsWith(DOMAIN_SOURCE_PREFIX),
                 ),
             ),
+        getEvidence: () => context.quarantine.share(performance.now()),
         isStoreUnavailable: () => [...sharedTables.values()].some(table => table.isStoreUnavailable()),
         getSettledQuery: options.getSettledQuery,
         onState: state => {
             synchronization.synchronizeWith(state.address, state.lastChangeVersions);
+            mergeEvidence(state);
             observations.setSource(state.address, state.observations, performance.now());
         },
         onDigest: digest => {
             synchronization.synchronizeWith(digest.address, digest.lastChangeVersions);
+            mergeEvidence(digest);
             // A coordinator receives the states from which another one of its domain has made its digest.
             const isKnown = digest.failureDomain === directory.localFailureDomain && peers.fleet.isCoordinator();
             observations.setSource(
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -11,8 +11,10 @@
 import type { ForwardingContext } from "../model/forwardingContext.js";
 import { createForwardingMetrics, type ForwardingMetrics } from "../model/forwardingMetrics.js";
 import { publishHost } from "../peers/commands/publishHost.js";
+import type { Peers } from "../peers/commands/startPeers.js";
 import { createAssignmentRegistry } from "../placement/model/assignmentRegistry.js";
-import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows } from "../ports/index.js";
+import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows, TableSource } from "../ports/index.js";
+import { type Quarantine, type QuarantineOptions, startQuarantine } from "../quarantine/commands/startQuarantine.js";
 import type { TrackedTable } from "../replicas/commands/trackTable.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import { connectFleet } from "./connectFleet.js";
@@ -59,6 +61,7 @@
             servers.applyLimits(index.configuration.limits);
         },
     });
+    let isConnected = false;
     const registry = createAssignmentRegistry(change => peers.announce(change));
     const directory = createEndpointDirectory({
         hostFailureDomain: toFailureDomainId(settings.failure_domain),
@@ -66,6 +69,13 @@
         log,
         onConnect: () => metrics.connections.inc(),
     });
+    const quarantine = startHostQuarantine(options, {
+        metrics,
+        source,
+        getSettings: () => context.settings.quarantine,
+        shouldFollowStore: () => isConnected && peers.fleet.shouldFollowStore(),
+        announce: () => peers.announceEvidence(),
+    });
     const context: ForwardingContext = {
         settings,
         log,
@@ -78,6 +88,7 @@
         isSmallFleet: () => peers.fleet.isSmallFleet(),
         placePrompt: query => fleet.placePrompt(query),
         responseBudget: createByteBudget(() => context.settings.responses.max_buffered_bytes),
+        quarantine,
         retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.fleet.countHosts()),
         getConfiguration: configuration.get,
         createReservationId: createIdGenerator(settings.host_id),
@@ -88,30 +99,17 @@
     const sharedTables = new Map<string, TrackedTable>();
     const fleet = await connectFleet(context, sharedTables);
     const { peers } = fleet;
+    isConnected = true;
     const tables = trackTables({ rows, source, log, configuration, directory, peers, sharedTables });
-    const stopPublishing = publishHost({
-        source,
-        table: rows.hostTable,
-        address: settings.listen.peers,
-        shouldPublish: peers.fleet.shouldFollowStore,
-        log,
-    });
-    const stopProbing = startProbing({
-        directory,
-        protocol: options.protocol,
-        log,
-        listMonitored: () => listMonitoredEndpoints(context, peers.fleet.listLocalDomain(), settings.listen.peers),
-    });
-    const gaugeTimer = setInterval(() => updateGauges(context, peers.fleet.countHosts()), GAUGE_INTERVAL_MS);
+    const stopUpkeep = startUpkeep(context, options, source, peers);
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
     let drained: Promise<void> | undefined;
     const stop = async (): Promise<void> => {
         peers.announceLeaving();
         await drainForwarding(context, servers);
         tables.stop();
-        stopPublishing();
-        stopProbing();
-        clearInterval(gaugeTimer);
+        stopUpkeep();
+        quarantine.close();
         directory.close();
         await fleet.close();
         log.info("host: stopped");
@@ -127,6 +125,39 @@
     };
 }
 
+/** Starts what the host does at intervals. Returns a function that stops it. */
+function startUpkeep(
+    context: ForwardingContext,
+    { settings, log, protocol, rows }: ForwardingOptions,
+    source: TableSource,
+    { fleet }: Peers,
+): () => void {
+    const stopPublishing = publishHost({
+        source,
+        table: rows.hostTable,
+        address: settings.listen.peers,
+        shouldPublish: fleet.shouldFollowStore,
+        log,
+    });
+    const stopProbing = startProbing({
+        directory: context.directory,
+        protocol,
+        log,
+        listMonitored: () => listMonitoredEndpoints(context, fleet.listLocalDomain(), settings.listen.peers),
+    });
+    const gaugeTimer = setInterval(() => updateGauges(context, fleet.countHosts()), GAUGE_INTERVAL_MS);
+    return () => {
+        stopPublishing();
+        stopProbing();
+        clearInterval(gaugeTimer);
+    };
+}
+
+const startHostQuarantine = (
+    { log, protocol, rows }: ForwardingOptions,
+    more: Omit<QuarantineOptions, "log" | "protocol" | "table">,
+): Quarantine => startQuarantine({ log, protocol, table: rows.quarantineTable, ...more });
+
 const createStoreSource = (
     { settings, createSource }: ForwardingOptions,
     metrics: ForwardingMetrics,
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -9,6 +9,7 @@
 import type { AssignmentRegistry } from "../placement/model/assignmentRegistry.js";
 import type { CallerProtocol } from "../ports/callerProtocol.js";
 import type { EndpointProtocol } from "../ports/endpointProtocol.js";
+import type { Quarantine } from "../quarantine/commands/startQuarantine.js";
 import type { SharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import type { ForwardingMetrics } from "./forwardingMetrics.js";
 
@@ -29,6 +30,8 @@
     readonly placePrompt: Coordination["placePrompt"];
     /** Limits the bytes of responses that this host buffers. */
     readonly responseBudget: ByteBudget;
+    /** Refuses prompts with parts that crash endpoints. */
+    readonly quarantine: Quarantine;
     /** Limits the retries of all hosts together. */
     readonly retryBudget: SharedRetryBudget;
     /** Returns the active configuration, `undefined` until the first one is known. */
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -15,6 +15,8 @@
     readonly datagrams: Counter<"direction">;
     readonly placementQueries: Counter<"outcome">;
     readonly tableFetches: Counter<"outcome">;
+    readonly crashReports: Counter<"state">;
+    readonly isolatedParts: Gauge;
     readonly inFlight: Gauge;
     readonly configurationVersion: Gauge;
     readonly endpoints: Gauge<"state">;
@@ -70,6 +72,17 @@
             labelNames: ["outcome"],
             registers,
         }),
+        crashReports: new Counter({
+            name: "currantrill_crashed_prompts_total",
+            help: "Prompts without an event on endpoints that crashed, by whether the response had begun.",
+            labelNames: ["state"],
+            registers,
+        }),
+        isolatedParts: new Gauge({
+            name: "currantrill_isolated_parts",
+            help: "Parts of prompts that crash endpoints; prompts with them are refused.",
+            registers,
+        }),
         inFlight: new Gauge({ name: "currantrill_forwarded_in_flight", help: "Requests in flight.", registers }),
         configurationVersion: new Gauge({
             name: "currantrill_serving_configuration_version",
--- a/packages/forwarding/src/peers/commands/createAnnouncer.ts
+++ b/packages/forwarding/src/peers/commands/createAnnouncer.ts
@@ -94,6 +94,7 @@
             isLeaving: getIsLeaving(),
             isStoreUnavailable: options.isStoreUnavailable(),
             lastChangeVersions: options.getLastChangeVersions(),
+            evidence: options.getEvidence(),
         };
     };
 }
--- a/packages/forwarding/src/peers/commands/startPeers.ts
+++ b/packages/forwarding/src/peers/commands/startPeers.ts
@@ -3,12 +3,13 @@
 import type Logger from "bunyan";
 import type { EndpointObservation } from "../../endpoints/model/endpointObservation.js";
 import type { AssignmentChange, AssignmentRegistry } from "../../placement/model/assignmentRegistry.js";
-import { createBatchTimer } from "../model/batchTimer.js";
+import type { SharedEvidence } from "../../quarantine/model/sharedEvidence.js";
+import { type BatchTimer, createBatchTimer } from "../model/batchTimer.js";
 import type { FleetDigest } from "../model/fleetDigest.js";
 import { createFleetView, type FleetView } from "../model/fleetView.js";
 import type { PeerState } from "../model/peerState.js";
 import { createPeerTable, type PeerTable } from "../model/peerTable.js";
-import { createAnnouncer } from "./createAnnouncer.js";
+import { type Announcer, createAnnouncer } from "./createAnnouncer.js";
 import { handlePeerMessages } from "./handlePeerMessages.js";
 import type { PeerSocket } from "./openPeerSocket.js";
 
@@ -26,6 +27,11 @@
 const MAX_BATCH_DELAY_MS = 100;
 /** Batch delay of messages that announce a change of a table. */
 const TABLE_BATCH_DELAY_MS = 20;
+/**
+ * Batch delay of messages about crashes. The requests on a crashed endpoint fail within a few milliseconds on all hosts,
+ * whose reports then answer each other.
+ */
+const EVIDENCE_BATCH_DELAY_MS = 10;
 /** Number of peers, chosen at random, to which each heartbeat lists the live hosts in a small fleet. */
 const HOST_LISTS_PER_HEARTBEAT = 2;
 /** Time in which the end of work is announced to another failure domain, by several messages. */
@@ -51,6 +57,8 @@
     readonly getObservations: () => readonly EndpointObservation[];
     /** Returns the observations of this host merged with those of peers, of the local domain or of all. */
     readonly getMergedObservations: (scope: "domain" | "fleet") => readonly EndpointObservation[];
+    /** Returns what this host knows of parts of prompts that crash endpoints. */
+    readonly getEvidence: () => SharedEvidence;
     /** Returns whether the last call to the store failed. */
     readonly isStoreUnavailable: () => boolean;
     /** Returns the id up to which all placement queries of this host are settled. */
@@ -68,6 +76,8 @@
     readonly announce: (change: AssignmentChange) => void;
     /** Schedules a message to all hosts that expect one, after a change of a table. */
     readonly announceTables: () => void;
+    /** Schedules a message about parts of prompts that crash endpoints, to all hosts that expect one. */
+    readonly announceEvidence: () => void;
     /** Adds hosts to which heartbeats are sent. */
     readonly addHosts: (addresses: readonly string[]) => void;
     /** View of the fleet, kept up to date by received messages. */
@@ -117,14 +127,7 @@
             : [];
         sendDigests(mergeTargets(listSubscribers(), remoteTargets));
     };
-    const announcement = createBatchTimer(() => sendState([], listImmediateTargets()));
-    const tableAnnouncement = createBatchTimer(() => {
-        if (fleet.isSmallFleet()) {
-            sendState([], fleet.listAlive());
-            return;
-        }
-        sendDigests(listSubscribers());
-    });
+    const announcements = createAnnouncements({ fleet, announcer, listSubscribers, listImmediateTargets });
     table.add(seeds, performance.now());
     const timer = setInterval(sendHeartbeats, HEARTBEAT_MS);
     const connectTimer = setInterval(() => {
@@ -139,9 +142,12 @@
     return {
         announce: change => {
             const delayMs = Math.min(MAX_BATCH_DELAY_MS, BATCH_DELAY_MS_PER_PEER * listImmediateTargets().length);
-            announcement.schedule(change === "urgent" ? Math.min(URGENT_BATCH_DELAY_MS, delayMs) : delayMs);
+            announcements.assignments.schedule(
+                change === "urgent" ? Math.min(URGENT_BATCH_DELAY_MS, delayMs) : delayMs,
+            );
         },
-        announceTables: () => tableAnnouncement.schedule(TABLE_BATCH_DELAY_MS),
+        announceTables: () => announcements.tables.schedule(TABLE_BATCH_DELAY_MS),
+        announceEvidence: () => announcements.evidence.schedule(EVIDENCE_BATCH_DELAY_MS),
         addHosts: addresses => table.add(addresses, performance.now()),
         fleet,
         announceLeaving: () => {
@@ -154,12 +160,40 @@
         close: () => {
             clearInterval(timer);
             clearInterval(connectTimer);
-            announcement.cancel();
-            tableAnnouncement.cancel();
+            Object.values(announcements).forEach(announcement => announcement.cancel());
         },
     };
 }
 
+interface AnnouncementOptions {
+    readonly fleet: FleetView;
+    readonly announcer: Announcer;
+    readonly listSubscribers: () => readonly string[];
+    readonly listImmediateTargets: () => readonly string[];
+}
+
+/** Creates the timers of the messages that changes of assignments, tables and evidence cause. */
+function createAnnouncements(
+    { fleet, announcer, listSubscribers, listImmediateTargets }: AnnouncementOptions,
+): Readonly<Record<"assignments" | "tables" | "evidence", BatchTimer>> {
+    return {
+        assignments: createBatchTimer(() => announcer.sendState([], listImmediateTargets())),
+        tables: createBatchTimer(() => {
+            if (fleet.isSmallFleet()) {
+                announcer.sendState([], fleet.listAlive());
+                return;
+            }
+            announcer.sendDigests(listSubscribers());
+        }),
+        evidence: createBatchTimer(() => {
+            announcer.sendState([], listImmediateTargets());
+            if (!fleet.isSmallFleet() && fleet.isCoordinator()) {
+                announcer.sendDigests(mergeTargets(listSubscribers(), fleet.listRemoteTargets()));
+            }
+        }),
+    };
+}
+
 /**
  * Creates a list of the failure domains in which this host has assignments, or had some a short time ago that their
  * coordinators may still count.
--- a/packages/forwarding/src/peers/model/peerState.ts
+++ b/packages/forwarding/src/peers/model/peerState.ts
@@ -5,6 +5,7 @@
 import type { FailureDomainId } from "@currantrill/protocol";
 import type { EndpointObservation } from "../../endpoints/model/endpointObservation.js";
 import type { Assignment } from "../../placement/model/assignment.js";
+import type { SharedEvidence } from "../../quarantine/model/sharedEvidence.js";
 
 /** What every announcement says of its sender. */
 export interface PeerHeader {
@@ -23,6 +24,8 @@
     readonly isStoreUnavailable: boolean;
     /** Version of the newest change that the host knows, by table. */
     readonly lastChangeVersions: Readonly<Record<string, number>>;
+    /** What the host knows of parts of prompts that crash endpoints; absent if it knows nothing. */
+    readonly evidence?: SharedEvidence;
 }
 
 /** State of a host at the time of a message. */
--- a/packages/forwarding/src/peers/queries/fleetDigestCodec.ts
+++ b/packages/forwarding/src/peers/queries/fleetDigestCodec.ts
@@ -16,7 +16,7 @@
 /** Encodes a digest. `nowMs` is the current time of the sender's monotonic clock. */
 export const encodeFleetDigest = (digest: FleetDigest, nowMs: number): Buffer =>
     encodeMessage("digest", [
-        encodePeerHeader(digest),
+        encodePeerHeader(digest, nowMs),
         digest.hostCounts,
         digest.members.map(encodeMember),
         digest.observations.map(encodeObservation),
@@ -42,7 +42,7 @@
         AssignmentRow[],
     ];
     return {
-        ...decodePeerHeader(header),
+        ...decodePeerHeader(header, nowMs),
         hostCounts,
         members: members.map(([address, failureDomain, capacity, isStoreUnavailable, ageMs]) => ({
             address,
--- a/packages/forwarding/src/peers/queries/peerHeaderCodec.ts
+++ b/packages/forwarding/src/peers/queries/peerHeaderCodec.ts
@@ -1,5 +1,6 @@
 /** Encoding of the fields that states and digests share. */
 import { toFailureDomainId } from "@currantrill/protocol";
+import { decodeEvidence, encodeEvidence, type EvidenceRow } from "../../quarantine/queries/evidenceCodec.js";
 import type { PeerHeader } from "../model/peerState.js";
 
 type HeaderRow = readonly [
@@ -11,9 +12,12 @@
     isLeaving: boolean,
     isStoreUnavailable: boolean,
     lastChangeVersions: Readonly<Record<string, number>>,
+    /** Ignored by builds that know no quarantine, and absent in their messages. */
+    evidence?: EvidenceRow | null,
 ];
 
-export const encodePeerHeader = (header: PeerHeader): HeaderRow => [
+/** Encodes a header. `nowMs` is the current time of the sender's monotonic clock. */
+export const encodePeerHeader = (header: PeerHeader, nowMs: number): HeaderRow => [
     header.address,
     header.failureDomain,
     header.incarnation,
@@ -22,9 +26,11 @@
     header.isLeaving,
     header.isStoreUnavailable,
     header.lastChangeVersions,
+    header.evidence === undefined ? null : encodeEvidence(header.evidence, nowMs),
 ];
 
-export function decodePeerHeader(row: unknown): PeerHeader {
+/** Decodes a header. `nowMs` is the current time of the receiver's monotonic clock. */
+export function decodePeerHeader(row: unknown, nowMs: number): PeerHeader {
     const [
         address,
         failureDomain,
@@ -34,6 +40,7 @@
         isLeaving,
         isStoreUnavailable,
         lastChangeVersions,
+        evidence,
     ] = row as HeaderRow;
     return {
         address,
@@ -44,5 +51,6 @@
         isLeaving,
         isStoreUnavailable,
         lastChangeVersions,
+        ...(evidence === undefined || evidence === null ? {} : { evidence: decodeEvidence(evidence, nowMs) }),
     };
 }
--- a/packages/forwarding/src/peers/queries/peerStateCodec.ts
+++ b/packages/forwarding/src/peers/queries/peerStateCodec.ts
@@ -7,7 +7,7 @@
 /** Encodes a state. `nowMs` is the current time of the sender's monotonic clock. */
 export const encodePeerState = (state: PeerState, nowMs: number): Buffer =>
     encodeMessage("state", [
-        encodePeerHeader(state),
+        encodePeerHeader(state, nowMs),
         state.hosts,
         state.observations.map(encodeObservation),
         state.settledQuery,
@@ -24,7 +24,7 @@
         AssignmentRow[],
     ];
     return {
-        ...decodePeerHeader(header),
+        ...decodePeerHeader(header, nowMs),
         hosts,
         observations: observations.map(decodeObservation),
         settledQuery,
--- a/packages/forwarding/src/ports/platformRows.ts
+++ b/packages/forwarding/src/ports/platformRows.ts
@@ -21,6 +21,8 @@
     readonly endpointTable: string;
     /** Table in which hosts publish their addresses for peers. */
     readonly hostTable: string;
+    /** Table in which hosts keep the parts of prompts that crash endpoints. */
+    readonly quarantineTable: string;
     decodeConfiguration(value: Buffer): Decoded<ServingConfiguration>;
     decodeEndpoint(key: string, value: Buffer): Decoded<EndpointEntry>;
 }
--- a/packages/forwarding/src/ports/tableSource.ts
+++ b/packages/forwarding/src/ports/tableSource.ts
@@ -25,6 +25,13 @@
     awaitChanges(table: string, afterVersion: number, waitMs: number): Promise<TableChanges | undefined>;
     /** Writes a row unconditionally. */
     putRow(table: string, key: string, value: Buffer): Promise<void>;
+    /**
+     * Writes a row if it still has the version; 0 if it must not exist. Resolves with whether it was written. Rejects if
+     * that is unknown.
+     */
+    replaceRow(table: string, key: string, value: Buffer, expectedVersion: number): Promise<boolean>;
+    /** Removes a row unconditionally. */
+    removeRow(table: string, key: string): Promise<void>;
 }
 
 /** Address and limits of the access to a store. */
--- /dev/null
+++ b/packages/forwarding/src/quarantine/model/promptTracker.ts
@@ -0,0 +1,20 @@
+import type { ServiceId } from "@currantrill/protocol";
+import type { QuarantineEntry } from "./quarantineEntry.js";
+
+/** What the quarantine has to know of a prompt that is sent to an endpoint. */
+export interface TrackedPrompt {
+    readonly service: ServiceId;
+    readonly parts: readonly string[];
+    /** Set if the prompt is the trial of an isolated part. */
+    readonly trial?: QuarantineEntry;
+    /** Aborts the attempt, because a part of the prompt has been isolated. */
+    readonly abort: () => void;
+}
+
+/** Follows one attempt of a prompt. */
+export interface PromptTracker {
+    /** Records that the endpoint has written an answer, which began at `beganAtMs`. */
+    readonly recordAnswer: (beganAtMs: number) => void;
+    /** Ends the tracking. */
+    readonly end: () => void;
+}
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -6,6 +6,7 @@
 import { checkAuthorization } from "../../configuration/queries/checkAuthorization.js";
 import { chooseService, matchRoute } from "../../configuration/queries/matchRoute.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
+import { selectTrackedParts } from "../../quarantine/commands/startQuarantine.js";
 import type { Exchange } from "../model/exchange.js";
 import { selectRequestHeaders } from "../queries/selectHeaders.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
@@ -92,6 +93,7 @@
         headers: selectRequestHeaders(request.rawHeaders, context.protocol.reservedHeaders),
         body: request.body as Buffer,
         callerMetadata,
+        trackedParts: selectTrackedParts(callerMetadata.sharedParts),
         response,
         route,
         service,
@@ -147,6 +149,7 @@
             kind: route.kind,
             promptTokens: exchange.callerMetadata.promptTokens,
             sharedParts: exchange.callerMetadata.sharedParts?.slice(0, MAX_LOGGED_PARTS),
+            isolatedPart: exchange.isolatedPart,
             configuration: exchange.configurationVersion,
             attempts,
             status: exchange.response.statusCode,
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -36,7 +36,7 @@
     /** Called when the response, which belongs to the request, is complete according to its framing. */
     readonly onEnd: () => void;
     /** Called instead of `onEnd`. */
-    readonly onFailure: (outcome: AttemptOutcome, reason: string) => void;
+    readonly onFailure: (outcome: AttemptOutcome, failure: AttemptFailure) => void;
 }
 
 /** Effect of a failed attempt on the endpoint's health. */
@@ -55,7 +55,6 @@
 /** Starts an attempt. Exactly one of `onEnd` and `onFailure` is called. */
 export function runAttempt(context: ForwardingContext, exchange: Exchange, plan: AttemptPlan): RunningAttempt {
     const { endpoint, record } = plan;
-    const nowMs = performance.now();
     let refused: RefusedResponse | undefined;
     let mismatch: string | undefined;
     let hasEnded = false;
@@ -96,7 +95,7 @@
         const reason = refused?.reason ?? mismatch ?? error.message;
         endpoint.health = updateHealth[failure](endpoint.health, performance.now());
         end(outcome, reason);
-        plan.onFailure(outcome, reason);
+        plan.onFailure(outcome, failure);
     };
     const decidedAt = readClocks();
     const canSend = (): boolean =>
@@ -106,7 +105,7 @@
         attempt = sendAttempt(endpoint.pool, {
             method: exchange.method,
             target: exchange.target,
-            headers: buildHeaders(context, exchange, plan, nowMs),
+            headers: buildHeaders(context, exchange, plan, performance.now()),
             body: exchange.body,
             usesNewConnection: plan.usesNewConnection,
         }, {
@@ -120,7 +119,7 @@
             onEnd: () => {
                 if (refused !== undefined) {
                     end("not_run", refused.reason);
-                    plan.onFailure("not_run", refused.reason);
+                    plan.onFailure("not_run", "aborted");
                     return;
                 }
                 end("answered");
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -8,6 +8,8 @@
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import type { PrefillShard } from "../../ports/endpointProtocol.js";
+import type { PromptTracker } from "../../quarantine/model/promptTracker.js";
+import type { QuarantineEntry } from "../../quarantine/model/quarantineEntry.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
@@ -44,6 +46,12 @@
 /** Time for the body of an error response, which is a few hundred bytes long. */
 const ERROR_BODY_TIMEOUT_MS = 1_000;
 
+/**
+ * Events from which on an endpoint has written an answer. An endpoint that crashes as it begins to write may still send
+ * the first one.
+ */
+export const ANSWER_EVENTS = 2;
+
 const MIN_UNSUCCESSFUL_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -60,7 +68,14 @@
 export type StreamAttemptResult =
     | { readonly kind: "complete" | "passed_on" | "caller_gone" | "out_of_time"; }
     /** `not_run`: the endpoint has not run the request. `broken`: it may have run, partly or completely. */
-    | { readonly kind: "not_run" | "broken"; readonly wasSent: boolean; };
+    | {
+        readonly kind: "not_run" | "broken";
+        readonly wasSent: boolean;
+        /** Whether the endpoint closed the connection before it had written two events, and may have crashed. */
+        readonly mayBeCrash?: boolean;
+    }
+    /** A part of the prompt was isolated while the endpoint had not written an answer. */
+    | { readonly kind: "isolated"; };
 
 /** Endpoints of an attempt and the estimate of the placement that chose them. */
 export interface StreamAttemptPlan {
@@ -71,6 +86,8 @@
     /** Endpoints that prefill further shards of the prompt. */
     readonly shardTargets: readonly PrefillShard[];
     readonly onFirstEvent: () => void;
+    /** Set if the prompt is the trial of an isolated part. */
+    readonly trial?: QuarantineEntry;
 }
 
 /** An error response of the endpoint, which is collected instead of streamed. */
@@ -91,6 +108,7 @@
     readonly resolve: (end: StreamAttemptResult) => void;
     readonly resumeEndpointStream: () => void;
     readonly deadlineTimer: NodeJS.Timeout;
+    readonly tracker: PromptTracker;
     attempt: RunningAttempt | undefined;
     cancelStallCheck: () => void;
     errorResponse: ErrorResponse | undefined;
@@ -120,6 +138,12 @@
                 () => abortRun(run, { kind: "out_of_time" }, "request deadline exceeded"),
                 exchange.deadlineAtMs - performance.now(),
             ),
+            tracker: context.quarantine.track({
+                service: exchange.service.name,
+                parts: exchange.trackedParts,
+                ...(plan.trial === undefined ? {} : { trial: plan.trial }),
+                abort: () => abortRun(run, { kind: "isolated" }, "a part of the prompt has been isolated"),
+            }),
             attempt: undefined,
             cancelStallCheck: () => undefined,
             errorResponse: undefined,
@@ -138,10 +162,12 @@
             onResponse: (status, headers) => beginResponse(run, status, headers),
             onData: chunk => handleData(run, chunk),
             onEnd: () => finishResponse(run),
-            onFailure: outcome =>
+            onFailure: (outcome, failure) =>
                 finishRun(run, {
                     kind: outcome === "not_run" ? "not_run" : "broken",
                     wasSent: run.record.wasSent,
+                    mayBeCrash: failure === "broken" && outcome === "unknown"
+                        && (run.record.events ?? 0) < ANSWER_EVENTS,
                 }),
         });
         scheduleStallCheck(run, getFirstEventLimits(plan.placement.firstEventMs));
@@ -174,6 +200,7 @@
         return;
     }
     run.isSettled = true;
+    run.tracker.end();
     run.cancelStallCheck();
     clearTimeout(run.deadlineTimer);
     run.errorResponse?.cancelTimeout();
@@ -297,6 +324,9 @@
             record.firstAfterMs = Math.round(performance.now() - exchange.startedAtMs);
             run.plan.onFirstEvent();
         }
+        if (record.events === ANSWER_EVENTS) {
+            run.tracker.recordAnswer(exchange.startedAtMs + record.firstAfterMs);
+        }
     }
     if (!exchange.response.write(event.bytes)) {
         run.attempt?.pause();
@@ -326,6 +356,9 @@
         finishRun(run, { kind: "broken", wasSent: true });
         return;
     }
+    if (run.record.firstAfterMs !== undefined) {
+        run.tracker.recordAnswer(run.exchange.startedAtMs + run.record.firstAfterMs);
+    }
     run.exchange.response.end();
     finishRun(run, { kind: "complete" });
 }
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -2,18 +2,22 @@
 import type { ServerResponse } from "node:http";
 
 /**
- * Why the host responds in place of an endpoint. All reasons but `outcome_unknown` and `out_of_time` guarantee that the
- * request has not run.
+ * Why the host responds in place of an endpoint. All reasons but `outcome_unknown`, `crash_suspected` and `out_of_time`
+ * guarantee that the request has not run.
  */
 export type RefusalReason =
     | "no_configuration"
     | "no_endpoint"
     | "not_run"
+    /** The prompt has a part that crashes endpoints. */
+    | "part_isolated"
     | "no_route"
     | "key_unknown"
     | "body_unreadable"
     | "body_too_large"
     | "outcome_unknown"
+    /** The endpoint crashed, and a part of the prompt may be the cause, so that no other endpoint is tried. */
+    | "crash_suspected"
     | "out_of_time";
 
 interface Refusal {
@@ -27,11 +31,21 @@
     no_configuration: { status: 503, message: "this host has no configuration yet", retryAfterSeconds: 0.5 },
     no_endpoint: { status: 503, message: "no endpoint can take the request now", retryAfterSeconds: 0.4 },
     not_run: { status: 503, message: "the request was not run", retryAfterSeconds: 0.15 },
+    part_isolated: {
+        status: 503,
+        message: "a part of the prompt crashes endpoints; prompts with it are not run for now",
+        retryAfterSeconds: 5,
+    },
     no_route: { status: 404, message: "no route matches the host and path" },
     key_unknown: { status: 401, message: "the key is not known" },
     body_unreadable: { status: 400, message: "the body could not be read" },
     body_too_large: { status: 413, message: "the body is larger than the configuration allows" },
     outcome_unknown: { status: 502, message: "the endpoint's answer was lost; the request may have run" },
+    crash_suspected: {
+        status: 502,
+        message:
+            "the endpoint crashed while it processed the prompt, which may be the cause; it is not tried elsewhere",
+    },
     out_of_time: { status: 504, message: "no answer within the request's time; the request may have run" },
 };
 
@@ -43,15 +57,17 @@
     String(Math.round(seconds * (1 + (MAX_RETRY_SPREAD - 1) * Math.random()) * 1_000) / 1_000);
 
 /**
- * Sends a refusal and returns its status. If response headers have already been sent, closes the connection instead, so
+ * Sends a refusal and returns its status. `minRetryAfterSeconds` replaces the shortest wait of the reason. If response headers have already been sent, closes the connection instead, so
  * that the caller cannot mistake the truncated response for a complete one.
  */
 export function sendRefusal(
     response: ServerResponse,
     reason: RefusalReason,
     headers: Readonly<Record<string, string>> = {},
+    minRetryAfterSeconds?: number,
 ): number {
-    const { status, message, retryAfterSeconds } = refusals[reason];
+    const { status, message, retryAfterSeconds: defaultSeconds } = refusals[reason];
+    const retryAfterSeconds = minRetryAfterSeconds ?? defaultSeconds;
     if (response.headersSent) {
         response.destroy();
         return status;
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -9,10 +9,17 @@
 import { describePlacement } from "../../placement/queries/describePlacement.js";
 import type { PlacementRequest } from "../../placement/queries/scoreEndpoint.js";
 import { selectCandidates } from "../../placement/queries/selectCandidates.js";
+import type { Admission } from "../../quarantine/commands/startQuarantine.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
 import type { Exchange } from "../model/exchange.js";
 import { listLoads } from "../queries/listLoads.js";
-import { runStreamAttempt, type StreamAttemptResult, type StreamProgress } from "./runStreamAttempt.js";
+import {
+    ANSWER_EVENTS,
+    runStreamAttempt,
+    type StreamAttemptPlan,
+    type StreamAttemptResult,
+    type StreamProgress,
+} from "./runStreamAttempt.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
 /** Limit on attempts that fail before the request is sent. They do not count as attempts of the route. */
@@ -22,6 +29,8 @@
 /** Assumed prompt length in tokens if the caller does not state it. */
 const DEFAULT_PROMPT_TOKENS = 1_000;
 
+const MS_PER_SECOND = 1_000;
+
 interface ChosenEndpoints {
     readonly endpoint: Endpoint;
     readonly placement: PromptPlacement;
@@ -45,6 +54,10 @@
     let connectFailures = 0;
     let mayHaveRun = false;
     for (;;) {
+        const admission = await context.quarantine.admit(exchange.service.name, exchange.trackedParts);
+        if (admission.kind === "isolated") {
+            return refuseIsolated(context, exchange, admission, mayHaveRun);
+        }
         if (attemptsSent > 0 && !context.retryBudget.spend(exchange.service.name, performance.now())) {
             context.log.warn({ request: exchange.requestId }, "requests: retry budget exhausted");
             return finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run");
@@ -59,11 +72,26 @@
             const reason = mayHaveRun ? "outcome_unknown" : tried.size === 0 ? "no_endpoint" : "not_run";
             return finishWithRefusal(context, exchange, reason);
         }
+        if (
+            admission.kind === "admitted" && context.quarantine.isIsolated(exchange.service.name, exchange.trackedParts)
+        ) {
+            chosen.reservedMemory?.release();
+            chosen.settle();
+            continue;
+        }
         tried.add(chosen.endpoint);
-        const isFinalAttempt = attemptsSent + 1 >= exchange.route.attempts || !exchange.route.canResume;
-        const end = await runWithAssignments(context, exchange, progress, chosen, isFinalAttempt);
+        const isFinalAttempt = attemptsSent + 1 >= exchange.route.attempts || !exchange.route.canResume
+            || admission.kind === "trial";
+        const end = await runWithAssignments(context, exchange, progress, chosen, {
+            isFinalAttempt,
+            ...(admission.kind === "trial" ? { trial: admission.trial } : {}),
+        });
         if (!("wasSent" in end)) {
-            return end.kind === "out_of_time" ? finishWithRefusal(context, exchange, end.kind) : end.kind;
+            const reason = fatalReasons[end.kind];
+            return reason === undefined ? end.kind : finishWithRefusal(context, exchange, reason);
+        }
+        if (await isCrashSuspected(context, exchange, chosen.endpoint, end.mayBeCrash === true)) {
+            return finishWithRefusal(context, exchange, "crash_suspected");
         }
         mayHaveRun ||= end.kind === "broken";
         if (end.wasSent) {
@@ -72,7 +100,8 @@
         else {
             connectFailures += 1;
         }
-        const canRetry = (exchange.route.canResume || !mayHaveRun)
+        const canRetry = admission.kind === "admitted"
+            && (exchange.route.canResume || !mayHaveRun)
             && attemptsSent < exchange.route.attempts
             && connectFailures < MAX_CONNECT_FAILURES;
         if (!canRetry) {
@@ -81,6 +110,50 @@
     }
 }
 
+/** Refusals of attempts after which no other endpoint is tried. */
+const fatalReasons: Readonly<Partial<Record<StreamAttemptResult["kind"], RefusalReason>>> = {
+    out_of_time: "out_of_time",
+    isolated: "crash_suspected",
+};
+
+/** Refuses a prompt with an isolated part. Only a prompt that was not sent is guaranteed not to have run. */
+function refuseIsolated(
+    context: ForwardingContext,
+    exchange: Exchange,
+    { part, retryAfterMs }: Extract<Admission, { kind: "isolated"; }>,
+    mayHaveRun: boolean,
+): string {
+    exchange.isolatedPart = part;
+    const headers = context.callers.buildResponseHeaders(exchange.requestId);
+    if (mayHaveRun) {
+        sendRefusal(exchange.response, "crash_suspected", headers);
+        return "crash_suspected";
+    }
+    sendRefusal(exchange.response, "part_isolated", headers, retryAfterMs / MS_PER_SECOND);
+    return "part_isolated";
+}
+
+/**
+ * Returns whether the prompt may be the reason why its endpoint crashed, so that another one must not be tried: if the
+ * response had just begun, or if prompts with a part of it were on other endpoints that crashed. A prompt on which an
+ * endpoint has written an answer is not at fault.
+ */
+async function isCrashSuspected(
+    { quarantine }: ForwardingContext,
+    { attempts, service: { name: service }, trackedParts: parts }: Exchange,
+    endpoint: Endpoint,
+    mayBeCrash: boolean,
+): Promise<boolean> {
+    if (parts.length === 0 || attempts.some(attempt => (attempt.events ?? 0) >= ANSWER_EVENTS)) {
+        return false;
+    }
+    const last = attempts.at(-1);
+    const hasBegun = last?.respondedAfterMs !== undefined && last.events === undefined;
+    const reported = mayBeCrash ? quarantine.reportBreak(endpoint, { service, parts, hasBegun }) : undefined;
+    // Other prompts go on at once: most of them are served by the next endpoint.
+    return hasBegun && await reported === true || quarantine.isSuspect(service, parts);
+}
+
 function finishWithRefusal(context: ForwardingContext, exchange: Exchange, reason: RefusalReason): string {
     sendRefusal(exchange.response, reason, context.callers.buildResponseHeaders(exchange.requestId));
     return reason;
@@ -204,7 +277,7 @@
     exchange: Exchange,
     progress: StreamProgress,
     chosen: ChosenEndpoints,
-    isFinalAttempt: boolean,
+    options: Pick<StreamAttemptPlan, "isFinalAttempt" | "trial">,
 ): Promise<StreamAttemptResult> {
     const nowMs = performance.now();
     const prompt = describePrompt(exchange, nowMs);
@@ -213,8 +286,8 @@
     chosen.settle();
     try {
         return await runStreamAttempt(context, exchange, progress, {
+            ...options,
             endpoint: chosen.endpoint,
-            isFinalAttempt,
             placement: chosen.placement,
             shardTargets: chosen.helpers.map(helper => {
                 const reservation = chosen.reservedMemory?.reservations.find(each => each.endpoint === helper);
--- a/packages/forwarding/src/requests/model/exchange.ts
+++ b/packages/forwarding/src/requests/model/exchange.ts
@@ -15,6 +15,8 @@
     readonly body: Buffer;
     /** Values parsed from the caller's headers. */
     readonly callerMetadata: CallerHeaders;
+    /** Shared parts of the prompt that the quarantine tracks. */
+    readonly trackedParts: readonly string[];
     readonly response: ServerResponse;
     readonly route: Route;
     readonly service: ServiceDefinition;
@@ -30,4 +32,6 @@
     /** Called once if the caller disconnects before the response is complete. */
     onDisconnect: (() => void) | undefined;
     isDisconnected: boolean;
+    /** Part of the prompt for which it was refused, as written to the request log. */
+    isolatedPart?: string;
 }
--- a/packages/forwarding/tests/directoryFixture.ts
+++ b/packages/forwarding/tests/directoryFixture.ts
@@ -16,6 +16,7 @@
             configurationKey: "",
             endpointTable: "",
             hostTable: "",
+            quarantineTable: "",
             decodeConfiguration: () => ({ ok: false, finding: { path: "", found: "" } }),
             decodeEndpoint: (id, value) => ({
                 ok: true,
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -119,6 +119,20 @@
             change(table, { key, version, value });
             return Promise.resolve();
         },
+        replaceRow: (table, key, value, expectedVersion) => {
+            store.calls += 1;
+            if ((rows.get(table)?.get(key)?.version ?? 0) !== expectedVersion) {
+                return Promise.resolve(false);
+            }
+            version += 1;
+            change(table, { key, version, value });
+            return Promise.resolve(true);
+        },
+        removeRow: (table, key) => {
+            store.calls += 1;
+            store.drop(table, key);
+            return Promise.resolve();
+        },
     };
     return store;
 }
@@ -245,6 +259,7 @@
     readonly failureDomain?: string;
     /** Retries allowed regardless of the number of requests. */
     readonly extraRetries?: number;
+    readonly quarantine?: Partial<ForwardingSettings["quarantine"]>;
     /** Peer port, which must be the same for hosts that are to discover each other. */
     readonly peerPort?: number;
 }
@@ -275,6 +290,7 @@
         reservations: { free_ms: 2_000 },
         processor: { cores: 1, share: 1 },
         responses: { max_body_bytes: 300_000, max_event_bytes: 50_000, max_buffered_bytes: 400_000 },
+        quarantine: { crashes: 3, retry_after_ms: 30_000, forget_after_ms: 1_800_000, ...options.quarantine },
         log_level: "info",
     };
     let version = 0;
@@ -332,6 +348,7 @@
             configurationKey: "current",
             endpointTable: "endpoints",
             hostTable: "hosts",
+            quarantineTable: "quarantine",
             decodeConfiguration: value => ({ ok: true, value: JSON.parse(value.toString()) as ServingConfiguration }),
             decodeEndpoint: (_key, value) => {
                 const entry = JSON.parse(value.toString()) as EndpointEntry | null;
--- /dev/null
+++ b/packages/forwarding/tests/quarantine/model/partQuarantine.test.ts
@@ -0,0 +1,150 @@
+import { toServiceId } from "@currantrill/protocol";
+import { describe, expect, it } from "vitest";
+import { createPartQuarantine, type PartQuarantine } from "../../../src/quarantine/model/partQuarantine.js";
+import type { QuarantineEntry } from "../../../src/quarantine/model/quarantineEntry.js";
+import { decodeEvidence, encodeEvidence } from "../../../src/quarantine/queries/evidenceCodec.js";
+
+const service = toServiceId("pool");
+const FORGET_MS = 60_000;
+
+interface TestHost {
+    readonly state: PartQuarantine;
+    readonly entries: QuarantineEntry[];
+    readonly forgotten: QuarantineEntry[];
+    news: number;
+}
+
+function createHost(): TestHost {
+    const host: TestHost = {
+        entries: [],
+        forgotten: [],
+        news: 0,
+        state: createPartQuarantine({
+            getSettings: () => ({ crashes: 3, retry_after_ms: 30_000, forget_after_ms: FORGET_MS }),
+            onEntry: entry => host.entries.push(entry),
+            onForgotten: entry => host.forgotten.push(entry),
+            onNews: () => {
+                host.news += 1;
+            },
+        }),
+    };
+    return host;
+}
+
+/** Reports a crash of an endpoint while the response to a prompt with the parts had begun. */
+const crash = ({ state }: TestHost, endpointId: string, atMs: number, parts: readonly string[]): void =>
+    state.recordCrash(
+        { endpointId, processStartedAtMs: 1, service, crashedAtMs: atMs, begunParts: parts, waitingParts: [] },
+        atMs,
+    );
+
+/** Sends what a host knows to another one, whose monotonic clock is ahead by `offsetMs`. */
+const send = (from: TestHost, to: TestHost, nowMs: number, offsetMs = 0): void => {
+    const row = encodeEvidence(from.state.share(nowMs), nowMs);
+    if (row !== null) {
+        to.state.merge(decodeEvidence(row, nowMs + offsetMs), nowMs + offsetMs);
+    }
+};
+
+const isolate = (host: TestHost): void => [0, 400, 800].forEach(atMs => crash(host, `e${atMs}`, atMs, ["bad"]));
+
+describe("createPartQuarantine", () => {
+    // Guards against evidence that each host keeps to itself: no two such prompts meet at one host.
+    it("finds the part from crashes that different hosts have seen", () => {
+        const hosts = [createHost(), createHost(), createHost()] as const;
+        hosts.forEach((host, index) => crash(host, `e${index}`, index * 400, ["common", "bad"]));
+        expect(hosts.flatMap(host => host.entries)).toEqual([]);
+        send(hosts[0], hosts[2], 810, 7_000_000);
+        hosts[2].state.merge(hosts[1].state.share(810), 810);
+        crash(hosts[1], "e3", 1_200, ["common", "bad"]);
+        send(hosts[0], hosts[1], 1_210);
+        hosts[1].state.merge(hosts[2].state.share(1_210), 1_210);
+        expect(hosts[1].state.findIsolated(service, ["bad"])?.isIsolated).toBe(true);
+    });
+    // Guards against the blame of a part that is answered on other hosts only.
+    it("acquits a part that another host announces as answered", () => {
+        const [first, second] = [createHost(), createHost()];
+        crash(first, "e0", 0, ["popular"]);
+        crash(first, "e1", 400, ["popular"]);
+        send(first, second, 410);
+        second.state.recordAnswer(service, ["popular"], 450);
+        send(second, first, 460);
+        crash(first, "e2", 800, ["popular"]);
+        expect(first.entries).toEqual([]);
+        expect(first.state.isSuspect(service, ["popular"], 800)).toBe(false);
+    });
+    it("counts a crash once that several hosts report", () => {
+        const [first, second] = [createHost(), createHost()];
+        [first, second].forEach(host => crash(host, "e0", 0, ["bad"]));
+        crash(first, "e1", 400, ["bad"]);
+        send(second, first, 410);
+        expect(first.entries).toEqual([]);
+    });
+    it("suspects a part after two crashes", () => {
+        const host = createHost();
+        crash(host, "e0", 0, ["bad"]);
+        expect(host.state.isSuspect(service, ["bad"], 1)).toBe(false);
+        crash(host, "e1", 400, ["bad"]);
+        expect(host.state.isSuspect(service, ["bad"], 401)).toBe(true);
+        expect(host.state.isSuspect(service, ["other"], 401)).toBe(false);
+        expect(host.state.isSuspect(toServiceId("other"), ["bad"], 401)).toBe(false);
+    });
+    // Guards against a host that has just started, or was cut off, and pays for the same knowledge again.
+    it("adopts the entries of a peer, and releases what the peer has released", () => {
+        const [first, second] = [createHost(), createHost()];
+        isolate(first);
+        send(first, second, 40_000);
+        const [entry] = second.entries;
+        expect(entry).toMatchObject({ part: "bad", isIsolated: true });
+        first.state.change(first.entries[0]!, { isIsolated: false, changedAtMs: 41_000 });
+        send(first, second, 41_000);
+        expect(second.state.findIsolated(service, ["bad"])).toBeUndefined();
+        // An older message that arrives late changes nothing.
+        second.state.merge({ reports: [], answers: [], entries: [entry!] }, 41_001);
+        expect(second.state.findIsolated(service, ["bad"])).toBeUndefined();
+    });
+    it("isolates a released part again after further crashes, not by those before", () => {
+        const host = createHost();
+        isolate(host);
+        host.state.change(host.entries[0]!, { isIsolated: false, changedAtMs: 5_000 });
+        host.state.sweep(5_001);
+        expect(host.state.findIsolated(service, ["bad"])).toBeUndefined();
+        [6_000, 6_400, 6_800].forEach(atMs => crash(host, `f${atMs}`, atMs, ["bad"]));
+        expect(host.state.findIsolated(service, ["bad"])?.revision).toBe(3);
+    });
+    it("forgets an entry that has not changed for long, and ignores it from peers", () => {
+        const [first, second] = [createHost(), createHost()];
+        isolate(first);
+        const shared = first.state.share(900);
+        first.state.sweep(801 + FORGET_MS);
+        expect(first.forgotten).toHaveLength(1);
+        second.state.merge({ ...shared, reports: [] }, 801 + FORGET_MS);
+        expect(second.entries).toEqual([]);
+    });
+    // Guards against state that grows with the number of crashes.
+    it("keeps and shares a bounded number of crashes, parts and entries", () => {
+        const host = createHost();
+        for (let index = 0; index < 200; index += 1) {
+            crash(host, `e${index}`, index * 400, Array.from({ length: 100 }, (_, part) => `p${index}-${part}`));
+        }
+        for (let index = 0; index < 80; index += 1) {
+            [0, 400, 800].forEach(atMs => crash(host, `f${index}-${atMs}`, 500_000 + index + atMs, [`bad${index}`]));
+        }
+        const shared = host.state.share(501_000);
+        expect(host.state.list().length).toBeLessThanOrEqual(64);
+        expect(shared.reports.length).toBeLessThanOrEqual(16);
+        expect(shared.answers.length).toBeLessThanOrEqual(128);
+    });
+    // Guards against hosts that tell each other the same answer, and take it for a later one each time.
+    it("does not make an answer later by telling it back and forth", () => {
+        const [first, second] = [createHost(), createHost()];
+        first.state.recordAnswer(service, ["bad"], 0);
+        crash(first, "e0", 100, ["bad"]);
+        for (let nowMs = 110; nowMs < 4_000; nowMs += 20) {
+            send(first, second, nowMs, 8);
+            const row = encodeEvidence(second.state.share(nowMs + 8), nowMs + 8)!;
+            first.state.merge(decodeEvidence(row, nowMs + 16), nowMs + 16);
+        }
+        expect(first.state.share(4_000).answers[0]!.lastAtMs).toBeLessThan(50);
+    });
+});
--- /dev/null
+++ b/packages/forwarding/tests/quarantine/queries/findCulprits.test.ts
@@ -0,0 +1,142 @@
+import { toServiceId } from "@currantrill/protocol";
+import { describe, expect, it } from "vitest";
+import type { CrashReport } from "../../../src/quarantine/model/crashReport.js";
+import { type Evidence, findCulprits } from "../../../src/quarantine/queries/findCulprits.js";
+
+const service = toServiceId("pool");
+const MIN_CRASHES = 3;
+
+interface Crash {
+    readonly atMs: number;
+    readonly begun?: readonly string[];
+    readonly waiting?: readonly string[];
+}
+
+const createReport = ({ atMs, begun = [], waiting = [] }: Crash, index: number): CrashReport => ({
+    endpointId: `e${index}`,
+    processStartedAtMs: 1,
+    service,
+    crashedAtMs: atMs,
+    begunParts: begun,
+    waitingParts: waiting,
+});
+
+/** Crashes at intervals, with the parts that the function lists for each. */
+const repeatCrashes = (times: readonly number[], describe: (index: number) => Omit<Crash, "atMs">): readonly Crash[] =>
+    times.map((atMs, index) => ({ atMs, ...describe(index) }));
+
+interface Case {
+    readonly name: string;
+    readonly crashes: readonly Crash[];
+    /** Number of answers on prompts with a part, and time of the last one. */
+    readonly answers?: Readonly<Record<string, readonly [count: number, lastAtMs: number]>>;
+    readonly lastAnswerMs?: number;
+    readonly nowMs?: number;
+    readonly expected: readonly string[];
+}
+
+// Each row guards against a missed culprit, or against the blame of a part that is not at fault.
+const cases: readonly Case[] = [
+    {
+        name: "a part is on each endpoint that crashes, as its response begins",
+        crashes: repeatCrashes([0, 400, 800], index => ({ begun: ["bad"], waiting: [`other${index}`, "common"] })),
+        expected: ["bad"],
+    },
+    {
+        name: "two crashes are no proof",
+        crashes: repeatCrashes([0, 400], () => ({ begun: ["bad"] })),
+        expected: [],
+    },
+    {
+        name: "the first part of the prompts, which sound prompts share, has been answered before",
+        crashes: repeatCrashes([0, 400, 800], () => ({ begun: ["common", "bad"] })),
+        answers: { common: [90, -5_000] },
+        expected: ["bad"],
+    },
+    {
+        name: "none of the parts has ever been answered: the one that fewest prompts share",
+        crashes: repeatCrashes([0, 400, 800], () => ({ begun: ["common", "bad"] })),
+        expected: ["bad"],
+    },
+    {
+        name: "a popular part is on all endpoints that crash by themselves, and answered in between",
+        crashes: repeatCrashes([0, 4_000, 8_000, 12_000, 16_000], index => ({ waiting: ["popular", `p${index}`] })),
+        answers: { popular: [500, 16_100] },
+        lastAnswerMs: 16_100,
+        nowMs: 20_000,
+        expected: [],
+    },
+    {
+        name: "a rack fails at once under a popular part",
+        crashes: repeatCrashes([0, 5, 20, 60, 120], () => ({ begun: ["popular"], waiting: ["popular"] })),
+        nowMs: 130,
+        expected: [],
+    },
+    {
+        name: "a rack fails, and later another one, and prompts with the part were answered in between",
+        crashes: repeatCrashes([0, 5, 10, 9_000, 9_005], () => ({ begun: ["popular"] })),
+        answers: { popular: [50, 8_990] },
+        nowMs: 9_010,
+        expected: [],
+    },
+    {
+        name: "all endpoints of the service fail, one after the other",
+        crashes: repeatCrashes([0, 300, 600, 900, 1_200], () => ({ waiting: ["popular"] })),
+        lastAnswerMs: 290,
+        nowMs: 5_000,
+        expected: [],
+    },
+    {
+        name: "endpoints crash before the response begins, and other prompts are answered",
+        crashes: repeatCrashes([0, 500, 1_000, 1_500], index => ({ waiting: ["bad", `p${index}`] })),
+        lastAnswerMs: 1_400,
+        nowMs: 2_600,
+        expected: ["bad"],
+    },
+    {
+        name: "the same, before other hosts could announce their answers",
+        crashes: repeatCrashes([0, 500, 1_000, 1_500], () => ({ waiting: ["bad"] })),
+        lastAnswerMs: 1_400,
+        nowMs: 1_900,
+        expected: [],
+    },
+    {
+        name: "two parts crash endpoints by turns",
+        crashes: repeatCrashes([0, 300, 600, 900, 1_200, 1_500], index => ({ begun: [index % 2 === 0 ? "a" : "b"] })),
+        expected: ["a", "b"],
+    },
+    {
+        name: "a prompt that waits is tried on endpoint after endpoint that another part crashes",
+        crashes: repeatCrashes([0, 300, 600, 900], () => ({ begun: ["bad"], waiting: ["unlucky"] })),
+        lastAnswerMs: 900,
+        nowMs: 5_000,
+        expected: ["bad"],
+    },
+    {
+        name: "the part was answered until it became deadly",
+        crashes: repeatCrashes([1_000, 1_400, 1_800], () => ({ begun: ["bad"] })),
+        answers: { bad: [40, 990] },
+        expected: ["bad"],
+    },
+    {
+        name: "rare prompts, one in a minute",
+        crashes: repeatCrashes([0, 60_000, 120_000], () => ({ begun: ["common", "bad"] })),
+        answers: { common: [9_000, 119_990] },
+        expected: ["bad"],
+    },
+];
+
+describe("findCulprits", () => {
+    it.each(cases)("finds the right part: $name", ({ crashes, answers, lastAnswerMs, nowMs, expected }) => {
+        const evidence: Evidence = {
+            reports: crashes.map(createReport),
+            getAnswers: (_service, part) => {
+                const [count, lastAtMs] = answers?.[part] ?? [];
+                return count === undefined || lastAtMs === undefined ? undefined : { count, lastAtMs };
+            },
+            getLastAnswer: () => lastAnswerMs ?? -Infinity,
+            nowMs: nowMs ?? Math.max(...crashes.map(crash => crash.atMs)),
+        };
+        expect(findCulprits(evidence, MIN_CRASHES).map(culprit => culprit.part).sort()).toEqual(expected);
+    });
+});
--- a/packages/forwarding/tests/replicas/commands/trackTable.test.ts
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -48,6 +48,8 @@
                 : Promise.resolve(answer === "gone" ? undefined : answer);
         },
         putRow: () => Promise.resolve(),
+        replaceRow: () => Promise.resolve(false),
+        removeRow: () => Promise.resolve(),
     };
     const table = trackTable({
         table: "t",
@@ -126,6 +128,8 @@
                     }),
                 awaitChanges: () => new Promise(() => undefined),
                 putRow: () => Promise.resolve(),
+                replaceRow: () => Promise.resolve(false),
+                removeRow: () => Promise.resolve(),
             },
             log,
             getWaitMs: () => 2_500,
