Do not end a stream as complete that has no event and no length

What callers saw: a 200 with an empty stream that looked complete.

Cause: a response without a length and without chunks ends with its connection. An endpoint that crashes after the head of such a response ends it as well, and only an end inside an event counted as broken off.

Change: a stream that nothing delimits and that has no event is broken off, continues at another endpoint where it may, and counts as a possible crash.

Evidence: the new row of foreignResponses.test.ts failed before and passes.

--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -22,8 +22,8 @@
     readonly onResponse: (status: number, headers: ResponseHeaders) => boolean;
     /** Receives a part of the body. Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
     readonly onData: (chunk: Buffer) => boolean;
-    /** Called when the response is complete. */
-    readonly onEnd: () => void;
+    /** Called when the response is complete. `isDelimited`: it has a length or chunks, and does not end by its connection. */
+    readonly onEnd: (isDelimited: boolean) => void;
     readonly onFailure: (failure: AttemptFailure, error: Error) => void;
 }
 
@@ -85,7 +85,7 @@
             return;
         }
         pool[request.usesNewConnection ? "discard" : "release"](connection);
-        events.onEnd();
+        events.onEnd(hasExplicitLength);
     };
     checkOverhead(connection, () => bodyBytes, fail);
     connection.client.dispatch({
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -34,7 +34,7 @@
     /** Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
     readonly onData: (chunk: Buffer) => boolean;
     /** Called when the response, which belongs to the request, is complete according to its framing. */
-    readonly onEnd: () => void;
+    readonly onEnd: (isDelimited: boolean) => void;
     /** Called instead of `onEnd`. */
     readonly onFailure: (outcome: AttemptOutcome, failure: AttemptFailure) => void;
 }
@@ -116,14 +116,14 @@
             },
             onResponse: handleResponse,
             onData: chunk => refused === undefined ? plan.onData(chunk) : refused.add(chunk),
-            onEnd: () => {
+            onEnd: isDelimited => {
                 if (refused !== undefined) {
                     end("not_run", refused.reason);
                     plan.onFailure("not_run", "aborted");
                     return;
                 }
                 end("answered");
-                plan.onEnd();
+                plan.onEnd(isDelimited);
             },
             onFailure: handleFailure,
         });
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -161,7 +161,7 @@
             usesNewConnection: !exchange.route.canResume,
             onResponse: (status, headers) => beginResponse(run, status, headers),
             onData: chunk => handleData(run, chunk),
-            onEnd: () => finishResponse(run),
+            onEnd: isDelimited => finishResponse(run, isDelimited),
             onFailure: (outcome, failure) =>
                 finishRun(run, {
                     kind: outcome === "not_run" ? "not_run" : "broken",
@@ -342,7 +342,7 @@
     run.lastEventAtMs = nowMs;
 }
 
-function finishResponse(run: StreamRun): void {
+function finishResponse(run: StreamRun, isDelimited: boolean): void {
     if (run.isSettled) {
         return;
     }
@@ -351,9 +351,11 @@
         finishRun(run, end);
         return;
     }
-    if (run.splitter.hasIncompleteEvent()) {
-        run.record.reason = "response ended inside an event";
-        finishRun(run, { kind: "broken", wasSent: true });
+    // An endpoint that crashes ends its connections, and with them a body that nothing else delimits.
+    const isEmpty = !isDelimited && run.record.events === undefined;
+    if (isEmpty || run.splitter.hasIncompleteEvent()) {
+        run.record.reason = isEmpty ? "response ended without an event" : "response ended inside an event";
+        finishRun(run, { kind: "broken", wasSent: true, mayBeCrash: (run.record.events ?? 0) < ANSWER_EVENTS });
         return;
     }
     if (run.record.firstAfterMs !== undefined) {
--- a/packages/forwarding/tests/requests/commands/foreignResponses.test.ts
+++ b/packages/forwarding/tests/requests/commands/foreignResponses.test.ts
@@ -103,6 +103,7 @@
         { name: "in a body with a length", text: "{head}content-length: 50\r\n\r\nid: 1\ndata: e\n\n" },
         { name: "between two chunks", text: "{head}transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: e1\n\n\r\n" },
         { name: "before the first chunk", text: "{head}transfer-encoding: chunked\r\n\r\n" },
+        { name: "after the head of a stream without a length", text: "{head}\r\n", kinds: ["stream"] },
         { name: "inside an event without a length", text: "{head}\r\nid: 1\nda", kinds: ["stream"] },
     ].flatMap(({ kinds = ["once", "stream"], ...each }) => kinds.map(kind => ({ ...each, kind }))))(
         "is not complete: $kind $name",
