Show in a trace why the part was isolated for which a prompt was refused

Cause: a refused prompt has no attempt and so no endpoint, and its part may have been isolated by another host, minutes before; the trace had neither.

Evidence: the new case of traceRequest.test.ts, written with the change.

--- a/packages/cli/tests/traceRequest.test.ts
+++ b/packages/cli/tests/traceRequest.test.ts
@@ -33,6 +33,19 @@
             "requests: ended",
         ]);
     });
+    // Guards against a refusal whose cause was logged by another host, minutes before.
+    it("selects why the part was isolated for which a prompt was refused", () => {
+        const lines = parseLogLines([
+            line(1, "h2", "quarantine: part isolated", { part: "p1", crashes: ["e1@1", "e2@1", "e3@1"] }),
+            line(1, "h2", "quarantine: part isolated", { part: "p2" }),
+            line(40, "h1", "requests: ended", { request: "q1", isolatedPart: "p1", attempts: [] }),
+            line(41, "h1", "quarantine: trial", { part: "p1" }),
+        ].join("\n"));
+        expect(traceRequest(lines, "q1").map(found => found.msg)).toEqual([
+            "quarantine: part isolated",
+            "requests: ended",
+        ]);
+    });
     it("returns no lines for a request that no line names", () => {
         expect(traceRequest(parseLogLines(text), "q9")).toEqual([]);
     });
