--- a/packages/cli/src/queries/traceRequest.ts
+++ b/packages/cli/src/queries/traceRequest.ts
@@ -58,8 +58,10 @@
     const endpoints = new Set(requestLines.flatMap(listEndpoints));
     const endMs = Math.max(...requestLines.map(getTime));
     const startMs = Math.min(...requestLines.map(line => getTime(line) - getDuration(line))) - lookbackMs;
-    const hosts = new Set(requestLines.map(line => line.host));
-    const isolatedParts = new Set(requestLines.map(line => line["isolatedPart"]).filter(part => part !== undefined));
+    const hosts = new Set<unknown>(requestLines.map(line => line.host));
+    const isolatedParts = new Set<unknown>(
+        requestLines.map(line => line["isolatedPart"]).filter(part => part !== undefined),
+    );
     return lines
         .filter(line => {
             const timeMs = getTime(line);
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -259,6 +259,8 @@
     readonly failureDomain?: string;
     /** Retries allowed regardless of the number of requests. */
     readonly extraRetries?: number;
+    /** Store in which the first configuration is written, with rows of its own. */
+    readonly storeToUse?: TestStore;
     readonly quarantine?: Partial<ForwardingSettings["quarantine"]>;
     /** Peer port, which must be the same for hosts that are to discover each other. */
     readonly peerPort?: number;
@@ -270,7 +272,7 @@
     endpoints: readonly TestEndpoint[],
     options: HostOptions = {},
 ): Promise<TestHost> {
-    const store = options.store ?? createTestStore();
+    const store = options.store ?? options.storeToUse ?? createTestStore();
     const ports = await findFreePorts(4);
     const [callers = "", readiness = "", peers = "", metrics = ""] = [
         ...ports.slice(0, 2),
--- a/packages/forwarding/tests/peers/queries/peerStateCodec.test.ts
+++ b/packages/forwarding/tests/peers/queries/peerStateCodec.test.ts
@@ -1,4 +1,4 @@
-import { toFailureDomainId } from "@currantrill/protocol";
+import { toFailureDomainId, toServiceId } from "@currantrill/protocol";
 import { Packr } from "msgpackr";
 import { describe, expect, it } from "vitest";
 import type { PeerState } from "../../../src/peers/model/peerState.js";
@@ -42,6 +42,39 @@
             ],
         });
     });
+    it("carry evidence of crashes with ages", () => {
+        const evidence = {
+            reports: [{
+                endpointId: "e1",
+                processStartedAtMs: 7,
+                service: toServiceId("pool"),
+                crashedAtMs: 900,
+                begunParts: ["a"],
+                waitingParts: ["b"],
+            }],
+            answers: [{ service: toServiceId("pool"), part: "b", count: 3, lastAtMs: 950 }],
+            entries: [{
+                service: toServiceId("pool"),
+                part: "c",
+                revision: 2,
+                isIsolated: true,
+                changedAtMs: 100,
+                trials: 1,
+            }],
+        };
+        const data = encodePeerState({ ...state, assignments: [], evidence }, 1_000);
+        expect(decodePeerState(decodeMessage(data)!.fields, 50_000).evidence).toEqual({
+            reports: [{ ...evidence.reports[0], crashedAtMs: 49_900 }],
+            answers: [{ ...evidence.answers[0], lastAtMs: 49_950 }],
+            entries: [{ ...evidence.entries[0], changedAtMs: 49_100 }],
+        });
+    });
+    // Guards against hosts that stop exchanging messages while a fleet is replaced by this build.
+    it("are decoded from a build that knows no quarantine", () => {
+        const [header, ...rest] = decodeMessage(encodePeerState({ ...state, assignments: [] }, 1_000))!.fields;
+        const older = [(header as unknown[]).slice(0, -1), ...rest];
+        expect(decodePeerState(older, 50_000)).toEqual({ ...state, assignments: [] });
+    });
     it.each([
         { name: "no bytes", data: Buffer.alloc(0) },
         { name: "other bytes", data: Buffer.from("GET / HTTP/1.1\r\n\r\n") },
