--- a/packages/forwarding/src/quarantine/queries/findCulprits.ts
+++ b/packages/forwarding/src/quarantine/queries/findCulprits.ts
@@ -43,7 +43,7 @@
 const SETTLE_MS = 1_000;
 
 /** Lists the suspicions by part. A part is no suspect as soon as a prompt with it has been answered after a crash. */
-export function listSuspicions({ reports, getAnswers }: Evidence): readonly Suspicion[] {
+function listSuspicions({ reports, getAnswers }: Evidence): readonly Suspicion[] {
     const suspicions = new Map<PartKey, OpenSuspicion>();
     for (const report of [...reports].sort((a, b) => a.crashedAtMs - b.crashedAtMs)) {
         const { service } = report;
@@ -84,6 +84,15 @@
     return [culprit, ...findCulprits({ ...evidence, reports: unexplained }, minCrashes)];
 }
 
+/** Crashes from which on a part is suspected. */
+const SUSPECT_CRASHES = 2;
+
+/** Lists the parts that are not proven to be at fault, but too likely to try prompts with them a second time. */
+export const findSuspects = (evidence: Evidence): readonly Suspicion[] =>
+    listSuspicions(evidence).filter(({ crashes, begunCrashes }) =>
+        begunCrashes.length >= SUSPECT_CRASHES || listMoments(crashes).length >= SUSPECT_CRASHES
+    );
+
 function isProven(suspicion: Suspicion, evidence: Evidence, minCrashes: number): boolean {
     const { crashes, begunCrashes } = suspicion;
     if (begunCrashes.length >= minCrashes && listMoments(begunCrashes).length >= MIN_BEGUN_MOMENTS) {
--- a/packages/forwarding/tests/quarantine/model/partQuarantine.test.ts
+++ b/packages/forwarding/tests/quarantine/model/partQuarantine.test.ts
@@ -89,6 +89,24 @@
         expect(host.state.isSuspect(service, ["other"], 401)).toBe(false);
         expect(host.state.isSuspect(toServiceId("other"), ["bad"], 401)).toBe(false);
     });
+    // Guards against prompts that are given up because a rack fails with several of them on its endpoints.
+    it("does not suspect a part that waits on endpoints which crash at the same moment", () => {
+        const host = createHost();
+        ["e0", "e1", "e2"].forEach((endpointId, index) =>
+            host.state.recordCrash(
+                {
+                    endpointId,
+                    processStartedAtMs: 1,
+                    service,
+                    crashedAtMs: index,
+                    begunParts: [],
+                    waitingParts: ["popular"],
+                },
+                index,
+            )
+        );
+        expect(host.state.isSuspect(service, ["popular"], 3)).toBe(false);
+    });
     // Guards against a host that has just started, or was cut off, and pays for the same knowledge again.
     it("adopts the entries of a peer, and releases what the peer has released", () => {
         const [first, second] = [createHost(), createHost()];
