Split the quarantine's crash reports and trials into files of their own

Change: createCrashReporter, createTrialAcquisition and selectTrackedParts have their own files; the gauge follows forgotten entries; a test that attempts under way are aborted when a part is isolated.

--- a/packages/forwarding/src/quarantine/commands/startQuarantine.ts
+++ b/packages/forwarding/src/quarantine/commands/startQuarantine.ts
@@ -2,9 +2,6 @@
 import type { ServiceId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
-import { probeEndpoint } from "../../endpoints/commands/probeEndpoint.js";
-import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
-import { markUnresponsive } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingMetrics } from "../../model/forwardingMetrics.js";
 import type { EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { TableSource } from "../../ports/tableSource.js";
@@ -13,16 +10,12 @@
 import type { PromptTracker, TrackedPrompt } from "../model/promptTracker.js";
 import { getTrialAtMs, type QuarantineEntry } from "../model/quarantineEntry.js";
 import type { Suspicion } from "../queries/findCulprits.js";
+import { type CrashReporter, createCrashReporter } from "./createCrashReporter.js";
 import { createQuarantineStore } from "./createQuarantineStore.js";
+import { createTrialAcquisition, TRIAL_RETRY_MS } from "./createTrialAcquisition.js";
 
 /** Interval at which parts are isolated that time has proved to be at fault, and old entries are dropped. */
 const SWEEP_MS = 250;
-/** Time until a host asks for another trial, if another host has got it or the store did not answer. */
-const TRIAL_RETRY_MS = 5_000;
-/** Longest id of a part that is tracked. The ids of the platform have 8 to 12 characters. */
-const MAX_PART_LENGTH = 64;
-/** Limit on the parts of a prompt that are tracked. */
-const MAX_PROMPT_PARTS = 32;
 
 /** Whether a prompt may be sent. */
 export type Admission =
@@ -31,14 +24,6 @@
     | { readonly kind: "trial"; readonly trial: QuarantineEntry; }
     | { readonly kind: "isolated"; readonly part: string; readonly retryAfterMs: number; };
 
-/** A prompt whose connection was closed before the endpoint had written two events. */
-export interface BrokenPrompt {
-    readonly service: ServiceId;
-    readonly parts: readonly string[];
-    /** Whether the response had begun, without any event. */
-    readonly hasBegun: boolean;
-}
-
 export interface Quarantine {
     /** Decides whether a prompt may be sent. */
     readonly admit: (service: ServiceId, parts: readonly string[]) => Promise<Admission>;
@@ -49,7 +34,7 @@
     /** Starts to follow an attempt. */
     readonly track: (prompt: TrackedPrompt) => PromptTracker;
     /** Checks whether the endpoint of a broken attempt has crashed, and reports that to all hosts. */
-    readonly reportBreak: (endpoint: Endpoint, prompt: BrokenPrompt) => Promise<boolean>;
+    readonly reportBreak: CrashReporter;
     readonly share: PartQuarantine["share"];
     readonly merge: PartQuarantine["merge"];
     readonly close: () => void;
@@ -67,17 +52,14 @@
     readonly announce: () => void;
 }
 
-/** Selects the parts of a prompt that the quarantine tracks. */
-export const selectTrackedParts = (parts: readonly string[] | undefined): readonly string[] =>
-    parts?.filter(part => part.length <= MAX_PART_LENGTH).slice(0, MAX_PROMPT_PARTS) ?? [];
-
 /** Starts the quarantine of a host. */
 export function startQuarantine(options: QuarantineOptions): Quarantine {
     const { log, metrics } = options;
     const running = new Set<TrackedPrompt>();
+    const updateGauge = (): void => metrics.isolatedParts.set(state.list().filter(each => each.isIsolated).length);
     const handleEntry = (entry: QuarantineEntry, suspicion?: Suspicion): void => {
         logEntry(log, entry, suspicion);
-        metrics.isolatedParts.set(state.list().filter(each => each.isIsolated).length);
+        updateGauge();
         if (options.shouldFollowStore()) {
             store.save(entry);
         }
@@ -90,6 +72,7 @@
         onEntry: handleEntry,
         onForgotten: entry => {
             log.info({ service: entry.service, part: entry.part }, "quarantine: entry forgotten");
+            updateGauge();
             if (options.shouldFollowStore()) {
                 store.remove(entry);
             }
@@ -123,10 +106,7 @@
                 : { kind: "trial", trial };
         },
         isIsolated: (service, parts) => state.findIsolated(service, parts) !== undefined,
-        isSuspect: (service, parts) =>
-            parts.length > 0
-            && (state.findIsolated(service, parts) !== undefined
-                || state.isSuspect(service, parts, performance.now())),
+        isSuspect: (service, parts) => state.isSuspect(service, parts, performance.now()),
         track: prompt => {
             running.add(prompt);
             let isAnswered = false;
@@ -142,7 +122,7 @@
                 end: () => void running.delete(prompt),
             };
         },
-        reportBreak: createCrashReporter(options, state),
+        reportBreak: createCrashReporter({ ...options, state }),
         share: state.share,
         merge: state.merge,
         close: () => {
@@ -167,83 +147,6 @@
     }
 }
 
-/** Creates the function that checks and reports crashes. An endpoint is probed once for all its broken attempts. */
-function createCrashReporter(
-    { log, metrics, protocol }: QuarantineOptions,
-    state: PartQuarantine,
-): Quarantine["reportBreak"] {
-    const probes = new Map<Endpoint, Promise<boolean>>();
-    const isGone = (endpoint: Endpoint): Promise<boolean> => {
-        const pending = probes.get(endpoint);
-        if (pending !== undefined) {
-            return pending;
-        }
-        const probe = probeEndpoint(endpoint, protocol).then(report => {
-            probes.delete(endpoint);
-            return report === undefined;
-        });
-        probes.set(endpoint, probe);
-        return probe;
-    };
-    return async (endpoint, { service, parts, hasBegun }) => {
-        const crashedAtMs = performance.now();
-        if (!await isGone(endpoint)) {
-            return false;
-        }
-        endpoint.health = markUnresponsive(endpoint.health, performance.now());
-        const report = {
-            endpointId: endpoint.entry.id,
-            processStartedAtMs: endpoint.entry.processStartedAtMs,
-            service,
-            crashedAtMs,
-            begunParts: hasBegun ? parts : [],
-            waitingParts: hasBegun ? [] : parts,
-        };
-        metrics.crashReports.inc({ state: hasBegun ? "begun" : "waiting" });
-        log.info({ endpoint: report.endpointId, service, parts, hasBegun }, "quarantine: endpoint crashed");
-        state.recordCrash(report, performance.now());
-        return true;
-    };
-}
-
-interface TrialAcquisitionOptions {
-    readonly log: Logger;
-    readonly state: PartQuarantine;
-    readonly store: ReturnType<typeof createQuarantineStore>;
-}
-
-/**
- * Creates the function that acquires a trial, which one host of the fleet gets at a time: a conditional write decides.
- * Without the store there are no trials.
- */
-function createTrialAcquisition(
-    { log, state, store }: TrialAcquisitionOptions,
-): (entry: QuarantineEntry) => Promise<QuarantineEntry | undefined> {
-    const nextAtMs = new Map<string, number>();
-    return async entry => {
-        const nowMs = performance.now();
-        const key = `${entry.service} ${entry.part}`;
-        if ((nextAtMs.get(key) ?? 0) > nowMs) {
-            return undefined;
-        }
-        [...nextAtMs].filter(([, atMs]) => atMs <= nowMs).forEach(([expired]) => nextAtMs.delete(expired));
-        nextAtMs.set(key, nowMs + TRIAL_RETRY_MS);
-        const trial = { ...entry, revision: entry.revision + 1, changedAtMs: nowMs, trials: entry.trials + 1 };
-        try {
-            if (!await store.replace(entry, trial) || state.findIsolated(entry.service, [entry.part]) !== entry) {
-                return undefined;
-            }
-        }
-        catch (error) {
-            log.warn({ err: error, part: entry.part }, "quarantine: could not acquire a trial");
-            return undefined;
-        }
-        log.info({ service: entry.service, part: entry.part, trials: trial.trials }, "quarantine: trial");
-        state.change(entry, { changedAtMs: nowMs, trials: trial.trials });
-        return trial;
-    };
-}
-
 function logEntry(log: Logger, entry: QuarantineEntry, suspicion?: Suspicion): void {
     const { service, part, revision, trials } = entry;
     log.info(
--- a/packages/forwarding/src/quarantine/model/partQuarantine.ts
+++ b/packages/forwarding/src/quarantine/model/partQuarantine.ts
@@ -29,7 +29,10 @@
 export interface PartQuarantine {
     /** Returns the entry of an isolated part of a prompt, if it has one. */
     readonly findIsolated: (service: ServiceId, parts: readonly string[]) => QuarantineEntry | undefined;
-    /** Returns whether prompts with these parts were on several endpoints that crashed, and none has been answered since. */
+    /**
+     * Returns whether a part is isolated, or prompts with it were on several endpoints that crashed and none has been
+     * answered since.
+     */
     readonly isSuspect: (service: ServiceId, parts: readonly string[], nowMs: number) => boolean;
     readonly recordAnswer: (service: ServiceId, parts: readonly string[], beganAtMs: number) => void;
     readonly recordCrash: (report: CrashReport, nowMs: number) => void;
@@ -84,7 +87,10 @@
     return {
         findIsolated: entries.findIsolated,
         isSuspect: (service, parts, nowMs) =>
-            findSuspects(buildEvidence(nowMs)).some(each => each.service === service && parts.includes(each.part)),
+            entries.findIsolated(service, parts) !== undefined
+            || parts.length > 0 && findSuspects(buildEvidence(nowMs)).some(each =>
+                    each.service === service && parts.includes(each.part)
+                ),
         recordAnswer: answers.record,
         recordCrash: (report, nowMs) => addReports([report], nowMs),
         change: (entry, changes) => put({ ...entry, ...changes, revision: entry.revision + 1 }),
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -6,7 +6,7 @@
 import { checkAuthorization } from "../../configuration/queries/checkAuthorization.js";
 import { chooseService, matchRoute } from "../../configuration/queries/matchRoute.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
-import { selectTrackedParts } from "../../quarantine/commands/startQuarantine.js";
+import { selectTrackedParts } from "../../quarantine/queries/selectTrackedParts.js";
 import type { Exchange } from "../model/exchange.js";
 import { selectRequestHeaders } from "../queries/selectHeaders.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
--- a/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
+++ b/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
@@ -45,6 +45,9 @@
     for (const id of ["e0", "e1", "e2"]) {
         endpoints.push(
             await startEndpoint(id, (received, socket) => {
+                if (received.headers["t-parts"] === "queued") {
+                    return;
+                }
                 beginStream(socket, received);
                 if (system.isDeadly && received.headers["t-parts"] === "bad") {
                     setTimeout(() => endpoints.find(endpoint => endpoint.id === id)?.close(), 5);
@@ -106,6 +109,22 @@
             outcome: "part_isolated",
         });
     });
+    // Guards against prompts that are already at an endpoint and crash it after the part is known.
+    it("aborts prompts that no endpoint has answered yet", async () => {
+        const system = await startSystem();
+        const reply = send(system, "queued");
+        await waitUntil(() => countReceived(system) === 1);
+        system.host.host.context.quarantine.merge({
+            reports: [],
+            answers: [],
+            entries: [{ ...entry, part: "queued", changedAtMs: performance.now() }],
+        }, performance.now());
+        expect(await reply).toMatchObject({ status: 502, code: "crash_suspected" });
+        await waitUntil(() =>
+            system.endpoints.some(endpoint => endpoint.received.length === 1 && endpoint.closed === 1)
+        );
+        expect(countReceived(system)).toBe(1);
+    });
     // Guards against a trial that is repeated on endpoint after endpoint, or that each host makes.
     it("is tried once at a time, and stays isolated if the endpoint crashes", async () => {
         const system = await startSystem({ retry_after_ms: 300 });
