Let a suspected prompt go on that no endpoint has run

What callers saw: 502 for a prompt that an endpoint had refused, or could not take, while another one was free.

Cause: a part that was on two crashed endpoints kept its prompts from a second attempt also if the first one had not run them; such an attempt crashes nobody.

Change: the suspicion is only asked after an attempt that may have run. Long comments are wrapped.

Evidence: the new case of isolatedPart.test.ts failed before and passes.

--- a/packages/cli/src/queries/traceRequest.ts
+++ b/packages/cli/src/queries/traceRequest.ts
@@ -46,8 +46,8 @@
 
 /**
  * Selects the trace of a request, sorted by time: its own lines, and the lines in its time range about its endpoints on
- * any host or about the hosts that logged it, and all earlier lines about a part of the prompt for which it was refused.
- * Empty if no line names the request.
+ * any host or about the hosts that logged it, and all earlier lines about a part of the prompt for which it was
+ * refused. Empty if no line names the request.
  */
 export function traceRequest(lines: readonly LogLine[], request: string, options: TraceOptions = {}): LogLine[] {
     const { lookbackMs } = { ...defaultOptions, ...options };
--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -22,7 +22,10 @@
     readonly onResponse: (status: number, headers: ResponseHeaders) => boolean;
     /** Receives a part of the body. Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
     readonly onData: (chunk: Buffer) => boolean;
-    /** Called when the response is complete. `isDelimited`: it has a length or chunks, and does not end by its connection. */
+    /**
+     * Called when the response is complete. `isDelimited`: it has a length or chunks, and does not end with its
+     * connection.
+     */
     readonly onEnd: (isDelimited: boolean) => void;
     readonly onFailure: (failure: AttemptFailure, error: Error) => void;
 }
--- a/packages/forwarding/src/quarantine/model/crashReport.ts
+++ b/packages/forwarding/src/quarantine/model/crashReport.ts
@@ -9,12 +9,12 @@
     /** Time on the monotonic clock of this host. */
     readonly crashedAtMs: number;
     /**
-     * Shared parts of prompts whose response had begun, but had no second event yet, in the order of the prompts. An
-     * endpoint that fails as it begins to write an answer is in this state for the prompt at fault; other prompts are in
-     * it for a few milliseconds.
+     * Shared parts of prompts whose response had begun without any event, in the order of the prompts. An endpoint that
+     * fails as it begins to write an answer is in this state for the prompt at fault; other prompts are in it for a few
+     * milliseconds.
      */
     readonly begunParts: readonly string[];
-    /** Shared parts of prompts whose response had not begun. */
+    /** Shared parts of prompts whose response had not begun, or had one event. */
     readonly waitingParts: readonly string[];
 }
 
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -57,8 +57,9 @@
     String(Math.round(seconds * (1 + (MAX_RETRY_SPREAD - 1) * Math.random()) * 1_000) / 1_000);
 
 /**
- * Sends a refusal and returns its status. `minRetryAfterSeconds` replaces the shortest wait of the reason. If response headers have already been sent, closes the connection instead, so
- * that the caller cannot mistake the truncated response for a complete one.
+ * Sends a refusal and returns its status. `minRetryAfterSeconds` replaces the shortest wait of the reason. If response
+ * headers have already been sent, closes the connection instead, so that the caller cannot mistake the truncated response
+ * for a complete one.
  */
 export function sendRefusal(
     response: ServerResponse,
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -90,10 +90,11 @@
             const reason = fatalReasons[end.kind];
             return reason === undefined ? end.kind : finishWithRefusal(context, exchange, reason);
         }
-        if (await isCrashSuspected(context, exchange, chosen.endpoint, end.mayBeCrash === true)) {
+        const isBroken = end.kind === "broken";
+        if (isBroken && await isCrashSuspected(context, exchange, chosen.endpoint, end.mayBeCrash === true)) {
             return finishWithRefusal(context, exchange, "crash_suspected");
         }
-        mayHaveRun ||= end.kind === "broken";
+        mayHaveRun ||= isBroken;
         if (end.wasSent) {
             attemptsSent += 1;
         }
--- a/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
+++ b/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
@@ -14,6 +14,7 @@
     type TestEndpoint,
     type TestHost,
     waitUntil,
+    writeAnswer,
     writeChunk,
 } from "../../hostFixture.js";
 
@@ -48,6 +49,10 @@
                 if (received.headers["t-parts"] === "queued") {
                     return;
                 }
+                if (received.headers["t-parts"] === "suspect" && countReceived(system) === 1) {
+                    writeAnswer(socket, received, 503, "", "t-not-run: 1\r\n");
+                    return;
+                }
                 beginStream(socket, received);
                 if (system.isDeadly && received.headers["t-parts"] === "bad") {
                     setTimeout(() => endpoints.find(endpoint => endpoint.id === id)?.close(), 5);
@@ -125,6 +130,25 @@
         );
         expect(countReceived(system)).toBe(1);
     });
+    // Guards against a suspicion that stops a prompt which no endpoint has run yet.
+    it("does not keep a suspected prompt from another endpoint if the first one has refused it", async () => {
+        const system = await startSystem();
+        const nowMs = performance.now();
+        system.host.host.context.quarantine.merge({
+            reports: ["x1", "x2"].map(endpointId => ({
+                endpointId,
+                processStartedAtMs: 1,
+                service: entry.service,
+                crashedAtMs: nowMs,
+                begunParts: ["suspect"],
+                waitingParts: [],
+            })),
+            answers: [],
+            entries: [],
+        }, nowMs);
+        expect((await send(system, "suspect")).status).toBe(200);
+        expect(countReceived(system)).toBe(2);
+    });
     // Guards against a trial that is repeated on endpoint after endpoint, or that each host makes.
     it("is tried once at a time, and stays isolated if the endpoint crashes", async () => {
         const system = await startSystem({ retry_after_ms: 300 });
--- a/packages/settings/src/model/forwardingSettings.ts
+++ b/packages/settings/src/model/forwardingSettings.ts
@@ -54,11 +54,11 @@
     /** Parts of prompts that crash endpoints, which are refused for a time. */
     quarantine: z.strictObject({
         /**
-         * Crashes that prove a part to be at fault, if no prompt with it has been answered since the first one. With two,
-         * a prompt that happens to be on two endpoints that fail would be blamed.
+         * Crashes that prove a part to be at fault, if no prompt with it has been answered since the first one. With
+         * two, a prompt that happens to be on two endpoints that fail would be blamed.
          */
         crashes: z.number().int().min(2).default(3),
-        /** Time until one prompt with the part is tried again. It doubles with each trial that fails, up to 16 times. */
+        /** Time until one prompt with the part is tried again. It doubles with each failed trial, up to 16 times. */
         retry_after_ms: millisecondsSchema.default(30_000),
         /** Time after which a part is forgotten if there was no trial of it. */
         forget_after_ms: millisecondsSchema.default(1_800_000),
