Do not overwrite a newer entry of the quarantine in the store

Change: the write reads the row first and is conditional; a row with the same or a higher revision is kept, and adopted.

--- a/packages/forwarding/src/quarantine/commands/createQuarantineStore.ts
+++ b/packages/forwarding/src/quarantine/commands/createQuarantineStore.ts
@@ -67,11 +67,22 @@
             },
         );
     };
+    const replace: QuarantineStore["replace"] = async (known, entry) => {
+        const { rows } = await source.readTable(table);
+        const row = rows.find(({ key }) => key === describeKey(known));
+        const [stored] = row?.value === undefined ? [] : decode(row.key, row.value);
+        if (stored !== undefined && stored.revision > known.revision) {
+            options.onRead([stored]);
+            return false;
+        }
+        return source.replaceRow(table, describeKey(entry), encodeQuarantineRow(entry), row?.version ?? 0);
+    };
     const write = (entry: QuarantineEntry): void => {
         if (options.getCurrent(entry)?.revision !== entry.revision) {
             return;
         }
-        source.putRow(table, describeKey(entry), encodeQuarantineRow(entry)).catch((error: unknown) => {
+        // Under a condition, because another host may have made a trial meanwhile of which this one has not heard.
+        replace({ ...entry, revision: entry.revision - 1 }, entry).catch((error: unknown) => {
             log.warn({ err: error, part: entry.part }, "quarantine: could not write the entry, retrying");
             schedule(RETRY_MS * (0.5 + Math.random()), () => write(entry));
         });
@@ -84,16 +95,7 @@
                 log.warn({ err: error, part: entry.part }, "quarantine: could not remove the row of a forgotten entry")
             );
         },
-        replace: async (known, entry) => {
-            const { rows } = await source.readTable(table);
-            const row = rows.find(({ key }) => key === describeKey(known));
-            const [stored] = row?.value === undefined ? [] : decode(row.key, row.value);
-            if (stored !== undefined && stored.revision > known.revision) {
-                options.onRead([stored]);
-                return false;
-            }
-            return source.replaceRow(table, describeKey(entry), encodeQuarantineRow(entry), row?.version ?? 0);
-        },
+        replace,
         close: () => timers.forEach(timer => clearTimeout(timer)),
     };
 }
--- a/packages/forwarding/src/quarantine/model/answerLog.ts
+++ b/packages/forwarding/src/quarantine/model/answerLog.ts
@@ -2,8 +2,8 @@
 import { createPartKey, type PartKey } from "./partKey.js";
 
 /**
- * Limit on the parts whose answers are remembered, about 0.5 MB. The ones that were used least recently are dropped,
- * which only removes evidence of innocence that is older than that of all others.
+ * Limit on the parts whose answers are remembered. The ones that were used least recently are dropped, which only removes
+ * evidence of innocence that is older than that of all others.
  */
 const MAX_PARTS = 4_096;
 
--- a/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
+++ b/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
@@ -176,6 +176,7 @@
         expect((await send(system, "bad")).status).toBe(503);
         expect(countReceived(system)).toBe(0);
     });
+    // Guards against several hosts that make a trial at once, since nothing decides between them.
     it("is not tried while the store is down", async () => {
         const system = await startSystem({ retry_after_ms: 300 });
         system.host.store.isDown = true;
--- a/packages/forwarding/tests/quarantine/model/partQuarantine.test.ts
+++ b/packages/forwarding/tests/quarantine/model/partQuarantine.test.ts
@@ -73,6 +73,7 @@
         expect(first.entries).toEqual([]);
         expect(first.state.isSuspect(service, ["popular"], 800)).toBe(false);
     });
+    // Guards against a proof by one crash that many hosts have seen.
     it("counts a crash once that several hosts report", () => {
         const [first, second] = [createHost(), createHost()];
         [first, second].forEach(host => crash(host, "e0", 0, ["bad"]));
@@ -80,6 +81,7 @@
         send(second, first, 410);
         expect(first.entries).toEqual([]);
     });
+    // Guards against second attempts of the prompts at fault, and against the suspicion of others.
     it("suspects a part after two crashes", () => {
         const host = createHost();
         crash(host, "e0", 0, ["bad"]);
@@ -121,6 +123,7 @@
         second.state.merge({ reports: [], answers: [], entries: [entry!] }, 41_001);
         expect(second.state.findIsolated(service, ["bad"])).toBeUndefined();
     });
+    // Guards against a part that is never found again, or is isolated again by its old crashes.
     it("isolates a released part again after further crashes, not by those before", () => {
         const host = createHost();
         isolate(host);
@@ -130,6 +133,7 @@
         [6_000, 6_400, 6_800].forEach(atMs => crash(host, `f${atMs}`, atMs, ["bad"]));
         expect(host.state.findIsolated(service, ["bad"])?.revision).toBe(3);
     });
+    // Guards against entries that stay for ever because hosts pass them on to each other.
     it("forgets an entry that has not changed for long, and ignores it from peers", () => {
         const [first, second] = [createHost(), createHost()];
         isolate(first);
--- a/packages/forwarding/tests/requests/commands/foreignResponses.test.ts
+++ b/packages/forwarding/tests/requests/commands/foreignResponses.test.ts
@@ -55,6 +55,7 @@
         expect((await send(host, "q2")).status).toBe(502);
         expect(endpoints[0]?.received).toHaveLength(2);
     });
+    // Guards against an unknown outcome where the endpoint has stated that it did not run the request.
     it("counts if it names the request", async () => {
         const { host } = await startSystem({ kind: "repeatable", attempts: 1 }, [
             (received, socket) => writeAnswer(socket, received, 503, "", "t-not-run: 1\r\n"),
