Log the rate limits that endpoints name in their responses

Cause: nothing in the logs tells whether a host had got a limit, when, and from which answer, so the hypotheses could not be told apart.

Change: the adapter parses the limit of each response, the host logs when it changes (with what the response answered), and each attempt has the limit that its response named. Nothing decides by it.

--- a/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
@@ -17,6 +17,7 @@
         const reply = await requestEndpoint(endpoint.pool, protocol.buildReport(), {
             timeoutMs: PROBE_TIMEOUT_MS,
             protocol,
+            onNotice: notice => endpoint.notices.record(notice, "report"),
         });
         return protocol.parseReport(reply.body);
     }
--- a/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
@@ -1,5 +1,5 @@
 /** Requests that the host itself makes to an endpoint: reservation orders and probes. */
-import type { EndpointCall, EndpointProtocol } from "../../ports/endpointProtocol.js";
+import type { EndpointCall, EndpointNotice, EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { ConnectionPool } from "../model/connectionPool.js";
 import { startTimeout } from "../model/startTimeout.js";
 import { sendAttempt } from "./sendAttempt.js";
@@ -17,6 +17,8 @@
     readonly protocol: EndpointProtocol;
     /** See `AttemptRequest`. Defaults to `false`. */
     readonly usesNewConnection?: boolean;
+    /** Called with what the endpoint states about itself in its reply. */
+    readonly onNotice?: (notice: EndpointNotice) => void;
 }
 
 /**
@@ -28,7 +30,7 @@
     call: EndpointCall,
     options: EndpointRequestOptions,
 ): Promise<EndpointReply> {
-    const { timeoutMs, protocol, usesNewConnection = false } = options;
+    const { timeoutMs, protocol, usesNewConnection = false, onNotice } = options;
     return new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
         let bytes = 0;
@@ -46,7 +48,11 @@
                 status = responseStatus;
                 // A response with a request id answers a caller's request: an endpoint may send one a second time, late,
                 // on a connection that is in use again.
-                return (protocol.parseResponse(responseStatus, headers).requestId ?? "") === "";
+                const { requestId = "", isMisdirected, notice } = protocol.parseResponse(responseStatus, headers);
+                if (requestId === "" && !isMisdirected) {
+                    onNotice?.(notice);
+                }
+                return requestId === "";
             },
             onData: chunk => {
                 bytes += chunk.length;
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -2,6 +2,7 @@
 import type { FailureDomainId, ServiceId } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointEntry } from "../../configuration/model/servingConfiguration.js";
+import { createEndpointNotices, type EndpointNotices } from "../../notices/model/endpointNotices.js";
 import type { PlatformRows } from "../../ports/platformRows.js";
 import type { TableRow } from "../../ports/tableSource.js";
 import { type ConnectionPool, createConnectionPool } from "./connectionPool.js";
@@ -17,6 +18,7 @@
     /** Random number from 0 to 1 that breaks ties between equal endpoints differently on each host. */
     readonly bias: number;
     health: EndpointHealth;
+    readonly notices: EndpointNotices;
 }
 
 export interface EndpointDirectory {
@@ -77,6 +79,7 @@
             pool: createConnectionPool(entry.address, onConnect),
             bias: Math.random(),
             health: createEndpointHealth(performance.now()),
+            notices: createEndpointNotices({ endpointId: entry.id, log }),
         });
         log.info({ endpoint: entry.id, service: entry.service, address: entry.address }, "endpoints: added");
     };
--- a/packages/forwarding/src/ports/endpointProtocol.ts
+++ b/packages/forwarding/src/ports/endpointProtocol.ts
@@ -23,6 +23,14 @@
     readonly reservationId?: string;
 }
 
+/** What an endpoint states about itself in a response, whatever request it answers. */
+export interface EndpointNotice {
+    /** Requests a second that the endpoint takes from all hosts together; absent if it names no valid limit. */
+    readonly requestsPerSecond?: number;
+    /** Value of a limit that is not valid. It neither sets a limit nor ends one. */
+    readonly invalidLimit?: string;
+}
+
 /** Metadata of an endpoint's response, from its status and headers. */
 export interface ResponseMetadata {
     readonly requestId?: string;
@@ -36,6 +44,7 @@
     readonly isEncoded: boolean;
     /** Address of the endpoint at fault if it is another one, such as a helper. */
     readonly faultAddress?: string;
+    readonly notice: EndpointNotice;
 }
 
 /** A request to an endpoint to reserve memory. */
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -72,9 +72,7 @@
         if (mismatch !== undefined) {
             return false;
         }
-        const respondedAtMs = performance.now();
-        record.respondedAfterMs = Math.round(respondedAtMs - exchange.startedAtMs);
-        endpoint.health = recordResponse(endpoint.health, respondedAtMs);
+        recordArrival(exchange, plan, metadata);
         if (metadata.isNotExecuted || metadata.isMisdirected) {
             // On a reused connection, a refusal without an id may be a copy of an earlier one.
             const isCertain = metadata.requestId !== undefined || !isReusedConnection;
@@ -136,6 +134,17 @@
     }
 }
 
+/** Records the arrival of a response that belongs to the request. */
+function recordArrival(exchange: Exchange, { endpoint, record }: AttemptPlan, metadata: ResponseMetadata): void {
+    const nowMs = performance.now();
+    record.respondedAfterMs = Math.round(nowMs - exchange.startedAtMs);
+    endpoint.health = recordResponse(endpoint.health, nowMs);
+    if (!metadata.isMisdirected) {
+        record.requestsPerSecond = metadata.notice.requestsPerSecond;
+        endpoint.notices.record(metadata.notice, "request");
+    }
+}
+
 interface Refusal {
     readonly status: number;
     readonly metadata: ResponseMetadata;
--- a/packages/forwarding/src/requests/model/attemptRecord.ts
+++ b/packages/forwarding/src/requests/model/attemptRecord.ts
@@ -21,6 +21,8 @@
     readonly cost?: number;
     /** Addresses of the endpoints that prefill further shards of the prompt. */
     readonly parts?: readonly string[];
+    /** Rate limit that the response named. */
+    requestsPerSecond?: number | undefined;
     /** Arrival of the response headers. */
     respondedAfterMs?: number;
     firstAfterMs?: number;
--- a/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
+++ b/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
@@ -101,6 +101,7 @@
             protocol: context.protocol,
             // On a reused connection, a late copy of the reply to an earlier order could be taken for a grant.
             usesNewConnection: true,
+            onNotice: notice => endpoint.notices.record(notice, "order"),
         });
         if (reply.status === 200) {
             return "held";
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -43,6 +43,7 @@
         isMisdirected: status === 421,
         isSigned: headers["t-signature"] !== undefined,
         isEncoded: headers["content-encoding"] !== undefined,
+        notice: headers["t-limit"] === undefined ? {} : { requestsPerSecond: Number(headers["t-limit"]) },
     }),
     buildReservation: order => ({ method: "POST", path: "/reserve", body: JSON.stringify(order) }),
     buildRelease: id => ({ method: "POST", path: "/release", body: JSON.stringify({ id }) }),
