Add failing tests of endpoints that name a rate limit

Change: two hosts on loopback before endpoints that name limits, with calls, calls that run once, and streams; the sum of their requests is counted.

--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -151,6 +151,8 @@
     readonly received: ReceivedRequest[];
     /** Number of connections that have been closed or reset. */
     closed: number;
+    /** Header lines that are added to reports. */
+    reportHeaders: string;
     readonly close: () => void;
 }
 
@@ -168,7 +170,7 @@
             for (let next = takeRequest(text); next !== undefined; next = takeRequest(text)) {
                 text = next.rest;
                 if (next.request.target === "/report") {
-                    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+                    socket.write(`HTTP/1.1 200 OK\r\n${endpoint.reportHeaders}content-length: 2\r\n\r\n{}`);
                     continue;
                 }
                 endpoint.received.push(next.request);
@@ -186,6 +188,7 @@
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         received: [],
         closed: 0,
+        reportHeaders: "",
         close: () => {
             sockets.forEach(socket => socket.destroy());
             server.close();
@@ -221,13 +224,13 @@
     );
 }
 
-/** Begins a chunked event stream, which `endStream` ends. */
-export function beginStream(socket: Socket, request: ReceivedRequest): void {
+/** Begins a chunked event stream, which `endStream` ends; `more` is header lines to add. */
+export function beginStream(socket: Socket, request: ReceivedRequest, more = ""): void {
     socket.write(
         `HTTP/1.1 200 OK\r\nt-id: ${request.headers["t-id"] ?? ""}\r\nt-signature: ${
             request.headers["t-endpoint"] ?? ""
         }\r\n`
-            + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            + `${more}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`,
     );
 }
 
--- /dev/null
+++ b/packages/forwarding/tests/notices/commands/rateLimit.test.ts
@@ -0,0 +1,138 @@
+import { request } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import type { Route } from "../../../src/configuration/model/servingConfiguration.js";
+import {
+    beginStream,
+    createRoute,
+    type EndpointScript,
+    endStream,
+    formatEvent,
+    startEndpoint,
+    startTestHost,
+    type TestEndpoint,
+    type TestHost,
+    waitUntil,
+    writeAnswer,
+    writeChunk,
+} from "../../hostFixture.js";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+    await Promise.all(closers.splice(0).map(close => close()));
+});
+
+/** Time in which the fleet has to begin to keep to a limit. */
+const SETTLE_MS = 1_000;
+/** Time over which the requests at an endpoint are counted. */
+const WINDOW_MS = 4_000;
+const INTERVAL_MS = 30;
+/** Most requests that an endpoint with a limit may get in the window. */
+const countAllowed = (requestsPerSecond: number): number => 1.5 * requestsPerSecond * WINDOW_MS / 1_000 + 5;
+
+const formatLimit = (requestsPerSecond: number): string => `t-limit: ${requestsPerSecond}\r\n`;
+
+interface Reply {
+    readonly status: number;
+    readonly retryAfter: string | undefined;
+    readonly durationMs: number;
+}
+
+/** Starts two hosts before endpoints, each of which names its limit, or none, in all responses. */
+async function startFleet(
+    route: Partial<Route>,
+    limits: readonly (number | undefined)[],
+): Promise<{ hosts: TestHost[]; arrivals: number[][]; }> {
+    const arrivals: number[][] = limits.map(() => []);
+    const endpoints: TestEndpoint[] = [];
+    const script = (index: number): EndpointScript => (received, socket) => {
+        arrivals[index]?.push(performance.now());
+        const limit = limits[index];
+        const header = limit === undefined ? "" : formatLimit(limit);
+        if (route.kind !== "stream") {
+            writeAnswer(socket, received, 200, "ok", header);
+            return;
+        }
+        beginStream(socket, received, header);
+        writeChunk(socket, formatEvent(1));
+        writeChunk(socket, formatEvent(2));
+        endStream(socket);
+    };
+    for (const index of limits.keys()) {
+        endpoints.push(await startEndpoint(`e${index}`, script(index)));
+    }
+    closers.push(...endpoints.map(endpoint => endpoint.close));
+    limits.forEach((limit, index) => {
+        const endpoint = endpoints[index];
+        if (endpoint !== undefined && limit !== undefined) {
+            endpoint.reportHeaders = formatLimit(limit);
+        }
+    });
+    const routes = [createRoute(route)];
+    const first = await startTestHost(routes, endpoints, { graceMs: 200 });
+    const second = await startTestHost(routes, endpoints, {
+        graceMs: 200,
+        store: first.store,
+        ip: "127.0.0.2",
+        peerPort: Number(first.listen.peers.split(":")[1]),
+        seeds: ["127.0.0.1:1"],
+    });
+    const hosts = [first, second];
+    closers.push(...hosts.map(({ host }) => () => host.drain()));
+    await waitUntil(() => hosts.every(({ logged }) => logged.some(line => line["msg"] === "peers: peer is alive")));
+    return { hosts, arrivals };
+}
+
+async function sendRequest(host: TestHost, id: string): Promise<Reply> {
+    const startedAtMs = performance.now();
+    const response = await request(`${host.url}/r/x`, {
+        method: "POST",
+        headers: { "host": "desk.example", "t-id": id },
+    });
+    await response.body.text();
+    return {
+        status: response.statusCode,
+        retryAfter: response.headers["retry-after"]?.toString(),
+        durationMs: performance.now() - startedAtMs,
+    };
+}
+
+/** Sends requests to the hosts in turn, until the window has ended after the fleet has settled. */
+async function sendLoad(hosts: readonly TestHost[]): Promise<{ replies: Reply[]; settledAtMs: number; }> {
+    const startedAtMs = performance.now();
+    const replies: Promise<Reply>[] = [];
+    while (performance.now() - startedAtMs < SETTLE_MS + WINDOW_MS) {
+        replies.push(sendRequest(hosts[replies.length % hosts.length]!, `r${replies.length}`));
+        await new Promise(resolve => setTimeout(resolve, INTERVAL_MS));
+    }
+    return { replies: await Promise.all(replies), settledAtMs: startedAtMs + SETTLE_MS };
+}
+
+const kinds: readonly { name: string; route: Partial<Route>; }[] = [
+    { name: "calls", route: { kind: "repeatable" } },
+    { name: "calls that run once", route: { kind: "once", attempts: 1 } },
+    { name: "streams", route: { kind: "stream", canResume: true, attempts: 3 } },
+];
+
+describe("endpoints that name a rate limit", () => {
+    // Guards against hosts that each keep to a limit, or to none, while the sum of their requests exceeds it.
+    it.each(kinds)("get no more $name from all hosts together than it allows", async ({ route }) => {
+        const { hosts, arrivals } = await startFleet(route, [1, undefined, undefined]);
+        const { replies, settledAtMs } = await sendLoad(hosts);
+        const atLimited = arrivals[0]?.filter(atMs => atMs >= settledAtMs).length ?? 0;
+        expect(atLimited).toBeLessThanOrEqual(countAllowed(1));
+        expect(atLimited).toBeGreaterThanOrEqual(2);
+        expect(replies.map(reply => reply.status)).toEqual(replies.map(() => 200));
+    });
+    // Guards against requests that wait for an endpoint, or try all of them, if it is known that none may take them.
+    it("share what they can take, and the rest is refused at once with a time to come back", async () => {
+        const { hosts, arrivals } = await startFleet({ kind: "repeatable" }, [1, 2]);
+        const { replies, settledAtMs } = await sendLoad(hosts);
+        const counts = arrivals.map(times => times.filter(atMs => atMs >= settledAtMs).length);
+        expect(counts[0]).toBeLessThanOrEqual(countAllowed(1));
+        expect(counts[1]).toBeLessThanOrEqual(countAllowed(2));
+        const refused = replies.filter(reply => reply.status === 503);
+        expect(refused.length).toBeGreaterThan(replies.length / 2);
+        expect(refused.every(reply => Number(reply.retryAfter) > 0)).toBe(true);
+        expect(refused.every(reply => reply.durationMs < 1_000)).toBe(true);
+    });
+});
