Keep the sum of all hosts within the rate limit that an endpoint names

Callers saw little; endpoints in need got up to five times what they take.

Ruled out by the logs: hosts that each keep to the limit while their sum does not, and second attempts as the excess.

Change: limits are recorded from each response, spread with the messages between hosts, and kept by permits that one host of each failure domain grants; coordinators take them with a placement. Endpoints without a permit are no candidates. If all are at their limits, the request is refused at once with the time until the next permit. A permit is left for long prompts.

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -1,18 +1,22 @@
 /** Connects a host with the others of its fleet: messages, copies of tables, and placement by coordinators. */
+import { readClocks } from "@currantrill/protocol";
 import { type Coordination, startCoordination } from "../coordination/commands/startCoordination.js";
 import type { EndpointObservation } from "../endpoints/model/endpointObservation.js";
 import { listEndpointObservations } from "../endpoints/queries/listEndpointObservations.js";
 import { mergeObservations } from "../endpoints/queries/mergeObservations.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
+import { listNoticeReports } from "../notices/queries/noticeCodec.js";
 import { openPeerSocket, type PeerSocket } from "../peers/commands/openPeerSocket.js";
 import { type Peers, startPeers } from "../peers/commands/startPeers.js";
 import { startTableSynchronization, type TableSynchronization } from "../peers/commands/synchronizeTables.js";
 import type { PeerHeader } from "../peers/model/peerState.js";
+import { type Permits, startPermits } from "../permits/commands/startPermits.js";
 import type { TrackedTable } from "../replicas/commands/trackTable.js";
 
 export interface FleetConnection {
     readonly peers: Peers;
     readonly placePrompt: Coordination["placePrompt"];
+    readonly permits: Permits;
     readonly close: () => Promise<void>;
 }
 
@@ -37,10 +41,13 @@
         synchronization,
         getSettledQuery: () => coordination.getSettledQuery(),
     });
+    const { directory } = context;
+    const permits = startPermits({ directory, socket, fleet: peers.fleet, metrics, address });
     const coordination = startCoordination({ context, socket, fleet: peers.fleet, address });
     return {
         peers,
         placePrompt: coordination.placePrompt,
+        permits,
         close: async () => {
             peers.close();
             coordination.close();
@@ -71,6 +78,15 @@
             context.quarantine.merge(evidence, performance.now());
         }
     };
+    const mergeNotices = ({ notices = [] }: PeerHeader): void => {
+        const now = readClocks();
+        for (const notice of notices) {
+            const endpoint = directory.get(notice.endpointId);
+            if (endpoint?.entry.processStartedAtMs === notice.processStartedAtMs) {
+                endpoint.notices.adopt(notice, now);
+            }
+        }
+    };
     const peers: Peers = startPeers({
         socket: options.socket,
         address: settings.listen.peers,
@@ -91,16 +107,19 @@
                 ),
             ),
         getEvidence: () => context.quarantine.share(performance.now()),
+        getNotices: () => listNoticeReports(directory, readClocks()),
         isStoreUnavailable: () => [...sharedTables.values()].some(table => table.isStoreUnavailable()),
         getSettledQuery: options.getSettledQuery,
         onState: state => {
             synchronization.synchronizeWith(state.address, state.lastChangeVersions);
             mergeEvidence(state);
+            mergeNotices(state);
             observations.setSource(state.address, state.observations, performance.now());
         },
         onDigest: digest => {
             synchronization.synchronizeWith(digest.address, digest.lastChangeVersions);
             mergeEvidence(digest);
+            mergeNotices(digest);
             // A coordinator receives the states from which another one of its domain has made its digest.
             const isKnown = digest.failureDomain === directory.localFailureDomain && peers.fleet.isCoordinator();
             observations.setSource(
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -68,6 +68,7 @@
         rows,
         log,
         onConnect: () => metrics.connections.inc(),
+        onNotice: source => peers.announceNotice(source),
     });
     const quarantine = startHostQuarantine(options, {
         metrics,
@@ -87,6 +88,9 @@
         peerObservations: createEndpointObservationTable(),
         isSmallFleet: () => peers.fleet.isSmallFleet(),
         placePrompt: query => fleet.placePrompt(query),
+        get permits() {
+            return fleet.permits;
+        },
         responseBudget: createByteBudget(() => context.settings.responses.max_buffered_bytes),
         quarantine,
         retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.fleet.countHosts()),
--- a/packages/forwarding/src/coordination/commands/createPlacementClient.ts
+++ b/packages/forwarding/src/coordination/commands/createPlacementClient.ts
@@ -1,5 +1,5 @@
 /** Sends placement queries to coordinators. */
-import { startTimeout } from "../../endpoints/model/startTimeout.js";
+import { createReplyWaiter } from "../../peers/commands/createReplyWaiter.js";
 import type { PeerSocket } from "../../peers/commands/openPeerSocket.js";
 import type { PlacementAnswer, PlacementQuery } from "../model/placementQuery.js";
 import { decodeAnswer, encodeQuery } from "../queries/placementCodec.js";
@@ -33,33 +33,29 @@
 
 /** Creates a client, which numbers its queries. */
 export function createPlacementClient({ socket, address, onAnswer }: PlacementClientOptions): PlacementClient {
-    const pending = new Map<number, (answer: PlacementAnswer | undefined) => void>();
+    const waiter = createReplyWaiter<PlacementAnswer>(ANSWER_TIMEOUT_MS);
     const unsettledIds = new Set<number>();
     let lastId = 0;
     socket.setHandler("answer", fields => {
         const { id, answer } = decodeAnswer(fields);
-        pending.get(id)?.(answer);
+        waiter.receive(id, answer);
     });
     return {
-        ask: (coordinator, query) =>
-            new Promise(resolve => {
-                lastId += 1;
-                const id = lastId;
-                const settle = (): void => void unsettledIds.delete(id);
-                const finish = (answer: PlacementAnswer | undefined): void => {
-                    cancelTimeout();
-                    pending.delete(id);
-                    onAnswer(answer?.kind ?? "no_answer");
-                    if (answer?.kind !== "placed") {
-                        settle();
-                    }
-                    resolve(answer === undefined ? undefined : { answer, settle });
-                };
-                const cancelTimeout = startTimeout(ANSWER_TIMEOUT_MS, () => finish(undefined));
+        ask: async (coordinator, query) => {
+            let queryId = 0;
+            const answer = await waiter.ask(id => {
+                queryId = id;
+                lastId = id;
                 unsettledIds.add(id);
-                pending.set(id, finish);
                 socket.send(encodeQuery({ from: address, id, query }), [coordinator]);
-            }),
+            });
+            const settle = (): void => void unsettledIds.delete(queryId);
+            onAnswer(answer?.kind ?? "no_answer");
+            if (answer?.kind !== "placed") {
+                settle();
+            }
+            return answer === undefined ? undefined : { answer, settle };
+        },
         getSettledQuery: () => Math.min(lastId, ...[...unsettledIds].map(id => id - 1)),
     };
 }
--- a/packages/forwarding/src/coordination/commands/startCoordination.ts
+++ b/packages/forwarding/src/coordination/commands/startCoordination.ts
@@ -7,16 +7,14 @@
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { PeerSocket } from "../../peers/commands/openPeerSocket.js";
 import type { FleetView } from "../../peers/model/fleetView.js";
-import { defaultPlacementWeights } from "../../placement/model/placementWeights.js";
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import { buildAssignedWork } from "../../placement/queries/buildAssignedWork.js";
-import { listLoads } from "../../requests/queries/listLoads.js";
 import { createAvoidance } from "../model/avoidance.js";
 import { createCoordinatorReadiness } from "../model/coordinatorReadiness.js";
 import type { PlacementAnswer, PlacementQuery, PromptQuery } from "../model/placementQuery.js";
-import { decidePlacement } from "../queries/decidePlacement.js";
 import { decodeQuery, encodeAnswer } from "../queries/placementCodec.js";
 import { createPlacementClient, type PlacementReply } from "./createPlacementClient.js";
+import { createPlacementDecider } from "./createPlacementDecider.js";
 
 /** Interval at which a coordinator checks whether it was paused. */
 const READINESS_CHECK_MS = 250;
@@ -56,19 +54,7 @@
     });
     const avoidance = createAvoidance();
 
-    const decide = (query: PlacementQuery): PlacementAnswer => {
-        const engine = context.getConfiguration()?.services.get(query.service)?.engine;
-        if (engine === undefined) {
-            return { kind: "unavailable" };
-        }
-        const nowMs = performance.now();
-        return decidePlacement(query, {
-            context: { engine, hostDomain: localDomain, nowMs, weights: defaultPlacementWeights },
-            listLoads: domain => listLoads(context, query.service, nowMs, domain),
-            otherDomains: [...new Set(directory.listReady(query.service).map(({ entry }) => entry.failureDomain))]
-                .filter(domain => domain !== localDomain && fleet.listCoordinators(domain).length > 0),
-        });
-    };
+    const decide = createPlacementDecider(context, fleet);
     const answerQuery = (from: string, id: number, query: PlacementQuery): PlacementAnswer => {
         if (!readiness.isReady(readClocks())) {
             return { kind: "unavailable" };
--- a/packages/forwarding/src/coordination/model/avoidance.ts
+++ b/packages/forwarding/src/coordination/model/avoidance.ts
@@ -7,6 +7,8 @@
     readonly add: (coordinator: string) => void;
     /** Records that a coordinator has answered. */
     readonly clear: (coordinator: string) => void;
+    /** Returns whether a coordinator could not answer a moment ago. */
+    readonly has: (coordinator: string) => boolean;
     /** Returns the coordinators in the order in which to ask them. */
     readonly sort: (coordinators: readonly string[]) => readonly string[];
 }
@@ -14,13 +16,11 @@
 /** Creates an avoidance without any coordinators. */
 export function createAvoidance(): Avoidance {
     const untilMs = new Map<string, number>();
+    const has = (coordinator: string): boolean => (untilMs.get(coordinator) ?? -Infinity) > performance.now();
     return {
+        has,
         add: coordinator => void untilMs.set(coordinator, performance.now() + AVOID_MS),
         clear: coordinator => void untilMs.delete(coordinator),
-        sort: coordinators => {
-            const nowMs = performance.now();
-            const isAvoided = (coordinator: string): boolean => (untilMs.get(coordinator) ?? -Infinity) > nowMs;
-            return [...coordinators.filter(each => !isAvoided(each)), ...coordinators.filter(isAvoided)];
-        },
+        sort: coordinators => [...coordinators.filter(each => !has(each)), ...coordinators.filter(has)],
     };
 }
--- a/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
@@ -1,3 +1,4 @@
+import { readClocks } from "@currantrill/protocol";
 import type { EndpointProtocol, EndpointReport } from "../../ports/endpointProtocol.js";
 import type { Endpoint } from "../model/endpointDirectory.js";
 import { requestEndpoint } from "./requestEndpoint.js";
@@ -17,7 +18,7 @@
         const reply = await requestEndpoint(endpoint.pool, protocol.buildReport(), {
             timeoutMs: PROBE_TIMEOUT_MS,
             protocol,
-            onNotice: notice => endpoint.notices.record(notice, "report"),
+            onNotice: notice => endpoint.notices.record(notice, "report", readClocks()),
         });
         return protocol.parseReport(reply.body);
     }
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -2,7 +2,7 @@
 import type { FailureDomainId, ServiceId } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointEntry } from "../../configuration/model/servingConfiguration.js";
-import { createEndpointNotices, type EndpointNotices } from "../../notices/model/endpointNotices.js";
+import { createEndpointNotices, type EndpointNotices, type NoticeSource } from "../../notices/model/endpointNotices.js";
 import type { PlatformRows } from "../../ports/platformRows.js";
 import type { TableRow } from "../../ports/tableSource.js";
 import { type ConnectionPool, createConnectionPool } from "./connectionPool.js";
@@ -44,10 +44,12 @@
     readonly log: Logger;
     /** Called for each connection established to an endpoint. */
     readonly onConnect: () => void;
+    /** Called when a notice of an endpoint changes. */
+    readonly onNotice: (source: NoticeSource) => void;
 }
 
 export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
-    const { rows, log, onConnect } = options;
+    const { rows, log, onConnect, onNotice } = options;
     const endpoints = new Map<string, Endpoint>();
     const pendingExpirations = new Map<string, NodeJS.Timeout>();
 
@@ -79,7 +81,7 @@
             pool: createConnectionPool(entry.address, onConnect),
             bias: Math.random(),
             health: createEndpointHealth(performance.now()),
-            notices: createEndpointNotices({ endpointId: entry.id, log }),
+            notices: createEndpointNotices({ endpointId: entry.id, log, onChange: onNotice }),
         });
         log.info({ endpoint: entry.id, service: entry.service, address: entry.address }, "endpoints: added");
     };
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -6,6 +6,7 @@
 import type { ByteBudget } from "../endpoints/model/byteBudget.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import type { EndpointObservationTable } from "../endpoints/model/endpointObservation.js";
+import type { Permits } from "../permits/commands/startPermits.js";
 import type { AssignmentRegistry } from "../placement/model/assignmentRegistry.js";
 import type { CallerProtocol } from "../ports/callerProtocol.js";
 import type { EndpointProtocol } from "../ports/endpointProtocol.js";
@@ -28,6 +29,8 @@
     readonly isSmallFleet: () => boolean;
     /** Places prompts in a large fleet. */
     readonly placePrompt: Coordination["placePrompt"];
+    /** Limits the requests of all hosts to endpoints that name a rate limit. */
+    readonly permits: Permits;
     /** Limits the bytes of responses that this host buffers. */
     readonly responseBudget: ByteBudget;
     /** Refuses prompts with parts that crash endpoints. */
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -14,6 +14,7 @@
     readonly reservations: Counter<"outcome">;
     readonly datagrams: Counter<"direction">;
     readonly placementQueries: Counter<"outcome">;
+    readonly permits: Counter<"outcome">;
     readonly tableFetches: Counter<"outcome">;
     readonly crashReports: Counter<"state">;
     readonly isolatedParts: Gauge;
@@ -102,7 +103,7 @@
 /** Creates the metrics of the exchange with other hosts. */
 function createPeerMetrics(
     registers: Registry[],
-): Pick<ForwardingMetrics, "datagrams" | "placementQueries" | "tableFetches" | "peers"> {
+): Pick<ForwardingMetrics, "datagrams" | "placementQueries" | "permits" | "tableFetches" | "peers"> {
     return {
         datagrams: new Counter({
             name: "currantrill_peer_datagrams_total",
@@ -116,6 +117,12 @@
             labelNames: ["outcome"],
             registers,
         }),
+        permits: new Counter({
+            name: "currantrill_permits_total",
+            help: "Permits for requests to endpoints that name a rate limit, by outcome.",
+            labelNames: ["outcome"],
+            registers,
+        }),
         tableFetches: new Counter({
             name: "currantrill_table_fetches_total",
             help: "Copies of tables from other hosts by outcome.",
--- a/packages/forwarding/src/notices/model/endpointNotices.ts
+++ b/packages/forwarding/src/notices/model/endpointNotices.ts
@@ -1,41 +1,96 @@
 /** What one process of an endpoint states about itself in its responses. */
+import { type Clocks, measureElapsed } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointNotice } from "../../ports/endpointProtocol.js";
 
-/** What a response answers, as written to the log. */
-export type NoticeSource = "request" | "order" | "report";
+/** What a response answers, as written to the log; `peer` if another host has got the response. */
+export type NoticeSource = "request" | "order" | "report" | "peer";
+
+/** Lower limits count as this one, so that a request finds out from time to time whether the limit still holds. */
+export const MIN_REQUESTS_PER_SECOND = 0.1;
+/** Higher limits are not enforced: no host sends an endpoint that many requests. */
+const MAX_REQUESTS_PER_SECOND = 1_000;
+/** A limit that no response has named for this time is forgotten. The lowest limit allows a request every 10 s. */
+const LIMIT_VALID_MS = 60_000;
+/** Time for which hosts tell each other that an endpoint no longer names a limit. */
+const SHARE_END_MS = 10_000;
+
+/** The latest notice of an endpoint, as hosts tell it each other. */
+export interface SharedNotice {
+    readonly requestsPerSecond?: number;
+    /** Time since the response, in milliseconds. */
+    readonly ageMs: number;
+}
 
 export interface EndpointNotices {
     /** Records the notice of a response to this host. */
-    readonly record: (notice: EndpointNotice, source: NoticeSource) => void;
+    readonly record: (notice: EndpointNotice, source: NoticeSource, now: Clocks) => void;
+    /** Adopts what another host tells, unless this one has heard from the endpoint since. */
+    readonly adopt: (notice: SharedNotice, now: Clocks) => void;
+    /** Returns what to tell other hosts, `undefined` if there is nothing. */
+    readonly share: (now: Clocks) => SharedNotice | undefined;
     /** Returns the requests a second that the endpoint takes from all hosts together, `undefined` without a limit. */
-    readonly getRateLimit: () => number | undefined;
+    readonly getRateLimit: (now: Clocks) => number | undefined;
 }
 
 export interface EndpointNoticesOptions {
     readonly endpointId: string;
     readonly log: Logger;
+    /** Called when the limit changes, so that other hosts are told at once. */
+    readonly onChange: (source: NoticeSource) => void;
+}
+
+interface Statement {
+    readonly requestsPerSecond: number | undefined;
+    readonly heardAt: Clocks;
 }
 
 /** Creates the notices of an endpoint that has not responded yet. */
-export function createEndpointNotices({ endpointId, log }: EndpointNoticesOptions): EndpointNotices {
-    let requestsPerSecond: number | undefined;
+export function createEndpointNotices({ endpointId, log, onChange }: EndpointNoticesOptions): EndpointNotices {
+    let last: Statement | undefined;
+    let hasLoggedInvalid = false;
+    const set = (requestsPerSecond: number | undefined, heardAt: Clocks, source: NoticeSource): void => {
+        const previous = last?.requestsPerSecond;
+        last = { requestsPerSecond, heardAt };
+        if (requestsPerSecond !== previous) {
+            log.info({ endpoint: endpointId, requestsPerSecond, previous, source }, "endpoints: rate limit changed");
+            onChange(source);
+        }
+    };
     return {
-        record: (notice, source) => {
-            if (notice.invalidLimit !== undefined || notice.requestsPerSecond === requestsPerSecond) {
+        record: ({ requestsPerSecond, invalidLimit }, source, now) => {
+            if (invalidLimit === undefined) {
+                hasLoggedInvalid = false;
+                set(requestsPerSecond, now, source);
                 return;
             }
-            log.info(
-                {
-                    endpoint: endpointId,
-                    requestsPerSecond: notice.requestsPerSecond,
-                    previous: requestsPerSecond,
-                    source,
-                },
-                "endpoints: rate limit changed",
-            );
-            ({ requestsPerSecond } = notice);
+            if (!hasLoggedInvalid) {
+                hasLoggedInvalid = true;
+                log.warn({ endpoint: endpointId, value: invalidLimit }, "endpoints: invalid rate limit ignored");
+            }
+        },
+        adopt: ({ requestsPerSecond, ageMs }, now) => {
+            if (last === undefined || measureElapsed(last.heardAt, now) > ageMs) {
+                const heardAt = { wallMs: now.wallMs - ageMs, monotonicMs: now.monotonicMs - ageMs };
+                set(requestsPerSecond, heardAt, "peer");
+            }
+        },
+        share: now => {
+            if (last === undefined) {
+                return undefined;
+            }
+            const { requestsPerSecond } = last;
+            const ageMs = measureElapsed(last.heardAt, now);
+            return ageMs > (requestsPerSecond === undefined ? SHARE_END_MS : LIMIT_VALID_MS)
+                ? undefined
+                : { ageMs, ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }) };
+        },
+        getRateLimit: now => {
+            if (last?.requestsPerSecond === undefined || measureElapsed(last.heardAt, now) > LIMIT_VALID_MS) {
+                return undefined;
+            }
+            const limit = Math.max(MIN_REQUESTS_PER_SECOND, last.requestsPerSecond);
+            return limit > MAX_REQUESTS_PER_SECOND ? undefined : limit;
         },
-        getRateLimit: () => requestsPerSecond,
     };
 }
--- a/packages/forwarding/src/peers/commands/createAnnouncer.ts
+++ b/packages/forwarding/src/peers/commands/createAnnouncer.ts
@@ -13,11 +13,16 @@
 
 export interface Announcer {
     /** Sends this host's state, with a list of hosts. */
-    readonly sendState: (hosts: readonly string[], targets: readonly string[]) => void;
+    readonly sendState: (hosts: readonly string[], targets: readonly string[], options?: StateOptions) => void;
     /** Sends a digest of the fleet. */
     readonly sendDigests: (targets: readonly string[]) => void;
 }
 
+export interface StateOptions {
+    /** Whether the message carries the notices of endpoints. Defaults to `true`. */
+    readonly hasNotices?: boolean;
+}
+
 export interface AnnouncerOptions {
     readonly peers: PeersOptions;
     readonly table: PeerTable;
@@ -29,13 +34,13 @@
 export function createAnnouncer({ peers: options, table, fleet, getIsLeaving }: AnnouncerOptions): Announcer {
     const { failureDomain, registry, socket } = options;
     const buildHeader = createHeaderBuilder(options, getIsLeaving);
-    const sendState: Announcer["sendState"] = (hosts, targets) => {
+    const sendState: Announcer["sendState"] = (hosts, targets, { hasNotices = true } = {}) => {
         if (targets.length === 0) {
             return;
         }
         const nowMs = performance.now();
         const state = {
-            ...buildHeader(),
+            ...buildHeader(hasNotices),
             hosts,
             observations: options.getObservations(),
             settledQuery: options.getSettledQuery(),
@@ -59,7 +64,7 @@
         }
         const nowMs = performance.now();
         const observations = options.getMergedObservations(scope);
-        const digest = buildFleetDigest({ header: buildHeader(), fleet, table, scope, observations, nowMs });
+        const digest = buildFleetDigest({ header: buildHeader(true), fleet, table, scope, observations, nowMs });
         socket.send(
             encodeWithinLimit(assignments, fitting => encodeFleetDigest({ ...digest, assignments: fitting }, nowMs)),
             targets,
@@ -79,11 +84,11 @@
 }
 
 /** Creates the function that builds the header of the next message. */
-function createHeaderBuilder(options: PeersOptions, getIsLeaving: () => boolean): () => PeerHeader {
+function createHeaderBuilder(options: PeersOptions, getIsLeaving: () => boolean): (hasNotices: boolean) => PeerHeader {
     const { address, failureDomain, capacity } = options;
     const incarnation = Date.now();
     let sequence = 0;
-    return () => {
+    return hasNotices => {
         sequence += 1;
         return {
             address,
@@ -95,6 +100,7 @@
             isStoreUnavailable: options.isStoreUnavailable(),
             lastChangeVersions: options.getLastChangeVersions(),
             evidence: options.getEvidence(),
+            ...(hasNotices ? { notices: options.getNotices() } : {}),
         };
     };
 }
--- a/packages/forwarding/src/peers/commands/startPeers.ts
+++ b/packages/forwarding/src/peers/commands/startPeers.ts
@@ -2,6 +2,8 @@
 import type { FailureDomainId } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointObservation } from "../../endpoints/model/endpointObservation.js";
+import type { NoticeSource } from "../../notices/model/endpointNotices.js";
+import type { NoticeReport } from "../../notices/queries/noticeCodec.js";
 import type { AssignmentChange, AssignmentRegistry } from "../../placement/model/assignmentRegistry.js";
 import type { SharedEvidence } from "../../quarantine/model/sharedEvidence.js";
 import { type BatchTimer, createBatchTimer } from "../model/batchTimer.js";
@@ -59,6 +61,8 @@
     readonly getMergedObservations: (scope: "domain" | "fleet") => readonly EndpointObservation[];
     /** Returns what this host knows of parts of prompts that crash endpoints. */
     readonly getEvidence: () => SharedEvidence;
+    /** Returns what endpoints state about themselves. */
+    readonly getNotices: () => readonly NoticeReport[];
     /** Returns whether the last call to the store failed. */
     readonly isStoreUnavailable: () => boolean;
     /** Returns the id up to which all placement queries of this host are settled. */
@@ -78,6 +82,8 @@
     readonly announceTables: () => void;
     /** Schedules a message about parts of prompts that crash endpoints, to all hosts that expect one. */
     readonly announceEvidence: () => void;
+    /** Schedules a message about a notice that this host has received from an endpoint, or relays as a coordinator. */
+    readonly announceNotice: (source: NoticeSource) => void;
     /** Adds hosts to which heartbeats are sent. */
     readonly addHosts: (addresses: readonly string[]) => void;
     /** View of the fleet, kept up to date by received messages. */
@@ -148,6 +154,11 @@
         },
         announceTables: () => announcements.tables.schedule(TABLE_BATCH_DELAY_MS),
         announceEvidence: () => announcements.evidence.schedule(EVIDENCE_BATCH_DELAY_MS),
+        announceNotice: source => {
+            if (source !== "peer" || !fleet.isSmallFleet() && fleet.isCoordinator()) {
+                announcements.evidence.schedule(EVIDENCE_BATCH_DELAY_MS);
+            }
+        },
         addHosts: addresses => table.add(addresses, performance.now()),
         fleet,
         announceLeaving: () => {
@@ -177,7 +188,7 @@
     { fleet, announcer, listSubscribers, listImmediateTargets }: AnnouncementOptions,
 ): Readonly<Record<"assignments" | "tables" | "evidence", BatchTimer>> {
     return {
-        assignments: createBatchTimer(() => announcer.sendState([], listImmediateTargets())),
+        assignments: createBatchTimer(() => announcer.sendState([], listImmediateTargets(), { hasNotices: false })),
         tables: createBatchTimer(() => {
             if (fleet.isSmallFleet()) {
                 announcer.sendState([], fleet.listAlive());
--- a/packages/forwarding/src/peers/model/peerState.ts
+++ b/packages/forwarding/src/peers/model/peerState.ts
@@ -4,6 +4,7 @@
  */
 import type { FailureDomainId } from "@currantrill/protocol";
 import type { EndpointObservation } from "../../endpoints/model/endpointObservation.js";
+import type { NoticeReport } from "../../notices/queries/noticeCodec.js";
 import type { Assignment } from "../../placement/model/assignment.js";
 import type { SharedEvidence } from "../../quarantine/model/sharedEvidence.js";
 
@@ -26,6 +27,8 @@
     readonly lastChangeVersions: Readonly<Record<string, number>>;
     /** What the host knows of parts of prompts that crash endpoints; absent if it knows nothing. */
     readonly evidence?: SharedEvidence;
+    /** What endpoints state about themselves; absent in messages that only announce assignments. */
+    readonly notices?: readonly NoticeReport[];
 }
 
 /** State of a host at the time of a message. */
--- a/packages/forwarding/src/peers/queries/messageCodec.ts
+++ b/packages/forwarding/src/peers/queries/messageCodec.ts
@@ -6,7 +6,7 @@
 const LAYOUT_VERSION = 3;
 
 /** Kinds of messages, as numbers on the wire. */
-export const messageKinds = { state: 0, digest: 1, query: 2, answer: 3 } as const;
+export const messageKinds = { state: 0, digest: 1, query: 2, answer: 3, permitQuery: 4, permitAnswer: 5 } as const;
 export type MessageKind = keyof typeof messageKinds;
 
 const kindNames = new Map<unknown, MessageKind>(
--- a/packages/forwarding/src/placement/model/endpointLoad.ts
+++ b/packages/forwarding/src/placement/model/endpointLoad.ts
@@ -22,4 +22,6 @@
     readonly bias: number;
     /** Time of the endpoint's work relative to its published figures; 1 is as published, above 1 it is slow. */
     readonly slowdown: number;
+    /** Whether the endpoint names a limit on the rate of requests that it takes. */
+    readonly isRateLimited: boolean;
 }
--- a/packages/forwarding/src/placement/model/placementWeights.ts
+++ b/packages/forwarding/src/placement/model/placementWeights.ts
@@ -30,11 +30,16 @@
      * path between them is partitioned.
      */
     readonly crossPartCost: number;
+    /** Cost of a prefill shard at an endpoint that names a rate limit, which counts it like a whole prompt. */
+    readonly rateLimitShardCost: number;
     /** Largest cost that the host's bias among the endpoints adds. */
     readonly biasCost: number;
     /** Cost of an expected time to the first event that equals the target; proportional to that time. */
     readonly waitCost: number;
-    /** Cost of a short prompt on an idle endpoint, since idle endpoints are kept for prompts that cannot share one. */
+    /**
+     * Cost of a short prompt on an idle endpoint, since idle endpoints are kept for prompts that cannot share one. It
+     * does not apply to an endpoint that names a rate limit, whose permits are lost if they are not used.
+     */
     readonly idleCost: number;
     /** Prefill time from which a prompt no longer counts as short, in milliseconds. */
     readonly longReadMs: number;
@@ -60,6 +65,7 @@
     costPerFailure: 2,
     otherDomainCost: 0.04,
     crossPartCost: 0.1,
+    rateLimitShardCost: 1,
     biasCost: 0.05,
     waitCost: 0.08,
     idleCost: 0.06,
--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -117,9 +117,10 @@
         + weights.silentDomainCost * load.domainUnresponsiveFraction * weight
         + weights.costPerFailure * load.failures * weight
         + (load.failureDomain === context.hostDomain ? 0 : weights.otherDomainCost)
+        + (isHelper && load.isRateLimited ? weights.rateLimitShardCost : 0)
         + weights.biasCost * load.bias
         + weights.waitCost * firstEventMs / Math.max(1, request.targetMs)
-        + (isBusy || prefillMs >= weights.longReadMs ? 0 : weights.idleCost);
+        + (isBusy || load.isRateLimited || prefillMs >= weights.longReadMs ? 0 : weights.idleCost);
     return { load, cost, firstEventMs, backlogMs, freeTokens };
 }
 
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -141,7 +141,7 @@
     endpoint.health = recordResponse(endpoint.health, nowMs);
     if (!metadata.isMisdirected) {
         record.requestsPerSecond = metadata.notice.requestsPerSecond;
-        endpoint.notices.record(metadata.notice, "request");
+        endpoint.notices.record(metadata.notice, "request", readClocks());
     }
 }
 
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -11,6 +11,8 @@
     | "not_run"
     /** The prompt has a part that crashes endpoints. */
     | "part_isolated"
+    /** All endpoints of the service have got as many requests as the limits that they name allow. */
+    | "rate_limited"
     | "no_route"
     | "key_unknown"
     | "body_unreadable"
@@ -36,6 +38,11 @@
         message: "a part of the prompt crashes endpoints; prompts with it are not run for now",
         retryAfterSeconds: 5,
     },
+    rate_limited: {
+        status: 503,
+        message: "all endpoints have reached the rate limits that they name",
+        retryAfterSeconds: 0.4,
+    },
     no_route: { status: 404, message: "no route matches the host and path" },
     key_unknown: { status: 401, message: "the key is not known" },
     body_unreadable: { status: 400, message: "the body could not be read" },
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -16,7 +16,10 @@
 const HEDGE_TARGET_FRACTION = 0.6;
 /** Limit on attempts that fail before the request is sent. They do not count as attempts of the route. */
 const MAX_CONNECT_FAILURES = 3;
+/** Number of endpoints for which a permit is requested. After that only endpoints without a rate limit are used. */
+const MAX_PERMIT_ATTEMPTS = 3;
 const MIN_SERVER_ERROR_STATUS = 500;
+const MS_PER_SECOND = 1_000;
 
 interface CallResponse {
     readonly status: number;
@@ -39,6 +42,8 @@
     /** Whether an endpoint may have run the request. */
     mayHaveRun: boolean;
     isFinished: boolean;
+    /** Whether the endpoint of the next attempt is being chosen. */
+    isChoosing: boolean;
     /** Aborts the attempts in progress and resolves the call; only the first outcome counts. */
     finish: (outcome: string) => void;
 }
@@ -55,6 +60,7 @@
             connectFailures: 0,
             mayHaveRun: false,
             isFinished: false,
+            isChoosing: false,
             finish: outcome => {
                 if (!state.isFinished) {
                     state.isFinished = true;
@@ -69,33 +75,64 @@
         timers.push(setTimeout(() => finishAtDeadline(context, exchange, state), remainingMs));
         if (exchange.route.kind === "repeatable") {
             const hedgeAfterMs = exchange.route.targetMs * HEDGE_TARGET_FRACTION;
-            timers.push(setTimeout(() => startNextAttempt(context, exchange, state), hedgeAfterMs));
+            timers.push(setTimeout(() => void startNextAttempt(context, exchange, state), hedgeAfterMs));
         }
-        startNextAttempt(context, exchange, state);
+        void startNextAttempt(context, exchange, state);
     });
 }
 
 const isRepeatable = (exchange: Exchange): boolean => exchange.route.kind === "repeatable";
 
 /** Sends the request to an endpoint not tried so far, if the attempts of the route and the retry budget allow it. */
-function startNextAttempt(context: ForwardingContext, exchange: Exchange, state: CallState): void {
-    if (state.isFinished) {
+async function startNextAttempt(context: ForwardingContext, exchange: Exchange, state: CallState): Promise<void> {
+    if (hasFinished(state) || state.isChoosing) {
         return;
     }
-    const nowMs = performance.now();
-    const loads = listLoads(context, exchange.service.name, nowMs)
-        .filter(load => !state.tried.has(load.endpoint));
-    const chosen = chooseLeastLoaded(loads, context.directory.localFailureDomain, Math.random());
-    const isAllowed = state.attemptsSent < exchange.route.attempts
-        && (state.attemptsSent === 0 || context.retryBudget.spend(exchange.service.name, nowMs));
-    const endpoint = loads.find(load => load === chosen)?.endpoint;
-    if (endpoint === undefined || !isAllowed) {
-        if (state.running.size === 0) {
-            finishWithoutSuccess(context, exchange, state);
-        }
+    state.isChoosing = true;
+    const endpoint = canStartAttempt(context, exchange, state)
+        ? await chooseEndpoint(context, exchange, state.tried)
+        : undefined;
+    state.isChoosing = false;
+    if (hasFinished(state)) {
+        return;
+    }
+    const isRetry = state.attemptsSent > 0;
+    if (
+        endpoint !== undefined
+        && (!isRetry || context.retryBudget.spend(exchange.service.name, performance.now()))
+    ) {
+        startAttempt(context, exchange, state, endpoint);
         return;
     }
-    startAttempt(context, exchange, state, endpoint);
+    if (state.running.size === 0) {
+        finishWithoutSuccess(context, exchange, state);
+    }
+}
+
+/** The state may change while an endpoint is being chosen. */
+const hasFinished = (state: CallState): boolean => state.isFinished;
+
+const canStartAttempt = (context: ForwardingContext, exchange: Exchange, { attemptsSent }: CallState): boolean =>
+    attemptsSent < exchange.route.attempts
+    && (attemptsSent === 0 || context.retryBudget.canSpend(exchange.service.name, performance.now()));
+
+/** Chooses an endpoint. If it names a rate limit, a permit is acquired. */
+async function chooseEndpoint(
+    context: ForwardingContext,
+    exchange: Exchange,
+    tried: ReadonlySet<Endpoint>,
+): Promise<Endpoint | undefined> {
+    for (let attempt = 1;; attempt += 1) {
+        const loads = listLoads(context, exchange.service.name, performance.now()).filter(load =>
+            !tried.has(load.endpoint)
+            && (attempt <= MAX_PERMIT_ATTEMPTS ? context.permits.hasRoom(load.endpoint, 0) : !load.isRateLimited)
+        );
+        const chosen = chooseLeastLoaded(loads, context.directory.localFailureDomain, Math.random());
+        const endpoint = loads.find(load => load === chosen)?.endpoint;
+        if (endpoint === undefined || await context.permits.acquire({ endpoints: [endpoint], permitsLeft: 0 })) {
+            return endpoint;
+        }
+    }
 }
 
 function startAttempt(context: ForwardingContext, exchange: Exchange, state: CallState, endpoint: Endpoint): void {
@@ -180,7 +217,7 @@
     if (callResponse.status >= MIN_SERVER_ERROR_STATUS && isRepeatable(exchange)) {
         endpoint.health = recordFailure(endpoint.health, performance.now());
         state.fallback = callResponse;
-        startNextAttempt(context, exchange, state);
+        void startNextAttempt(context, exchange, state);
         return;
     }
     sendResponse(exchange, state, callResponse);
@@ -200,10 +237,10 @@
     }
     const canRetry = isRepeatable(exchange) || !state.mayHaveRun;
     if (canRetry && state.connectFailures < MAX_CONNECT_FAILURES) {
-        startNextAttempt(context, exchange, state);
+        void startNextAttempt(context, exchange, state);
         return;
     }
-    if (state.running.size === 0) {
+    if (state.running.size === 0 && !state.isChoosing) {
         finishWithoutSuccess(context, exchange, state);
     }
 }
@@ -223,12 +260,17 @@
         sendResponse(exchange, state, state.fallback);
         return;
     }
+    const waitMs = context.permits.getWaitMs(exchange.service.name, 0);
+    const waitSeconds = waitMs === undefined ? undefined : waitMs / MS_PER_SECOND;
     const reason: RefusalReason = state.mayHaveRun
         ? "outcome_unknown"
+        : waitMs !== undefined
+        ? "rate_limited"
         : state.tried.size === 0
         ? "no_endpoint"
         : "not_run";
-    sendRefusal(exchange.response, reason, context.callers.buildResponseHeaders(exchange.requestId));
+    const headers = context.callers.buildResponseHeaders(exchange.requestId);
+    sendRefusal(exchange.response, reason, headers, reason === "rate_limited" ? waitSeconds : undefined);
     state.finish(reason);
 }
 
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -1,6 +1,7 @@
 /** Serves requests whose response is a stream of server-sent events. */
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
+import { countPermitsLeft } from "../../permits/queries/countPermitsLeft.js";
 import { defaultPlacementWeights } from "../../placement/model/placementWeights.js";
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import { buildAssignedWork } from "../../placement/queries/buildAssignedWork.js";
@@ -26,6 +27,8 @@
 const MAX_CONNECT_FAILURES = 4;
 /** Number of placements that are tried if reservations are not granted. */
 const MAX_RESERVATION_ATTEMPTS = 3;
+/** Number of placements for which permits are requested. After that only endpoints without a rate limit are used. */
+const MAX_PERMIT_ATTEMPTS = 3;
 /** Assumed prompt length in tokens if the caller does not state it. */
 const DEFAULT_PROMPT_TOKENS = 1_000;
 
@@ -69,8 +72,9 @@
             return "caller_gone";
         }
         if (chosen === undefined) {
-            const reason = mayHaveRun ? "outcome_unknown" : tried.size === 0 ? "no_endpoint" : "not_run";
-            return finishWithRefusal(context, exchange, reason);
+            return mayHaveRun
+                ? finishWithRefusal(context, exchange, "outcome_unknown")
+                : refuseUnplaced(context, exchange, tried.size > 0);
         }
         if (
             admission.kind === "admitted" && context.quarantine.isIsolated(exchange.service.name, exchange.trackedParts)
@@ -160,6 +164,20 @@
     return reason;
 }
 
+const countLeft = ({ service, callerMetadata }: Exchange): number =>
+    countPermitsLeft(service.engine, callerMetadata.promptTokens ?? DEFAULT_PROMPT_TOKENS);
+
+/** Refuses a request for which there is no endpoint, and which has not run. */
+function refuseUnplaced(context: ForwardingContext, exchange: Exchange, wasTried: boolean): string {
+    const waitMs = context.permits.getWaitMs(exchange.service.name, countLeft(exchange));
+    if (waitMs === undefined) {
+        return finishWithRefusal(context, exchange, wasTried ? "not_run" : "no_endpoint");
+    }
+    const headers = context.callers.buildResponseHeaders(exchange.requestId);
+    sendRefusal(exchange.response, "rate_limited", headers, waitMs / MS_PER_SECOND);
+    return "rate_limited";
+}
+
 /** Chooses the endpoints for the stream and reserves the memory that its prefill shards need. */
 async function chooseEndpoints(
     context: ForwardingContext,
@@ -216,11 +234,26 @@
         return { ...found, placement: coordinated.placement, settle: coordinated.settle };
     }
     coordinated?.settle();
-    const placement = planStream(context, exchange, excludedIds);
-    const planned = placement === undefined ? undefined : findEndpoints(context, placement);
-    return placement === undefined || planned === undefined
-        ? undefined
-        : { ...planned, placement, settle: () => undefined };
+    return planPermitted(context, exchange, excludedIds);
+}
+
+/** Plans the stream by what this host knows, until the permits that it needs are granted. */
+async function planPermitted(
+    context: ForwardingContext,
+    exchange: Exchange,
+    excludedIds: readonly string[],
+): Promise<ChosenEndpoints | undefined> {
+    const permitsLeft = countLeft(exchange);
+    for (let attempt = 1;; attempt += 1) {
+        const placement = planStream(context, exchange, excludedIds, attempt <= MAX_PERMIT_ATTEMPTS);
+        const planned = placement === undefined ? undefined : findEndpoints(context, placement);
+        if (placement === undefined || planned === undefined) {
+            return undefined;
+        }
+        if (await context.permits.acquire({ endpoints: [planned.endpoint, ...planned.helpers], permitsLeft })) {
+            return { ...planned, placement, settle: () => undefined };
+        }
+    }
 }
 
 /** Finds the endpoints of a placement. Returns `undefined` if this host does not know one of them. */
@@ -247,12 +280,17 @@
     context: ForwardingContext,
     exchange: Exchange,
     excludedIds: readonly string[],
+    mayBeRateLimited: boolean,
 ): PromptPlacement | undefined {
     const nowMs = performance.now();
     const { engine } = exchange.service;
     const { localFailureDomain: localDomain } = context.directory;
+    const permitsLeft = countLeft(exchange);
     const allLoads = listLoads(context, exchange.service.name, nowMs);
-    const loads = allLoads.filter(load => !excludedIds.includes(load.id));
+    const loads = allLoads.filter(load =>
+        !excludedIds.includes(load.id)
+        && (mayBeRateLimited ? context.permits.hasRoom(load.endpoint, permitsLeft) : !load.isRateLimited)
+    );
     if (engine === undefined) {
         const first = chooseLeastLoaded(loads, localDomain, Math.random());
         return first === undefined ? undefined : {
--- a/packages/forwarding/src/requests/queries/listLoads.ts
+++ b/packages/forwarding/src/requests/queries/listLoads.ts
@@ -1,4 +1,4 @@
-import type { FailureDomainId, ServiceId } from "@currantrill/protocol";
+import { type FailureDomainId, readClocks, type ServiceId } from "@currantrill/protocol";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { type EndpointHealth, getFailures, getSlowdown } from "../../endpoints/model/endpointHealth.js";
 import { emptyObservationSummary, type ObservationSummary } from "../../endpoints/model/endpointObservation.js";
@@ -21,6 +21,7 @@
     domain?: FailureDomainId,
 ): readonly CandidateLoad[] {
     const { directory, assignmentRegistry: registry } = context;
+    const now = readClocks();
     const known = registry.groupByEndpoint(nowMs);
     const summaries = context.peerObservations.summarize(nowMs);
     const ready = directory.listReady(service);
@@ -42,6 +43,7 @@
         assignments: groups.get(endpoint.entry.failureDomain)?.get(endpoint.entry.id) ?? [],
         domainUnresponsiveFraction: unresponsiveFractions.get(endpoint.entry.failureDomain) ?? 0,
         bias: endpoint.bias,
+        isRateLimited: endpoint.notices.getRateLimit(now) !== undefined,
     }));
 }
 
--- a/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
+++ b/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
@@ -1,4 +1,5 @@
 /** Reserves memory at all endpoints that take shards of a prompt, or at none of them. */
+import { readClocks } from "@currantrill/protocol";
 import { requestEndpoint } from "../../endpoints/commands/requestEndpoint.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
@@ -101,7 +102,7 @@
             protocol: context.protocol,
             // On a reused connection, a late copy of the reply to an earlier order could be taken for a grant.
             usesNewConnection: true,
-            onNotice: notice => endpoint.notices.record(notice, "order"),
+            onNotice: notice => endpoint.notices.record(notice, "order", readClocks()),
         });
         if (reply.status === 200) {
             return "held";
--- a/packages/forwarding/tests/directoryFixture.ts
+++ b/packages/forwarding/tests/directoryFixture.ts
@@ -33,6 +33,7 @@
         },
         log: bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 }),
         onConnect: () => undefined,
+        onNotice: () => undefined,
     });
     const rows = endpointIds.map((key, index) => ({ key, version: index, value: Buffer.from(domains[index] ?? "a") }));
     directory.applyRows(rows, false);
--- a/packages/forwarding/tests/endpoints/model/endpointDirectory.test.ts
+++ b/packages/forwarding/tests/endpoints/model/endpointDirectory.test.ts
@@ -40,6 +40,7 @@
         rows,
         log,
         onConnect: () => undefined,
+        onNotice: () => undefined,
     });
 }
 
--- a/packages/forwarding/tests/engineFixture.ts
+++ b/packages/forwarding/tests/engineFixture.ts
@@ -33,6 +33,7 @@
     domainUnresponsiveFraction: 0,
     bias: 0,
     slowdown: 1,
+    isRateLimited: false,
     ...changes,
 });
 
--- a/packages/forwarding/tests/notices/commands/rateLimit.test.ts
+++ b/packages/forwarding/tests/notices/commands/rateLimit.test.ts
@@ -123,6 +123,16 @@
         expect(atLimited).toBeGreaterThanOrEqual(2);
         expect(replies.map(reply => reply.status)).toEqual(replies.map(() => 200));
     });
+    // Guards against more requests than the limit allows while another host begins to grant them.
+    it("get no more than it allows while the host that grants permits is stopped", async () => {
+        const { hosts, arrivals } = await startFleet({ kind: "repeatable" }, [1, undefined]);
+        const stopped = hosts[0]?.host;
+        setTimeout(() => void stopped?.drain(), SETTLE_MS + WINDOW_MS / 3);
+        const { settledAtMs } = await sendLoad(hosts.slice(1));
+        const atLimited = arrivals[0]?.filter(atMs => atMs >= settledAtMs).length ?? 0;
+        expect(atLimited).toBeLessThanOrEqual(countAllowed(1));
+        expect(atLimited).toBeGreaterThanOrEqual(2);
+    });
     // Guards against requests that wait for an endpoint, or try all of them, if it is known that none may take them.
     it("share what they can take, and the rest is refused at once with a time to come back", async () => {
         const { hosts, arrivals } = await startFleet({ kind: "repeatable" }, [1, 2]);
--- /dev/null
+++ b/packages/forwarding/tests/notices/model/endpointNotices.test.ts
@@ -0,0 +1,74 @@
+import bunyan from "bunyan";
+import { describe, expect, it } from "vitest";
+import { createEndpointNotices, type EndpointNotices } from "../../../src/notices/model/endpointNotices.js";
+import { decodeNotice, encodeNotice } from "../../../src/notices/queries/noticeCodec.js";
+
+const at = (ms: number): { wallMs: number; monotonicMs: number; } => ({ wallMs: 1_000_000 + ms, monotonicMs: ms });
+
+function createNotices(): { notices: EndpointNotices; logged: Record<string, unknown>[]; changes: string[]; } {
+    const logged: Record<string, unknown>[] = [];
+    const changes: string[] = [];
+    const log = bunyan.createLogger({
+        name: "test",
+        streams: [{ type: "raw", stream: { write: (line: Record<string, unknown>) => logged.push(line) } as never }],
+    });
+    const notices = createEndpointNotices({ endpointId: "e", log, onChange: source => changes.push(source) });
+    return { notices, logged, changes };
+}
+
+describe("createEndpointNotices", () => {
+    it.each([
+        { name: "a limit", requestsPerSecond: 2.5, expected: 2.5 },
+        { name: "no limit", requestsPerSecond: undefined, expected: undefined },
+        { name: "zero, of which a rare request finds out whether it still holds", requestsPerSecond: 0, expected: 0.1 },
+        { name: "a limit that nobody reaches", requestsPerSecond: 1e9, expected: undefined },
+    ])("handles $name", ({ requestsPerSecond, expected }) => {
+        const { notices } = createNotices();
+        notices.record(requestsPerSecond === undefined ? {} : { requestsPerSecond }, "request", at(0));
+        expect(notices.getRateLimit(at(1))).toBe(expected);
+    });
+    // Guards against a malformed value ending a limit, and against a log line for each response with one.
+    it("keeps the limit at an invalid value, which is logged once", () => {
+        const { notices, logged } = createNotices();
+        notices.record({ requestsPerSecond: 2 }, "request", at(0));
+        notices.record({ invalidLimit: "many" }, "request", at(1));
+        notices.record({ invalidLimit: "many" }, "request", at(2));
+        expect(notices.getRateLimit(at(3))).toBe(2);
+        expect(logged.filter(line => line["msg"] === "endpoints: invalid rate limit ignored")).toHaveLength(1);
+    });
+    it.each([
+        { name: "a later limit of a peer", own: 2, told: { requestsPerSecond: 3, ageMs: 50 }, expected: 3 },
+        { name: "the later end of a limit", own: 2, told: { ageMs: 50 }, expected: undefined },
+        { name: "its own response if it is later", own: 2, told: { requestsPerSecond: 3, ageMs: 500 }, expected: 2 },
+    ])("follows $name", ({ own, told, expected }) => {
+        const { notices } = createNotices();
+        notices.record({ requestsPerSecond: own }, "request", at(0));
+        notices.adopt(told, at(100));
+        expect(notices.getRateLimit(at(100))).toBe(expected);
+    });
+    // Guards against a host that was suspended passing on an old limit as a new one: only its wall clock has moved.
+    it("counts the time of a suspension as age", () => {
+        const { notices } = createNotices();
+        notices.record({ requestsPerSecond: 2 }, "request", at(0));
+        expect(notices.share({ wallMs: 1_000_000 + 7_000, monotonicMs: 1 })).toEqual({
+            requestsPerSecond: 2,
+            ageMs: 7_000,
+        });
+    });
+    it("tells other hosts the end of a limit for a time, and forgets a limit that no response names any more", () => {
+        const { notices, changes } = createNotices();
+        notices.record({ requestsPerSecond: 2 }, "report", at(0));
+        expect(notices.getRateLimit(at(59_000))).toBe(2);
+        expect(notices.getRateLimit(at(61_000))).toBeUndefined();
+        notices.record({}, "request", at(62_000));
+        expect(notices.share(at(63_000))).toEqual({ ageMs: 1_000 });
+        expect(notices.share(at(80_000))).toBeUndefined();
+        expect(changes).toEqual(["report", "request"]);
+    });
+    it.each([
+        { endpointId: "e", processStartedAtMs: 5, requestsPerSecond: 1.5, ageMs: 20 },
+        { endpointId: "e", processStartedAtMs: 5, ageMs: 20 },
+    ])("survives its encoding: %j", notice => {
+        expect(decodeNotice(encodeNotice(notice))).toEqual(notice);
+    });
+});
--- a/packages/measure/src/placement/commands/runFleet.ts
+++ b/packages/measure/src/placement/commands/runFleet.ts
@@ -175,6 +175,7 @@
         domainUnresponsiveFraction: 0,
         bias: fleet.biases[host]?.[index] ?? 0,
         slowdown: 1,
+        isRateLimited: false,
     }));
 }
 
