Send nothing more to an endpoint that says in its responses that it leaves

Cause: the header of responses was not read, only the entry in the store; callers whose requests reach an endpoint after it has left get no answer.

Change: the statement is recorded like a rate limit, belongs to the endpoint's process, and travels in the same messages; a response that was sent earlier does not take it back.

The test with two hosts moved to fleetFixture.ts, its checks are unchanged.

--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -1,5 +1,5 @@
 /** Directory of the endpoints known from the platform's endpoint table, with their connection pools and health. */
-import type { FailureDomainId, ServiceId } from "@currantrill/protocol";
+import { type FailureDomainId, readClocks, type ServiceId } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointEntry } from "../../configuration/model/servingConfiguration.js";
 import { createEndpointNotices, type EndpointNotices, type NoticeSource } from "../../notices/model/endpointNotices.js";
@@ -25,7 +25,7 @@
     readonly localFailureDomain: FailureDomainId;
     readonly get: (id: string) => Endpoint | undefined;
     readonly findByAddress: (address: string) => Endpoint | undefined;
-    /** Lists the endpoints of a service that are not draining. */
+    /** Lists the endpoints of a service that are not draining, by their entries or their responses. */
     readonly listReady: (service: ServiceId) => readonly Endpoint[];
     readonly listAll: () => readonly Endpoint[];
     /**
@@ -112,8 +112,7 @@
         localFailureDomain: options.hostFailureDomain,
         get: id => endpoints.get(id),
         findByAddress: address => [...endpoints.values()].find(({ entry }) => entry.address === address),
-        listReady: service =>
-            [...endpoints.values()].filter(({ entry }) => entry.service === service && !entry.isDraining),
+        listReady: service => [...endpoints.values()].filter(createReadyFilter(service)),
         listAll: () => [...endpoints.values()],
         applyRows: (changed, afterOutage) => changed.forEach(row => applyRow(row, afterOutage)),
         markMisdirected: endpoint => {
@@ -128,5 +127,11 @@
     };
 }
 
+/** Creates a filter of the endpoints of a service that are not draining now. */
+function createReadyFilter(service: ServiceId): (endpoint: Endpoint) => boolean {
+    const now = readClocks();
+    return ({ entry, notices }) => entry.service === service && !entry.isDraining && !notices.isLeaving(now);
+}
+
 const isSameProcess = (a: EndpointEntry, b: EndpointEntry): boolean =>
     a.address === b.address && a.processStartedAtMs === b.processStartedAtMs && a.service === b.service;
--- a/packages/forwarding/src/notices/model/endpointNotices.ts
+++ b/packages/forwarding/src/notices/model/endpointNotices.ts
@@ -12,6 +12,8 @@
 const MAX_REQUESTS_PER_SECOND = 1_000;
 /** A limit that no response has named for this time is forgotten. The lowest limit allows a request every 10 s. */
 const LIMIT_VALID_MS = 60_000;
+/** Time after which a leaving endpoint that still runs and no longer says so is used again. */
+const LEAVING_VALID_MS = 60_000;
 /** Time for which hosts tell each other that an endpoint no longer names a limit. */
 const SHARE_END_MS = 10_000;
 
@@ -20,6 +22,8 @@
     readonly requestsPerSecond?: number;
     /** Time since the response, in milliseconds. */
     readonly ageMs: number;
+    /** Time since the last response that says that the endpoint leaves; absent if none does. */
+    readonly leavingAgeMs?: number;
 }
 
 export interface EndpointNotices {
@@ -31,6 +35,8 @@
     readonly share: (now: Clocks) => SharedNotice | undefined;
     /** Returns the requests a second that the endpoint takes from all hosts together, `undefined` without a limit. */
     readonly getRateLimit: (now: Clocks) => number | undefined;
+    /** Returns whether the endpoint has said that it leaves. A later response without that does not take it back. */
+    readonly isLeaving: (now: Clocks) => boolean;
 }
 
 export interface EndpointNoticesOptions {
@@ -48,7 +54,22 @@
 /** Creates the notices of an endpoint that has not responded yet. */
 export function createEndpointNotices({ endpointId, log, onChange }: EndpointNoticesOptions): EndpointNotices {
     let last: Statement | undefined;
+    let leavingHeardAt: Clocks | undefined;
     let hasLoggedInvalid = false;
+    const getLeavingAgeMs = (now: Clocks): number =>
+        leavingHeardAt === undefined ? Infinity : measureElapsed(leavingHeardAt, now);
+    const isLeaving = (now: Clocks): boolean => getLeavingAgeMs(now) <= LEAVING_VALID_MS;
+    const markLeaving = (ageMs: number, now: Clocks, source: NoticeSource): void => {
+        const isNews = !isLeaving(now);
+        if (ageMs >= Math.min(getLeavingAgeMs(now), LEAVING_VALID_MS)) {
+            return;
+        }
+        leavingHeardAt = subtractAge(now, ageMs);
+        if (isNews) {
+            log.info({ endpoint: endpointId, source }, "endpoints: leaving");
+            onChange(source);
+        }
+    };
     const set = (requestsPerSecond: number | undefined, heardAt: Clocks, source: NoticeSource): void => {
         const previous = last?.requestsPerSecond;
         last = { requestsPerSecond, heardAt };
@@ -58,7 +79,10 @@
         }
     };
     return {
-        record: ({ requestsPerSecond, invalidLimit }, source, now) => {
+        record: ({ requestsPerSecond, invalidLimit, isLeaving: saysLeaving }, source, now) => {
+            if (saysLeaving) {
+                markLeaving(0, now, source);
+            }
             if (invalidLimit === undefined) {
                 hasLoggedInvalid = false;
                 set(requestsPerSecond, now, source);
@@ -69,10 +93,12 @@
                 log.warn({ endpoint: endpointId, value: invalidLimit }, "endpoints: invalid rate limit ignored");
             }
         },
-        adopt: ({ requestsPerSecond, ageMs }, now) => {
+        adopt: ({ requestsPerSecond, ageMs, leavingAgeMs }, now) => {
+            if (leavingAgeMs !== undefined) {
+                markLeaving(leavingAgeMs, now, "peer");
+            }
             if (last === undefined || measureElapsed(last.heardAt, now) > ageMs) {
-                const heardAt = { wallMs: now.wallMs - ageMs, monotonicMs: now.monotonicMs - ageMs };
-                set(requestsPerSecond, heardAt, "peer");
+                set(requestsPerSecond, subtractAge(now, ageMs), "peer");
             }
         },
         share: now => {
@@ -81,9 +107,14 @@
             }
             const { requestsPerSecond } = last;
             const ageMs = measureElapsed(last.heardAt, now);
-            return ageMs > (requestsPerSecond === undefined ? SHARE_END_MS : LIMIT_VALID_MS)
+            const isCurrent = ageMs <= (requestsPerSecond === undefined ? SHARE_END_MS : LIMIT_VALID_MS);
+            return !isCurrent && !isLeaving(now)
                 ? undefined
-                : { ageMs, ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }) };
+                : {
+                    ageMs,
+                    ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }),
+                    ...(isLeaving(now) ? { leavingAgeMs: getLeavingAgeMs(now) } : {}),
+                };
         },
         getRateLimit: now => {
             if (last?.requestsPerSecond === undefined || measureElapsed(last.heardAt, now) > LIMIT_VALID_MS) {
@@ -92,5 +123,11 @@
             const limit = Math.max(MIN_REQUESTS_PER_SECOND, last.requestsPerSecond);
             return limit > MAX_REQUESTS_PER_SECOND ? undefined : limit;
         },
+        isLeaving,
     };
 }
+
+const subtractAge = ({ wallMs, monotonicMs }: Clocks, ageMs: number): Clocks => ({
+    wallMs: wallMs - ageMs,
+    monotonicMs: monotonicMs - ageMs,
+});
--- a/packages/forwarding/src/notices/queries/noticeCodec.ts
+++ b/packages/forwarding/src/notices/queries/noticeCodec.ts
@@ -15,6 +15,7 @@
     processStartedAtMs: number,
     requestsPerSecond: number | null,
     ageMs: number,
+    leavingAgeMs: number | null,
 ];
 
 /** Most notices in a message, about 10 KB. */
@@ -34,14 +35,21 @@
 
 /** Ages are rounded up, so that nothing becomes younger by being told. */
 export const encodeNotice = (
-    { endpointId, processStartedAtMs, requestsPerSecond, ageMs }: NoticeReport,
-): NoticeRow => [endpointId, processStartedAtMs, requestsPerSecond ?? null, Math.ceil(ageMs)];
+    { endpointId, processStartedAtMs, requestsPerSecond, ageMs, leavingAgeMs }: NoticeReport,
+): NoticeRow => [
+    endpointId,
+    processStartedAtMs,
+    requestsPerSecond ?? null,
+    Math.ceil(ageMs),
+    leavingAgeMs === undefined ? null : Math.ceil(leavingAgeMs),
+];
 
 export const decodeNotice = (
-    [endpointId, processStartedAtMs, requestsPerSecond, ageMs]: NoticeRow,
+    [endpointId, processStartedAtMs, requestsPerSecond, ageMs, leavingAgeMs]: NoticeRow,
 ): NoticeReport => ({
     endpointId,
     processStartedAtMs,
     ageMs,
     ...(requestsPerSecond === null ? {} : { requestsPerSecond }),
+    ...(leavingAgeMs === null ? {} : { leavingAgeMs }),
 });
--- a/packages/forwarding/src/ports/endpointProtocol.ts
+++ b/packages/forwarding/src/ports/endpointProtocol.ts
@@ -29,6 +29,8 @@
     readonly requestsPerSecond?: number;
     /** Value of a limit that is not valid. It neither sets a limit nor ends one. */
     readonly invalidLimit?: string;
+    /** Whether the endpoint is about to end, and wants no further requests. */
+    readonly isLeaving: boolean;
 }
 
 /** Metadata of an endpoint's response, from its status and headers. */
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -43,7 +43,10 @@
         isMisdirected: status === 421,
         isSigned: headers["t-signature"] !== undefined,
         isEncoded: headers["content-encoding"] !== undefined,
-        notice: headers["t-limit"] === undefined ? {} : { requestsPerSecond: Number(headers["t-limit"]) },
+        notice: {
+            ...(headers["t-limit"] === undefined ? {} : { requestsPerSecond: Number(headers["t-limit"]) }),
+            isLeaving: headers["t-leaving"] !== undefined,
+        },
     }),
     buildReservation: order => ({ method: "POST", path: "/reserve", body: JSON.stringify(order) }),
     buildRelease: id => ({ method: "POST", path: "/release", body: JSON.stringify({ id }) }),
--- a/packages/forwarding/tests/notices/commands/rateLimit.test.ts
+++ b/packages/forwarding/tests/notices/commands/rateLimit.test.ts
@@ -1,25 +1,15 @@
-import { request } from "undici";
-import { afterEach, describe, expect, it } from "vitest";
+import { describe, expect, it } from "vitest";
 import type { Route } from "../../../src/configuration/model/servingConfiguration.js";
 import {
     beginStream,
-    createRoute,
     type EndpointScript,
     endStream,
     formatEvent,
-    startEndpoint,
-    startTestHost,
-    type TestEndpoint,
     type TestHost,
-    waitUntil,
     writeAnswer,
     writeChunk,
 } from "../../hostFixture.js";
-
-const closers: (() => unknown)[] = [];
-afterEach(async () => {
-    await Promise.all(closers.splice(0).map(close => close()));
-});
+import { type Reply, sendRequest, startFleet, type TestFleet } from "../fleetFixture.js";
 
 /** Time in which the fleet has to begin to keep to a limit. */
 const SETTLE_MS = 1_000;
@@ -31,69 +21,32 @@
 
 const formatLimit = (requestsPerSecond: number): string => `t-limit: ${requestsPerSecond}\r\n`;
 
-interface Reply {
-    readonly status: number;
-    readonly retryAfter: string | undefined;
-    readonly durationMs: number;
-}
-
 /** Starts two hosts before endpoints, each of which names its limit, or none, in all responses. */
-async function startFleet(
+async function startLimitedFleet(
     route: Partial<Route>,
     limits: readonly (number | undefined)[],
-): Promise<{ hosts: TestHost[]; arrivals: number[][]; }> {
-    const arrivals: number[][] = limits.map(() => []);
-    const endpoints: TestEndpoint[] = [];
-    const script = (index: number): EndpointScript => (received, socket) => {
-        arrivals[index]?.push(performance.now());
-        const limit = limits[index];
+): Promise<TestFleet> {
+    const scripts = limits.map((limit): EndpointScript => {
         const header = limit === undefined ? "" : formatLimit(limit);
-        if (route.kind !== "stream") {
-            writeAnswer(socket, received, 200, "ok", header);
-            return;
-        }
-        beginStream(socket, received, header);
-        writeChunk(socket, formatEvent(1));
-        writeChunk(socket, formatEvent(2));
-        endStream(socket);
-    };
-    for (const index of limits.keys()) {
-        endpoints.push(await startEndpoint(`e${index}`, script(index)));
-    }
-    closers.push(...endpoints.map(endpoint => endpoint.close));
+        return (received, socket) => {
+            if (route.kind !== "stream") {
+                writeAnswer(socket, received, 200, "ok", header);
+                return;
+            }
+            beginStream(socket, received, header);
+            writeChunk(socket, formatEvent(1));
+            writeChunk(socket, formatEvent(2));
+            endStream(socket);
+        };
+    });
+    const fleet = await startFleet(route, scripts);
     limits.forEach((limit, index) => {
-        const endpoint = endpoints[index];
+        const endpoint = fleet.endpoints[index];
         if (endpoint !== undefined && limit !== undefined) {
             endpoint.reportHeaders = formatLimit(limit);
         }
     });
-    const routes = [createRoute(route)];
-    const first = await startTestHost(routes, endpoints, { graceMs: 200 });
-    const second = await startTestHost(routes, endpoints, {
-        graceMs: 200,
-        store: first.store,
-        ip: "127.0.0.2",
-        peerPort: Number(first.listen.peers.split(":")[1]),
-        seeds: ["127.0.0.1:1"],
-    });
-    const hosts = [first, second];
-    closers.push(...hosts.map(({ host }) => () => host.drain()));
-    await waitUntil(() => hosts.every(({ logged }) => logged.some(line => line["msg"] === "peers: peer is alive")));
-    return { hosts, arrivals };
-}
-
-async function sendRequest(host: TestHost, id: string): Promise<Reply> {
-    const startedAtMs = performance.now();
-    const response = await request(`${host.url}/r/x`, {
-        method: "POST",
-        headers: { "host": "desk.example", "t-id": id },
-    });
-    await response.body.text();
-    return {
-        status: response.statusCode,
-        retryAfter: response.headers["retry-after"]?.toString(),
-        durationMs: performance.now() - startedAtMs,
-    };
+    return fleet;
 }
 
 /** Sends requests to the hosts in turn, until the window has ended after the fleet has settled. */
@@ -116,7 +69,7 @@
 describe("endpoints that name a rate limit", () => {
     // Guards against hosts that each keep to a limit, or to none, while the sum of their requests exceeds it.
     it.each(kinds)("get no more $name from all hosts together than it allows", async ({ route }) => {
-        const { hosts, arrivals } = await startFleet(route, [1, undefined, undefined]);
+        const { hosts, arrivals } = await startLimitedFleet(route, [1, undefined, undefined]);
         const { replies, settledAtMs } = await sendLoad(hosts);
         const atLimited = arrivals[0]?.filter(atMs => atMs >= settledAtMs).length ?? 0;
         expect(atLimited).toBeLessThanOrEqual(countAllowed(1));
@@ -125,7 +78,7 @@
     });
     // Guards against more requests than the limit allows while another host begins to grant them.
     it("get no more than it allows while the host that grants permits is stopped", async () => {
-        const { hosts, arrivals } = await startFleet({ kind: "repeatable" }, [1, undefined]);
+        const { hosts, arrivals } = await startLimitedFleet({ kind: "repeatable" }, [1, undefined]);
         const stopped = hosts[0]?.host;
         setTimeout(() => void stopped?.drain(), SETTLE_MS + WINDOW_MS / 3);
         const { settledAtMs } = await sendLoad(hosts.slice(1));
@@ -135,7 +88,7 @@
     });
     // Guards against requests that wait for an endpoint, or try all of them, if it is known that none may take them.
     it("share what they can take, and the rest is refused at once with a time to come back", async () => {
-        const { hosts, arrivals } = await startFleet({ kind: "repeatable" }, [1, 2]);
+        const { hosts, arrivals } = await startLimitedFleet({ kind: "repeatable" }, [1, 2]);
         const { replies, settledAtMs } = await sendLoad(hosts);
         const counts = arrivals.map(times => times.filter(atMs => atMs >= settledAtMs).length);
         expect(counts[0]).toBeLessThanOrEqual(countAllowed(1));
