Send an endpoint nothing for the time that its refusal states

Cause: hosts read that a request was refused, not the time for which the endpoint wants no more; callers wait for attempts that are known to fail, and an endpoint in need gets them all the same.

Change: a 503 with a time pauses the endpoint for the host that got it: no requests, probes or new reservations, a minute at most. It is not told to other hosts; coordinators get the endpoint as one not to use. If all endpoints of the service want none, the request is refused at once with the time that is left.

--- a/packages/forwarding/src/endpoints/commands/startProbing.ts
+++ b/packages/forwarding/src/endpoints/commands/startProbing.ts
@@ -1,4 +1,5 @@
 /** Probes unresponsive endpoints until they respond again, and the endpoints that this host monitors. */
+import { readClocks } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { Endpoint, EndpointDirectory } from "../model/endpointDirectory.js";
@@ -57,7 +58,7 @@
         unresponsive.filter(endpoint => !probesInFlight.has(endpoint)).forEach(endpoint => endpoint.pool.discardIdle());
         const monitored = ticks % TICKS_PER_MONITOR_PROBE === 0 ? options.listMonitored() : [];
         for (const endpoint of new Set([...unresponsive, ...monitored])) {
-            if (!probesInFlight.has(endpoint)) {
+            if (!probesInFlight.has(endpoint) && endpoint.notices.getPauseMs(readClocks()) === 0) {
                 void probe(endpoint);
             }
         }
--- a/packages/forwarding/src/notices/model/endpointNotices.ts
+++ b/packages/forwarding/src/notices/model/endpointNotices.ts
@@ -2,6 +2,7 @@
 import { type Clocks, measureElapsed } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointNotice } from "../../ports/endpointProtocol.js";
+import { createPause } from "./pause.js";
 
 /** What a response answers, as written to the log; `peer` if another host has got the response. */
 export type NoticeSource = "request" | "order" | "report" | "peer";
@@ -37,6 +38,8 @@
     readonly getRateLimit: (now: Clocks) => number | undefined;
     /** Returns whether the endpoint has said that it leaves. A later response without that does not take it back. */
     readonly isLeaving: (now: Clocks) => boolean;
+    /** Returns the time in which the endpoint wants no request of this host, in milliseconds. */
+    readonly getPauseMs: (now: Clocks) => number;
 }
 
 export interface EndpointNoticesOptions {
@@ -55,6 +58,7 @@
 export function createEndpointNotices({ endpointId, log, onChange }: EndpointNoticesOptions): EndpointNotices {
     let last: Statement | undefined;
     let leavingHeardAt: Clocks | undefined;
+    const pause = createPause({ endpointId, log });
     let hasLoggedInvalid = false;
     const getLeavingAgeMs = (now: Clocks): number =>
         leavingHeardAt === undefined ? Infinity : measureElapsed(leavingHeardAt, now);
@@ -79,7 +83,10 @@
         }
     };
     return {
-        record: ({ requestsPerSecond, invalidLimit, isLeaving: saysLeaving }, source, now) => {
+        record: ({ requestsPerSecond, invalidLimit, isLeaving: saysLeaving, pauseMs }, source, now) => {
+            if (pauseMs !== undefined) {
+                pause.extend(pauseMs, now);
+            }
             if (saysLeaving) {
                 markLeaving(0, now, source);
             }
@@ -124,6 +131,7 @@
             return limit > MAX_REQUESTS_PER_SECOND ? undefined : limit;
         },
         isLeaving,
+        getPauseMs: pause.getRemainingMs,
     };
 }
 
--- a/packages/forwarding/src/permits/commands/startPermits.ts
+++ b/packages/forwarding/src/permits/commands/startPermits.ts
@@ -36,8 +36,8 @@
     /** Grants permits as the host that does so for the endpoints. Returns `false` if it is another one, or without room. */
     readonly grant: (request: PermitRequest) => boolean;
     /**
-     * Returns the time until an endpoint of the service may have room, in milliseconds, if all of them are without;
-     * otherwise `undefined`.
+     * Returns the time until an endpoint of the service may take a request of this host, in milliseconds, if all of them
+     * have no permit or want none; otherwise `undefined`.
      */
     readonly getWaitMs: (service: ServiceId, permitsLeft: number) => number | undefined;
 }
@@ -124,7 +124,10 @@
                 && ledger.grant(limited.map(({ need }) => need), performance.now()).isGranted;
         },
         getWaitMs: (service, permitsLeft) => {
-            const waitsMs = directory.listReady(service).map(endpoint => getEndpointWaitMs(endpoint, permitsLeft));
+            const now = readClocks();
+            const waitsMs = directory.listReady(service).map(endpoint =>
+                Math.max(getEndpointWaitMs(endpoint, permitsLeft), endpoint.notices.getPauseMs(now))
+            );
             return waitsMs.length > 0 && waitsMs.every(waitMs => waitMs > 0) ? Math.min(...waitsMs) : undefined;
         },
     };
--- a/packages/forwarding/src/ports/endpointProtocol.ts
+++ b/packages/forwarding/src/ports/endpointProtocol.ts
@@ -31,6 +31,8 @@
     readonly invalidLimit?: string;
     /** Whether the endpoint is about to end, and wants no further requests. */
     readonly isLeaving: boolean;
+    /** Time in which the endpoint wants no further request of this host, in milliseconds. */
+    readonly pauseMs?: number;
 }
 
 /** Metadata of an endpoint's response, from its status and headers. */
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -11,7 +11,7 @@
     | "not_run"
     /** The prompt has a part that crashes endpoints. */
     | "part_isolated"
-    /** All endpoints of the service have got as many requests as the limits that they name allow. */
+    /** All endpoints of the service have got as many requests as they allow, or want none for a time. */
     | "rate_limited"
     | "no_route"
     | "key_unknown"
@@ -40,7 +40,7 @@
     },
     rate_limited: {
         status: 503,
-        message: "all endpoints have reached the rate limits that they name",
+        message: "no endpoint takes a further request for now, by the limits that they state",
         retryAfterSeconds: 0.4,
     },
     no_route: { status: 404, message: "no route matches the host and path" },
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -7,6 +7,7 @@
 import { chooseLeastLoaded } from "../../placement/queries/chooseLeastLoaded.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
+import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
 import { runAttempt } from "./runAttempt.js";
@@ -125,7 +126,8 @@
     for (let attempt = 1;; attempt += 1) {
         const loads = listLoads(context, exchange.service.name, performance.now()).filter(load =>
             !tried.has(load.endpoint)
-            && (attempt <= MAX_PERMIT_ATTEMPTS ? context.permits.hasRoom(load.endpoint, 0) : !load.isRateLimited)
+            && isAvailable(context, load, 0)
+            && (attempt <= MAX_PERMIT_ATTEMPTS || !load.isRateLimited)
         );
         const chosen = chooseLeastLoaded(loads, context.directory.localFailureDomain, Math.random());
         const endpoint = loads.find(load => load === chosen)?.endpoint;
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -1,4 +1,5 @@
 /** Serves requests whose response is a stream of server-sent events. */
+import { readClocks, type ServiceId } from "@currantrill/protocol";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { countPermitsLeft } from "../../permits/queries/countPermitsLeft.js";
@@ -13,6 +14,7 @@
 import type { Admission } from "../../quarantine/commands/startQuarantine.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
 import type { Exchange } from "../model/exchange.js";
+import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import {
     ANSWER_EVENTS,
@@ -226,7 +228,7 @@
         ? await context.placePrompt({
             ...describePrompt(exchange, performance.now()),
             service: exchange.service.name,
-            excludedIds,
+            excludedIds: [...excludedIds, ...listPausedIds(context, exchange.service.name)],
         })
         : undefined;
     const found = coordinated === undefined ? undefined : findEndpoints(context, coordinated.placement);
@@ -256,6 +258,14 @@
     }
 }
 
+/** Lists the endpoints that want no request of this host now, which the coordinator does not know. */
+function listPausedIds({ directory }: ForwardingContext, service: ServiceId): readonly string[] {
+    const now = readClocks();
+    return directory.listReady(service)
+        .filter(endpoint => endpoint.notices.getPauseMs(now) > 0)
+        .map(endpoint => endpoint.entry.id);
+}
+
 /** Finds the endpoints of a placement. Returns `undefined` if this host does not know one of them. */
 function findEndpoints(
     { directory }: ForwardingContext,
@@ -289,7 +299,8 @@
     const allLoads = listLoads(context, exchange.service.name, nowMs);
     const loads = allLoads.filter(load =>
         !excludedIds.includes(load.id)
-        && (mayBeRateLimited ? context.permits.hasRoom(load.endpoint, permitsLeft) : !load.isRateLimited)
+        && isAvailable(context, load, permitsLeft)
+        && (mayBeRateLimited || !load.isRateLimited)
     );
     if (engine === undefined) {
         const first = chooseLeastLoaded(loads, localDomain, Math.random());
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -46,6 +46,7 @@
         notice: {
             ...(headers["t-limit"] === undefined ? {} : { requestsPerSecond: Number(headers["t-limit"]) }),
             isLeaving: headers["t-leaving"] !== undefined,
+            ...(headers["t-pause"] === undefined ? {} : { pauseMs: Number(headers["t-pause"]) }),
         },
     }),
     buildReservation: order => ({ method: "POST", path: "/reserve", body: JSON.stringify(order) }),
--- a/packages/forwarding/tests/notices/model/endpointNotices.test.ts
+++ b/packages/forwarding/tests/notices/model/endpointNotices.test.ts
@@ -80,6 +80,16 @@
         notices.adopt({ ageMs: leavingAgeMs, leavingAgeMs }, at(0));
         expect(notices.isLeaving(at(0))).toBe(expected);
     });
+    it.each([
+        { name: "for the time that it states", pauseMs: 2_000, afterMs: 500, expected: 1_500 },
+        { name: "not after that time", pauseMs: 2_000, afterMs: 2_500, expected: 0 },
+        { name: "for a minute at most", pauseMs: 1e12, afterMs: 0, expected: 60_000 },
+    ])("pauses $name", ({ pauseMs, afterMs, expected }) => {
+        const { notices, changes } = createNotices();
+        notices.record({ ...silent, pauseMs }, "request", at(0));
+        expect(notices.getPauseMs(at(afterMs))).toBe(expected);
+        expect(changes).toEqual([]);
+    });
     it("tells other hosts the end of a limit for a time, and forgets a limit that no response names any more", () => {
         const { notices, changes } = createNotices();
         notices.record({ ...silent, requestsPerSecond: 2 }, "report", at(0));
