Log when the store has been restored, and what a rejected read had

Cause: nothing in the logs tells which history of the store an answer is from.

Change: the adapter reads the number of the history from each response, the host logs when it rises, and a rejected read is logged with its position.

--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -163,7 +163,7 @@
 ): Quarantine => startQuarantine({ log, protocol, table: rows.quarantineTable, ...more });
 
 const createStoreSource = (
-    { settings, createSource }: ForwardingOptions,
+    { settings, createSource, log }: ForwardingOptions,
     metrics: ForwardingMetrics,
 ): ReturnType<CreateTableSource> =>
     createSource({
@@ -171,8 +171,20 @@
         callTimeoutMs: STORE_CALL_TIMEOUT_MS,
         maxBackoffMs: MAX_STORE_BACKOFF_MS,
         onCall: (operation, outcome) => metrics.storeCalls.inc({ operation, outcome }),
+        onEra: createEraLog(log),
     });
 
+/** Creates the function that logs when the store has been restored from an older copy. */
+function createEraLog(log: Logger): (era: number) => void {
+    let known: number | undefined;
+    return era => {
+        if (era !== known) {
+            log.info({ era, previous: known }, "store: era changed");
+            known = era;
+        }
+    };
+}
+
 /** Creates a generator of ids that are unique among all hosts and all runs of their processes. */
 function createIdGenerator(hostId: string): () => string {
     const incarnation = Date.now().toString(36);
--- a/packages/forwarding/src/ports/tableSource.ts
+++ b/packages/forwarding/src/ports/tableSource.ts
@@ -44,6 +44,8 @@
     readonly maxBackoffMs: number;
     /** Called after each call, for metrics. */
     readonly onCall: (operation: string, outcome: string) => void;
+    /** Called with the number of the store's history in each response; it rises when an older copy is restored. */
+    readonly onEra: (era: number) => void;
 }
 
 /** Creates the access to a store. */
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -81,7 +81,7 @@
             adopt(update, outage.end(replica.version));
             return;
         }
-        log.warn({ table, version: replica.version }, "replica: ignoring a store read that is older than the replica");
+        logStaleRead(log, replica, snapshot);
         await sleep(STALE_READ_DELAY_MS);
     };
     const isCopyOverdue = (): boolean =>
@@ -136,4 +136,7 @@
     };
 }
 
+const logStaleRead = (log: Logger, { table, version }: TableReplica, { version: read }: TableChanges): void =>
+    log.warn({ table, version, read }, "replica: ignoring a store read that is older than the replica");
+
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
