Suggest no wait that ends before another caller takes the next permit

Cause: a request that no endpoint takes for now was refused with the time until the next permit, down to 0; callers that wait for the same permit came back at once. rateLimit.test.ts failed once in a whole run of the unit tests.

Ruled out: load. The suggested waits of the failing run are 0.046 to 0.091 s on an idle machine, and one that rounds to 0 is a matter of chance.

--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -7,6 +7,7 @@
 import { chooseLeastLoaded } from "../../placement/queries/chooseLeastLoaded.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
+import { getRetrySeconds } from "../queries/getRetrySeconds.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
@@ -20,7 +21,6 @@
 /** Number of endpoints for which a permit is requested. After that only endpoints without a rate limit are used. */
 const MAX_PERMIT_ATTEMPTS = 3;
 const MIN_SERVER_ERROR_STATUS = 500;
-const MS_PER_SECOND = 1_000;
 
 interface CallResponse {
     readonly status: number;
@@ -262,17 +262,16 @@
         sendResponse(exchange, state, state.fallback);
         return;
     }
-    const waitMs = context.permits.getWaitMs(exchange.service.name, 0);
-    const waitSeconds = waitMs === undefined ? undefined : waitMs / MS_PER_SECOND;
+    const retrySeconds = getRetrySeconds(context, exchange.service.name, 0);
     const reason: RefusalReason = state.mayHaveRun
         ? "outcome_unknown"
-        : waitMs !== undefined
+        : retrySeconds !== undefined
         ? "rate_limited"
         : state.tried.size === 0
         ? "no_endpoint"
         : "not_run";
     const headers = context.callers.buildResponseHeaders(exchange.requestId);
-    sendRefusal(exchange.response, reason, headers, reason === "rate_limited" ? waitSeconds : undefined);
+    sendRefusal(exchange.response, reason, headers, reason === "rate_limited" ? retrySeconds : undefined);
     state.finish(reason);
 }
 
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -14,6 +14,7 @@
 import type { Admission } from "../../quarantine/commands/startQuarantine.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
 import type { Exchange } from "../model/exchange.js";
+import { getRetrySeconds } from "../queries/getRetrySeconds.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import {
@@ -171,12 +172,12 @@
 
 /** Refuses a request for which there is no endpoint, and which has not run. */
 function refuseUnplaced(context: ForwardingContext, exchange: Exchange, wasTried: boolean): string {
-    const waitMs = context.permits.getWaitMs(exchange.service.name, countLeft(exchange));
-    if (waitMs === undefined) {
+    const retrySeconds = getRetrySeconds(context, exchange.service.name, countLeft(exchange));
+    if (retrySeconds === undefined) {
         return finishWithRefusal(context, exchange, wasTried ? "not_run" : "no_endpoint");
     }
     const headers = context.callers.buildResponseHeaders(exchange.requestId);
-    sendRefusal(exchange.response, "rate_limited", headers, waitMs / MS_PER_SECOND);
+    sendRefusal(exchange.response, "rate_limited", headers, retrySeconds);
     return "rate_limited";
 }
 
--- a/packages/forwarding/tests/notices/commands/rateLimit.test.ts
+++ b/packages/forwarding/tests/notices/commands/rateLimit.test.ts
@@ -95,7 +95,7 @@
         expect(counts[1]).toBeLessThanOrEqual(countAllowed(2));
         const refused = replies.filter(reply => reply.status === 503);
         expect(refused.length).toBeGreaterThan(replies.length / 2);
-        expect(refused.every(reply => Number(reply.retryAfter) > 0)).toBe(true);
-        expect(refused.every(reply => reply.durationMs < 1_000)).toBe(true);
+        expect(refused.filter(reply => !(Number(reply.retryAfter) > 0.1))).toEqual([]);
+        expect(refused.filter(reply => reply.durationMs >= 1_000)).toEqual([]);
     });
 });
