Order positions in the store by its era, and keep what was confirmed

Cause: positions were compared as ever growing numbers. A store that is restored from an older copy gives out the numbers of lost changes again, so that hosts rejected it until it had as many changes as before, and then took other changes for known ones.

Ruled out by the logs: a feed that goes on from a position of the lost history (the store answers 410).

The active configuration is copied between hosts by its own version. Endpoints without an entry are kept while they respond, those that drain stay so, and hosts write their own rows again. Messages have a new layout.

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -11,7 +11,7 @@
 import { startTableSynchronization, type TableSynchronization } from "../peers/commands/synchronizeTables.js";
 import type { PeerHeader } from "../peers/model/peerState.js";
 import { type Permits, startPermits } from "../permits/commands/startPermits.js";
-import type { TrackedTable } from "../replicas/commands/trackTable.js";
+import type { SharedTable } from "../replicas/model/sharedTable.js";
 
 export interface FleetConnection {
     readonly peers: Peers;
@@ -23,7 +23,8 @@
 /** Connects the host. Rejects if the peer address cannot be bound. */
 export async function connectFleet(
     context: ForwardingContext,
-    sharedTables: ReadonlyMap<string, TrackedTable>,
+    sharedTables: ReadonlyMap<string, SharedTable>,
+    isStoreUnavailable: () => boolean,
 ): Promise<FleetConnection> {
     const { log, metrics } = context;
     const address = context.settings.listen.peers;
@@ -37,7 +38,7 @@
     const peers = startHostPeers({
         context,
         socket,
-        sharedTables,
+        isStoreUnavailable,
         synchronization,
         getSettledQuery: () => coordination.getSettledQuery(),
     });
@@ -60,7 +61,7 @@
 interface HostPeersOptions {
     readonly context: ForwardingContext;
     readonly socket: PeerSocket;
-    readonly sharedTables: ReadonlyMap<string, TrackedTable>;
+    readonly isStoreUnavailable: () => boolean;
     readonly synchronization: TableSynchronization;
     readonly getSettledQuery: () => number;
 }
@@ -69,7 +70,7 @@
 const DOMAIN_SOURCE_PREFIX = "domain:";
 
 function startHostPeers(options: HostPeersOptions): Peers {
-    const { context, sharedTables, synchronization } = options;
+    const { context, synchronization } = options;
     const { settings, directory, assignmentRegistry: registry, log, peerObservations: observations } = context;
     const getObservations = (): readonly EndpointObservation[] =>
         listEndpointObservations(directory, performance.now());
@@ -108,7 +109,7 @@
             ),
         getEvidence: () => context.quarantine.share(performance.now()),
         getNotices: () => listNoticeReports(directory, readClocks()),
-        isStoreUnavailable: () => [...sharedTables.values()].some(table => table.isStoreUnavailable()),
+        isStoreUnavailable: options.isStoreUnavailable,
         getSettledQuery: options.getSettledQuery,
         onState: state => {
             synchronization.synchronizeWith(state.address, state.lastChangeVersions);
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -15,7 +15,7 @@
 import { createAssignmentRegistry } from "../placement/model/assignmentRegistry.js";
 import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows, TableSource } from "../ports/index.js";
 import { type Quarantine, type QuarantineOptions, startQuarantine } from "../quarantine/commands/startQuarantine.js";
-import type { TrackedTable } from "../replicas/commands/trackTable.js";
+import type { SharedTable } from "../replicas/model/sharedTable.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import { connectFleet } from "./connectFleet.js";
 import { drainForwarding } from "./drainForwarding.js";
@@ -100,19 +100,20 @@
         inFlight: 0,
     };
     const servers = await serveForwarding(context);
-    const sharedTables = new Map<string, TrackedTable>();
-    const fleet = await connectFleet(context, sharedTables);
+    const sharedTables = new Map<string, SharedTable>();
+    const fleet = await connectFleet(context, sharedTables, () => tables.isStoreUnavailable());
     const { peers } = fleet;
     isConnected = true;
-    const tables = trackTables({ rows, source, log, configuration, directory, peers, sharedTables });
-    const stopUpkeep = startUpkeep(context, options, source, peers);
+    const upkeep = startUpkeep(context, options, source, peers);
+    const { restoreWrites: onRestored } = upkeep;
+    const tables = trackTables({ rows, source, log, configuration, directory, peers, sharedTables, onRestored });
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
     let drained: Promise<void> | undefined;
     const stop = async (): Promise<void> => {
         peers.announceLeaving();
         await drainForwarding(context, servers);
         tables.stop();
-        stopUpkeep();
+        upkeep.stop();
         quarantine.close();
         directory.close();
         await fleet.close();
@@ -129,14 +130,20 @@
     };
 }
 
-/** Starts what the host does at intervals. Returns a function that stops it. */
+interface Upkeep {
+    /** Writes to the store again what this host has written there. */
+    readonly restoreWrites: () => void;
+    readonly stop: () => void;
+}
+
+/** Starts what the host does at intervals. */
 function startUpkeep(
     context: ForwardingContext,
     { settings, log, protocol, rows }: ForwardingOptions,
     source: TableSource,
     { fleet }: Peers,
-): () => void {
-    const stopPublishing = publishHost({
+): Upkeep {
+    const publication = publishHost({
         source,
         table: rows.hostTable,
         address: settings.listen.peers,
@@ -150,10 +157,16 @@
         listMonitored: () => listMonitoredEndpoints(context, fleet.listLocalDomain(), settings.listen.peers),
     });
     const gaugeTimer = setInterval(() => updateGauges(context, fleet.countHosts()), GAUGE_INTERVAL_MS);
-    return () => {
-        stopPublishing();
-        stopProbing();
-        clearInterval(gaugeTimer);
+    return {
+        restoreWrites: () => {
+            publication.republish();
+            context.quarantine.saveAll();
+        },
+        stop: () => {
+            publication.stop();
+            stopProbing();
+            clearInterval(gaugeTimer);
+        },
     };
 }
 
--- a/packages/forwarding/src/commands/trackTables.ts
+++ b/packages/forwarding/src/commands/trackTables.ts
@@ -1,10 +1,12 @@
 /** Keeps a forwarding host's replicas of the store's tables up to date. */
 import type Logger from "bunyan";
+import { ACTIVE_CONFIGURATION, shareActiveConfiguration } from "../configuration/commands/shareActiveConfiguration.js";
 import type { ConfigurationManager } from "../configuration/model/configurationManager.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import type { Peers } from "../peers/commands/startPeers.js";
 import type { PlatformRows, TableSource } from "../ports/index.js";
-import { type TrackedTable, trackTable } from "../replicas/commands/trackTable.js";
+import { trackTable } from "../replicas/commands/trackTable.js";
+import type { SharedTable } from "../replicas/model/sharedTable.js";
 
 /**
  * Longest wait of a call to the change feed. It is longer for the host table, because addresses change rarely and peers
@@ -33,10 +35,14 @@
     readonly directory: EndpointDirectory;
     readonly peers: Peers;
     /** Filled with the tables that hosts copy from each other, by table name. */
-    readonly sharedTables: Map<string, TrackedTable>;
+    readonly sharedTables: Map<string, SharedTable>;
+    /** Called once when the store has been restored from an older copy: what this host wrote there may be lost. */
+    readonly onRestored: () => void;
 }
 
 export interface TrackedTables {
+    /** Returns whether the last call to the store for one of the tables that hosts copy failed. */
+    readonly isStoreUnavailable: () => boolean;
     /** Stops following all tables. */
     readonly stop: () => void;
 }
@@ -50,24 +56,32 @@
     ] as const;
     const getFeedWaitMs = (): number =>
         peers.fleet.hasManyFollowers() ? LONG_FEED_POLL_MS * (0.5 + Math.random() / 2) : FEED_POLL_MS;
-    for (const [table, onChange] of handlers) {
-        sharedTables.set(
+    let lastEra = 0;
+    const onRestored = (era: number): void => {
+        if (era > lastEra) {
+            lastEra = era;
+            options.onRestored();
+        }
+    };
+    const trackedTables = handlers.map(([table, onChange]) => {
+        const tracked = trackTable({
             table,
-            trackTable({
-                table,
-                source,
-                log,
-                getWaitMs: getFeedWaitMs,
-                getBatchDelayMs: () => peers.fleet.hasManyFollowers() ? LONG_FEED_BATCH_DELAY_MS : FEED_BATCH_DELAY_MS,
-                shouldFollow: peers.fleet.shouldFollowStore,
-                isCopied: true,
-                onChange: (changed, afterOutage) => {
-                    onChange(changed, afterOutage);
-                    peers.announceTables();
-                },
-            }),
-        );
-    }
+            source,
+            log,
+            getWaitMs: getFeedWaitMs,
+            getBatchDelayMs: () => peers.fleet.hasManyFollowers() ? LONG_FEED_BATCH_DELAY_MS : FEED_BATCH_DELAY_MS,
+            shouldFollow: peers.fleet.shouldFollowStore,
+            isCopied: true,
+            onRestored,
+            onChange: (changed, afterOutage) => {
+                onChange(changed, afterOutage);
+                peers.announceTables();
+            },
+        });
+        sharedTables.set(table, tracked);
+        return tracked;
+    });
+    sharedTables.set(ACTIVE_CONFIGURATION, shareActiveConfiguration(configuration));
     const hosts = trackTable({
         table: rows.hostTable,
         source,
@@ -77,8 +91,10 @@
         shouldFollow: peers.fleet.shouldFollowStore,
         isCopied: false,
         onChange: changed => peers.addHosts(changed.filter(row => row.value !== undefined).map(row => row.key)),
+        onRestored,
     });
     return {
-        stop: () => [...sharedTables.values(), hosts].forEach(table => table.stop()),
+        isStoreUnavailable: () => trackedTables.some(table => table.isStoreUnavailable()),
+        stop: () => [...trackedTables, hosts].forEach(table => table.stop()),
     };
 }
--- a/packages/forwarding/src/configuration/model/configurationManager.ts
+++ b/packages/forwarding/src/configuration/model/configurationManager.ts
@@ -1,5 +1,6 @@
 import type Logger from "bunyan";
 import type { PlatformRows } from "../../ports/platformRows.js";
+import { formatPosition } from "../../ports/storePosition.js";
 import type { TableRow } from "../../ports/tableSource.js";
 import { buildConfigurationIndex, type ConfigurationIndex } from "./configurationIndex.js";
 
@@ -9,6 +10,8 @@
     readonly get: () => ConfigurationIndex | undefined;
     /** Activates the configuration among changed rows if it is valid and newer than the active one. */
     readonly applyRows: (changed: readonly TableRow[]) => void;
+    /** Returns the row of the active configuration, with its version in place of a position; for peers. */
+    readonly getActiveRow: () => TableRow | undefined;
 }
 
 export interface ConfigurationManagerOptions {
@@ -24,8 +27,10 @@
 export function createConfigurationManager(options: ConfigurationManagerOptions): ConfigurationManager {
     const { rows, log, onChange } = options;
     let index: ConfigurationIndex | undefined;
+    let activeRow: TableRow | undefined;
     return {
         get: () => index,
+        getActiveRow: () => activeRow,
         applyRows: changed => {
             const row = changed.find(({ key, value }) => key === rows.configurationKey && value !== undefined);
             if (row?.value === undefined) {
@@ -34,7 +39,7 @@
             const decoded = rows.decodeConfiguration(row.value);
             if (!decoded.ok) {
                 log.error(
-                    { ...decoded.finding, row: row.version },
+                    { ...decoded.finding, row: formatPosition(row.version) },
                     "configuration: could not decode the row, keeping the active configuration",
                 );
                 return;
@@ -42,14 +47,18 @@
             const { version, routes } = decoded.value;
             const current = index?.configuration.version;
             if (current !== undefined && version <= current) {
+                if (version === current) {
+                    return;
+                }
                 log.warn({ version, current }, "configuration: ignoring an older version");
                 return;
             }
             log.info(
-                { version, row: row.version, routes: routes.length, previous: current },
+                { version, row: formatPosition(row.version), routes: routes.length, previous: current },
                 "configuration: activated",
             );
             index = buildConfigurationIndex(decoded.value);
+            activeRow = { ...row, version };
             onChange(index);
         },
     };
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -7,9 +7,7 @@
 import type { TableRow } from "../../ports/tableSource.js";
 import { type ConnectionPool, createConnectionPool } from "./connectionPool.js";
 import { createEndpointHealth, type EndpointHealth } from "./endpointHealth.js";
-
-/** Time after a store outage within which a running endpoint rewrites an entry that expired during the outage. */
-const EXPIRY_GRACE_MS = 2_300;
+import { createExpirations } from "./expirations.js";
 
 /** One endpoint process. A restart under the same id is a new `Endpoint`. */
 export interface Endpoint {
@@ -29,8 +27,9 @@
     readonly listReady: (service: ServiceId) => readonly Endpoint[];
     readonly listAll: () => readonly Endpoint[];
     /**
-     * Applies changed rows of the endpoint table. With `afterOutage`, removed endpoints are kept for `EXPIRY_GRACE_MS`,
-     * because their entries may only have expired while the store was unavailable.
+     * Applies changed rows of the endpoint table. With `afterOutage`, removed endpoints are kept for a time (`createExpirations`),
+     * because their entries may only have expired while the store was unavailable, or have been lost with its last
+     * changes; those that respond are kept longer.
      */
     readonly applyRows: (rows: readonly TableRow[], afterOutage: boolean) => void;
     /** Removes an endpoint whose address turned out to belong to another endpoint, until its entry is written again. */
@@ -51,7 +50,6 @@
 export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
     const { rows, log, onConnect, onNotice } = options;
     const endpoints = new Map<string, Endpoint>();
-    const pendingExpirations = new Map<string, NodeJS.Timeout>();
 
     const removeEndpoint = (id: string, reason: string): void => {
         const endpoint = endpoints.get(id);
@@ -61,18 +59,20 @@
             log.info({ endpoint: id, reason }, "endpoints: removed");
         }
     };
-    const cancelExpiration = (id: string): void => {
-        clearTimeout(pendingExpirations.get(id));
-        pendingExpirations.delete(id);
-    };
+    const expirations = createExpirations({
+        getLastResponseMs: id => endpoints.get(id)?.health.lastResponseAtMs ?? -Infinity,
+        onExpire: id => removeEndpoint(id, "lapsed"),
+    });
     const putEndpoint = (entry: EndpointEntry): void => {
-        cancelExpiration(entry.id);
+        expirations.cancel(entry.id);
         const existing = endpoints.get(entry.id);
         if (existing !== undefined && isSameProcess(existing.entry, entry)) {
-            if (existing.entry.isDraining !== entry.isDraining) {
-                log.info({ endpoint: entry.id, isDraining: entry.isDraining }, "endpoints: state changed");
+            // A process that drains ends. A restored store may have its entry from before.
+            const isDraining = existing.entry.isDraining || entry.isDraining;
+            if (existing.entry.isDraining !== isDraining) {
+                log.info({ endpoint: entry.id, isDraining }, "endpoints: state changed");
             }
-            existing.entry = entry;
+            existing.entry = { ...entry, isDraining };
             return;
         }
         existing?.pool.close();
@@ -85,17 +85,13 @@
         });
         log.info({ endpoint: entry.id, service: entry.service, address: entry.address }, "endpoints: added");
     };
-    const scheduleExpiration = (id: string): void => {
-        cancelExpiration(id);
-        pendingExpirations.set(id, setTimeout(() => removeEndpoint(id, "lapsed"), EXPIRY_GRACE_MS));
-    };
     const applyRow = (row: TableRow, afterOutage: boolean): void => {
         if (row.value === undefined) {
             if (afterOutage) {
-                scheduleExpiration(row.key);
+                expirations.schedule(row.key);
                 return;
             }
-            cancelExpiration(row.key);
+            expirations.cancel(row.key);
             removeEndpoint(row.key, "entry removed");
             return;
         }
@@ -105,7 +101,7 @@
             return;
         }
         log.warn({ endpoint: row.key, ...decoded.finding }, "endpoints: invalid entry ignored");
-        cancelExpiration(row.key);
+        expirations.cancel(row.key);
         removeEndpoint(row.key, "entry not readable");
     };
     return {
@@ -121,7 +117,7 @@
             }
         },
         close: () => {
-            pendingExpirations.forEach(timer => clearTimeout(timer));
+            expirations.close();
             endpoints.forEach(endpoint => endpoint.pool.close());
         },
     };
--- a/packages/forwarding/src/peers/commands/publishHost.ts
+++ b/packages/forwarding/src/peers/commands/publishHost.ts
@@ -16,11 +16,17 @@
     readonly log: Logger;
 }
 
+export interface HostPublication {
+    /** Writes the address again, because the store may have lost it. */
+    readonly republish: () => void;
+    readonly stop: () => void;
+}
+
 /**
  * Writes this host's address to the host table, from which other hosts learn it, once that is needed, and retries until
- * it succeeds. Returns a function that cancels this.
+ * it succeeds.
  */
-export function publishHost(options: PublishHostOptions): () => void {
+export function publishHost(options: PublishHostOptions): HostPublication {
     const { source, table, address, shouldPublish, log } = options;
     let timer: NodeJS.Timeout | undefined;
     const publish = (): void => {
@@ -34,5 +40,11 @@
         });
     };
     publish();
-    return () => clearTimeout(timer);
+    return {
+        republish: () => {
+            clearTimeout(timer);
+            publish();
+        },
+        stop: () => clearTimeout(timer),
+    };
 }
--- a/packages/forwarding/src/peers/commands/synchronizeTables.ts
+++ b/packages/forwarding/src/peers/commands/synchronizeTables.ts
@@ -3,7 +3,7 @@
 import type Logger from "bunyan";
 import { gzipSync } from "node:zlib";
 import type { TableChanges } from "../../ports/tableSource.js";
-import type { TrackedTable } from "../../replicas/commands/trackTable.js";
+import type { SharedTable } from "../../replicas/model/sharedTable.js";
 import type { TableReplica } from "../../replicas/model/tableReplica.js";
 
 /**
@@ -48,7 +48,7 @@
  */
 export async function startTableSynchronization(
     address: string,
-    tables: ReadonlyMap<string, TrackedTable>,
+    tables: ReadonlyMap<string, SharedTable>,
     log: Logger,
     onFetch: (outcome: "copied" | "refused" | "failed") => void = () => undefined,
 ): Promise<TableSynchronization> {
@@ -75,7 +75,7 @@
     const exportCompressed = createCompressedExport();
     const fetching = new Set<string>();
     const fetchedAtMs = new Map<string, number>();
-    const fetch = async (name: string, table: TrackedTable, peer: string): Promise<void> => {
+    const fetch = async (name: string, table: SharedTable, peer: string): Promise<void> => {
         fetchedAtMs.set(name, performance.now());
         try {
             const after = table.getReplica().version;
@@ -123,7 +123,7 @@
 }
 
 /** Builds the copy of a table, with the rows that have changed after a version. */
-function exportTable(table: TrackedTable, after: number): TableCopy {
+function exportTable(table: SharedTable, after: number): TableCopy {
     const { rows, version } = table.getReplica();
     return {
         version,
@@ -139,8 +139,8 @@
  * Creates an export of compressed copies, which keeps the last copy of each table: the hosts of a domain ask for the
  * same one. Copies are compressed because many hosts have slow links.
  */
-function createCompressedExport(): (table: TrackedTable, after: number) => Buffer {
-    const last = new Map<TrackedTable, { readonly key: string; readonly data: Buffer; }>();
+function createCompressedExport(): (table: SharedTable, after: number) => Buffer {
+    const last = new Map<SharedTable, { readonly key: string; readonly data: Buffer; }>();
     return (table, after) => {
         const key = `${after} ${table.getReplica().version} ${table.isAfterOutage()}`;
         const known = last.get(table);
--- a/packages/forwarding/src/peers/queries/messageCodec.ts
+++ b/packages/forwarding/src/peers/queries/messageCodec.ts
@@ -3,7 +3,7 @@
 
 const packr = new Packr({ useRecords: false });
 /** Incremented with each change of the layout; messages with another layout version are ignored. */
-const LAYOUT_VERSION = 3;
+const LAYOUT_VERSION = 4;
 
 /** Kinds of messages, as numbers on the wire. */
 export const messageKinds = { state: 0, digest: 1, query: 2, answer: 3, permitQuery: 4, permitAnswer: 5 } as const;
--- a/packages/forwarding/src/ports/tableSource.ts
+++ b/packages/forwarding/src/ports/tableSource.ts
@@ -3,14 +3,14 @@
     readonly key: string;
     /** Absent for a removed row. */
     readonly value?: Buffer;
-    /** Position of the row's last change in the store's change order. */
+    /** Position of the row's last change in the store's change order, see `toPosition`. */
     readonly version: number;
 }
 
 /** Rows of a table, or changes to them. */
 export interface TableChanges {
     readonly rows: readonly TableRow[];
-    /** Position in the store's change order after which to continue. */
+    /** Position in the store's change order after which to continue, see `toPosition`. */
     readonly version: number;
 }
 
@@ -20,14 +20,14 @@
     readTable(table: string): Promise<TableChanges>;
     /**
      * Waits up to `waitMs` for changes after a position. Resolves with `undefined` if the store no longer has the
-     * history from there on.
+     * history from there on, or has been restored from an older copy since.
      */
     awaitChanges(table: string, afterVersion: number, waitMs: number): Promise<TableChanges | undefined>;
     /** Writes a row unconditionally. */
     putRow(table: string, key: string, value: Buffer): Promise<void>;
     /**
-     * Writes a row if it still has the version; 0 if it must not exist. Resolves with whether it was written. Rejects if
-     * that is unknown.
+     * Writes a row if its last change still is at a position; 0 if it must not exist. Resolves with whether it was
+     * written. Rejects if that is unknown.
      */
     replaceRow(table: string, key: string, value: Buffer, expectedVersion: number): Promise<boolean>;
     /** Removes a row unconditionally. */
--- a/packages/forwarding/src/quarantine/commands/startQuarantine.ts
+++ b/packages/forwarding/src/quarantine/commands/startQuarantine.ts
@@ -37,6 +37,8 @@
     readonly reportBreak: CrashReporter;
     readonly share: PartQuarantine["share"];
     readonly merge: PartQuarantine["merge"];
+    /** Writes the entries to the store again, because it may have lost them. */
+    readonly saveAll: () => void;
     readonly close: () => void;
 }
 
@@ -125,6 +127,7 @@
         reportBreak: createCrashReporter({ ...options, state }),
         share: state.share,
         merge: state.merge,
+        saveAll: () => (options.shouldFollowStore() ? state.list() : []).forEach(store.save),
         close: () => {
             clearInterval(timer);
             store.close();
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -3,9 +3,17 @@
  * store no longer has the history that the feed needs.
  */
 import type Logger from "bunyan";
+import { formatPosition, getEra } from "../../ports/storePosition.js";
 import type { TableChanges, TableRow, TableSource } from "../../ports/tableSource.js";
 import { createOutageTracker } from "../model/outageTracker.js";
-import { adoptSnapshot, applyChanges, createTableReplica, type TableReplica } from "../model/tableReplica.js";
+import type { SharedTable } from "../model/sharedTable.js";
+import {
+    adoptSnapshot,
+    applyChanges,
+    createTableReplica,
+    type ReplicaUpdate,
+    type TableReplica,
+} from "../model/tableReplica.js";
 
 /** Time after an outage of the store in which rows that expired during it may be written again. */
 const EXPIRED_ROWS_GRACE_MS = 2_300;
@@ -36,19 +44,13 @@
      * expired meanwhile may be written again.
      */
     readonly onChange: (changed: readonly TableRow[], afterOutage: boolean) => void;
+    /** Called when the replica has been replaced by that of a store which was restored from an older copy. */
+    readonly onRestored: (era: number) => void;
 }
 
-export interface TrackedTable {
-    /** Returns the current replica. */
-    readonly getReplica: () => TableReplica;
-    /** Returns whether rows that expired during an outage of the store may still be written again. */
-    readonly isAfterOutage: () => boolean;
+export interface TrackedTable extends SharedTable {
     /** Returns whether the last call to the store failed. */
     readonly isStoreUnavailable: () => boolean;
-    /** Returns whether this host receives changes from the store; otherwise it needs peers' copies. */
-    readonly isFollowing: () => boolean;
-    /** Adopts a peer's copy if it is newer. `afterOutage` is the peer's `isAfterOutage`. */
-    readonly adoptFromPeer: (snapshot: TableChanges, afterOutage: boolean) => void;
     /** Stops following the table. */
     readonly stop: () => void;
 }
@@ -63,7 +65,10 @@
     const outage = createOutageTracker(table, log);
     let expiredRowsGraceEndsAtMs = -Infinity;
 
-    const adopt = (update: { replica: TableReplica; changed: readonly TableRow[]; }, afterOutage: boolean): void => {
+    const adopt = (update: ReplicaUpdate, wasUnavailable: boolean): void => {
+        const previous = replica.version;
+        const isRestored = previous >= 0 && getEra(update.replica.version) > getEra(previous);
+        const afterOutage = wasUnavailable || isRestored;
         replica = update.replica;
         if (afterOutage) {
             expiredRowsGraceEndsAtMs = performance.now() + EXPIRED_ROWS_GRACE_MS;
@@ -71,6 +76,9 @@
         if (update.changed.length > 0) {
             onChange(update.changed, afterOutage);
         }
+        if (isRestored) {
+            reportRestored(options, previous, replica.version);
+        }
     };
     const readAll = async (): Promise<void> => {
         // A peer's copy may change the replica while the read is in progress.
@@ -93,7 +101,10 @@
         const waitMs = outage.countFailures() > 0 ? 0 : options.getWaitMs();
         const changes = await source.awaitChanges(table, replica.version, waitMs);
         if (changes === undefined) {
-            log.warn({ table, version: replica.version }, "replica: history not available, reading the whole table");
+            log.warn(
+                { table, version: formatPosition(replica.version) },
+                "replica: history not available, reading the whole table",
+            );
             isSynced = false;
             return;
         }
@@ -104,17 +115,11 @@
     };
     const run = async (): Promise<void> => {
         while (!isStopped) {
-            try {
-                if (isCopyingFromPeers()) {
-                    await sleep(COPYING_CHECK_MS);
-                    continue;
-                }
-                await (isSynced ? readFeed() : readAll());
-            }
-            catch (error) {
-                outage.recordFailure(error, replica.version);
-                await sleep(outage.getRetryDelayMs());
-            }
+            await (isCopyingFromPeers() ? sleep(COPYING_CHECK_MS) : isSynced ? readFeed() : readAll())
+                .catch((error: unknown) => {
+                    outage.recordFailure(error, replica.version);
+                    return sleep(outage.getRetryDelayMs());
+                });
         }
     };
     void run();
@@ -124,10 +129,9 @@
         isFollowing: () => outage.countFailures() === 0 && !isCopyingFromPeers(),
         isStoreUnavailable: () => outage.countFailures() > 0,
         adoptFromPeer: (snapshot, afterOutage) => {
-            const { version } = snapshot;
-            const update = version > replica.version ? adoptSnapshot(replica, snapshot) : undefined;
+            const update = snapshot.version > replica.version ? adoptSnapshot(replica, snapshot) : undefined;
             if (update !== undefined) {
-                log.info({ table, version, from: replica.version, afterOutage }, "replica: adopted a peer's copy");
+                logCopy(log, replica, snapshot, afterOutage);
                 isSynced = true;
                 adopt(update, afterOutage);
             }
@@ -136,7 +140,26 @@
     };
 }
 
+function reportRestored({ log, table, onRestored }: TrackTableOptions, previous: number, position: number): void {
+    log.warn(
+        { table, version: formatPosition(position), previous: formatPosition(previous) },
+        "replica: the store has been restored",
+    );
+    onRestored(getEra(position));
+}
+
+const logCopy = (log: Logger, replica: TableReplica, { version }: TableChanges, afterOutage: boolean): void => {
+    const from = formatPosition(replica.version);
+    log.info(
+        { table: replica.table, version: formatPosition(version), from, afterOutage },
+        "replica: adopted a peer's copy",
+    );
+};
+
 const logStaleRead = (log: Logger, { table, version }: TableReplica, { version: read }: TableChanges): void =>
-    log.warn({ table, version, read }, "replica: ignoring a store read that is older than the replica");
+    log.warn(
+        { table, version: formatPosition(version), read: formatPosition(read) },
+        "replica: ignoring a store read that is older than the replica",
+    );
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
--- a/packages/forwarding/src/replicas/model/outageTracker.ts
+++ b/packages/forwarding/src/replicas/model/outageTracker.ts
@@ -1,5 +1,6 @@
 /** Tracks consecutive failed calls to the store for one table. */
 import type Logger from "bunyan";
+import { formatPosition } from "../../ports/storePosition.js";
 
 /** Delay before a retry after a failed call to the store; it doubles with each failure up to the maximum. */
 const MIN_RETRY_DELAY_MS = 100;
@@ -26,14 +27,14 @@
         recordFailure: (error, version) => {
             failures += 1;
             if (failures === 1) {
-                log.warn({ err: error, table, version }, "replica: store is unavailable");
+                log.warn({ err: error, table, version: formatPosition(version) }, "replica: store is unavailable");
             }
         },
         end: version => {
             if (failures === 0) {
                 return false;
             }
-            log.info({ table, version, failures }, "replica: store is available again");
+            log.info({ table, version: formatPosition(version), failures }, "replica: store is available again");
             failures = 0;
             return true;
         },
--- a/packages/forwarding/src/replicas/model/tableReplica.ts
+++ b/packages/forwarding/src/replicas/model/tableReplica.ts
@@ -1,4 +1,4 @@
-/** A host's replica of one table of the store. Its versions never decrease. */
+/** A host's replica of one table of the store. Its versions are positions (`toPosition`), and never decrease. */
 import type { TableChanges, TableRow } from "../../ports/tableSource.js";
 
 /** Immutable state of a replica. */
--- a/packages/forwarding/tests/replicas/commands/trackTable.test.ts
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -59,6 +59,7 @@
         getBatchDelayMs: () => 0,
         shouldFollow: () => true,
         isCopied: true,
+        onRestored: () => undefined,
         ...options,
         onChange: (changed, afterOutage) => changes.push({ keys: changed.map(row => row.key), afterOutage }),
     });
@@ -136,6 +137,7 @@
             getBatchDelayMs: () => 0,
             shouldFollow: () => true,
             isCopied: true,
+            onRestored: () => undefined,
             onChange: changed => changes.push(changed.map(row => `${row.key}@${row.version}`)),
         });
         running = table;
