Refuse requests that come too late in a shutdown to be answered

Callers whose requests a stopping host took late in the grace time got no answer, also where a request may not be sent again.

Cause: a request on an open connection, or one whose body arrived late, was passed on at any time before the process ended; at 93% of the grace time it was cut off. Reported by other operators.

Ruled out: new connections (none is accepted after 35% of the grace time) and idle ones (closed then).

Change: a call that comes within a second of the end, and a stream within five, is refused with 503, the guarantee that it has not run, and Connection: close.

Evidence: startForwarding.test.ts, 2 cases failed before: the call and the stream were passed on and got no answer.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -16,11 +16,12 @@
 export async function drainForwarding(context: ForwardingContext, servers: ForwardingServers): Promise<void> {
     const graceMs = context.settings.drain.grace_ms;
     const startedAtMs = performance.now();
+    const endAtMs = startedAtMs + graceMs * DRAIN_END_FRACTION;
     context.isDraining = true;
+    context.stopsAtMs = endAtMs;
     context.log.info({ inFlight: context.inFlight, graceMs }, "host: draining");
     await sleep(graceMs * DRAIN_NOTICE_FRACTION);
     const closed = servers.callers.drain();
-    const endAtMs = startedAtMs + graceMs * DRAIN_END_FRACTION;
     // Requests whose body is still being received, and responses that are still being sent, count as well.
     await Promise.race([
         closed,
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -43,6 +43,8 @@
     readonly createReservationId: () => string;
     /** Whether a graceful shutdown has begun; the host then reports not ready. */
     isDraining: boolean;
+    /** When the shutdown ends, on the monotonic clock; requests in flight are cut off then. Absent before it. */
+    stopsAtMs?: number;
     /** Number of caller requests that are being served. */
     inFlight: number;
 }
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -8,6 +8,7 @@
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { selectTrackedParts } from "../../quarantine/queries/selectTrackedParts.js";
 import type { Exchange } from "../model/exchange.js";
+import { canAnswerInTime } from "../queries/canAnswerInTime.js";
 import { selectRequestHeaders } from "../queries/selectHeaders.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 import { serveCall } from "./serveCall.js";
@@ -34,7 +35,8 @@
         response.setHeader("connection", "close");
     }
     const index = context.getConfiguration();
-    const exchange = index === undefined ? "no_configuration" : createExchange(context, index, request, response);
+    const created = index === undefined ? "no_configuration" : createExchange(context, index, request, response);
+    const exchange = typeof created === "string" || canBeAnswered(context, created) ? created : "stopping";
     if (typeof exchange === "string") {
         refuseRequest(context, request, response, exchange, index);
         return;
@@ -64,6 +66,10 @@
     }
 }
 
+/** Returns whether the request can be answered before a shutdown ends, at which its answer would be cut off. */
+const canBeAnswered = ({ stopsAtMs }: ForwardingContext, exchange: Exchange): boolean =>
+    stopsAtMs === undefined || canAnswerInTime(exchange, stopsAtMs);
+
 function createExchange(
     context: ForwardingContext,
     index: ConfigurationIndex,
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -13,6 +13,8 @@
     | "part_isolated"
     /** All endpoints of the service have got as many requests as they allow, or want none for a time. */
     | "rate_limited"
+    /** The host stops before the request could be answered. */
+    | "stopping"
     | "no_route"
     | "key_unknown"
     | "body_unreadable"
@@ -43,6 +45,7 @@
         message: "no endpoint takes a further request for now, by the limits that they state",
         retryAfterSeconds: 0.4,
     },
+    stopping: { status: 503, message: "this host is stopping; another one takes the request", retryAfterSeconds: 0.15 },
     no_route: { status: 404, message: "no route matches the host and path" },
     key_unknown: { status: 401, message: "the key is not known" },
     body_unreadable: { status: 400, message: "the body could not be read" },
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -119,6 +119,33 @@
         expect(received).toContain("whole");
         expect(endpoint.received[0]?.body).toBe("abcd");
     });
+    // Guards against a request that is passed on late in the grace time and cut off at its end, although it may not run
+    // a second time.
+    it.each([
+        { name: "a call", route: createRoute({ kind: "once" }), afterMs: 1_200 },
+        { name: "a stream", route: createRoute({ kind: "stream" }), afterMs: 400 },
+    ])("refuses $name that comes too late to be answered before it stops", async ({ route, afterMs }) => {
+        const endpoint = await startEndpoint("e0", () => undefined);
+        closers.push(endpoint.close);
+        const host = await startTestHost([route], [endpoint], { graceMs: 2_000 });
+        const [ip = "", port = "0"] = host.listen.callers.split(":");
+        const socket = connect(Number(port), ip);
+        let received = "";
+        socket.on("data", chunk => {
+            received += chunk.toString();
+        });
+        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        socket.on("error", () => undefined);
+        socket.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const drained = host.host.drain();
+        await new Promise(resolve => setTimeout(resolve, afterMs));
+        socket.write("cd");
+        await Promise.all([drained, isClosed]);
+        expect(received).toContain("HTTP/1.1 503");
+        expect(received.toLowerCase()).toContain("connection: close");
+        expect(endpoint.received).toEqual([]);
+    });
     // Guards against a shutdown that loses answers under load: each request that the host has accepted is answered.
     it("answers every request that it accepts during the shutdown under load", async () => {
         const endpoint = await startEndpoint(
