Tell other hosts the end of a rate limit only if there was one

Cause: each response without a limit counted as one that had just ended, so that every message listed all endpoints that had answered in the last 10 s.

Change: the end is told for 10 s after a named limit has ended.

Evidence: endpointNotices.test.ts, the new case failed before.

--- a/packages/forwarding/src/notices/model/endpointNotices.ts
+++ b/packages/forwarding/src/notices/model/endpointNotices.ts
@@ -57,6 +57,7 @@
 /** Creates the notices of an endpoint that has not responded yet. */
 export function createEndpointNotices({ endpointId, log, onChange }: EndpointNoticesOptions): EndpointNotices {
     let last: Statement | undefined;
+    let limitEndedAt: Clocks | undefined;
     let leavingHeardAt: Clocks | undefined;
     const pause = createPause({ endpointId, log });
     let hasLoggedInvalid = false;
@@ -78,6 +79,7 @@
         const previous = last?.requestsPerSecond;
         last = { requestsPerSecond, heardAt };
         if (requestsPerSecond !== previous) {
+            limitEndedAt = requestsPerSecond === undefined ? heardAt : undefined;
             log.info({ endpoint: endpointId, requestsPerSecond, previous, source }, "endpoints: rate limit changed");
             onChange(source);
         }
@@ -109,12 +111,10 @@
             }
         },
         share: now => {
-            if (last === undefined) {
-                return undefined;
-            }
-            const { requestsPerSecond } = last;
-            const ageMs = measureElapsed(last.heardAt, now);
-            const isCurrent = ageMs <= (requestsPerSecond === undefined ? SHARE_END_MS : LIMIT_VALID_MS);
+            const { requestsPerSecond, heardAt = now } = last ?? {};
+            const ageMs = measureElapsed(heardAt, now);
+            const hasJustEnded = limitEndedAt !== undefined && measureElapsed(limitEndedAt, now) <= SHARE_END_MS;
+            const isCurrent = requestsPerSecond === undefined ? hasJustEnded : ageMs <= LIMIT_VALID_MS;
             return !isCurrent && !isLeaving(now)
                 ? undefined
                 : {
@@ -124,17 +124,20 @@
                 };
         },
         getRateLimit: now => {
-            if (last?.requestsPerSecond === undefined || measureElapsed(last.heardAt, now) > LIMIT_VALID_MS) {
-                return undefined;
-            }
-            const limit = Math.max(MIN_REQUESTS_PER_SECOND, last.requestsPerSecond);
-            return limit > MAX_REQUESTS_PER_SECOND ? undefined : limit;
+            const limit = last?.requestsPerSecond;
+            return last === undefined || limit === undefined || measureElapsed(last.heardAt, now) > LIMIT_VALID_MS
+                ? undefined
+                : clampLimit(limit);
         },
         isLeaving,
         getPauseMs: pause.getRemainingMs,
     };
 }
 
+/** Returns the limit to keep to, `undefined` if it is too high to matter. */
+const clampLimit = (requestsPerSecond: number): number | undefined =>
+    requestsPerSecond > MAX_REQUESTS_PER_SECOND ? undefined : Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond);
+
 const subtractAge = ({ wallMs, monotonicMs }: Clocks, ageMs: number): Clocks => ({
     wallMs: wallMs - ageMs,
     monotonicMs: monotonicMs - ageMs,
--- a/packages/forwarding/tests/notices/model/endpointNotices.test.ts
+++ b/packages/forwarding/tests/notices/model/endpointNotices.test.ts
@@ -90,6 +90,12 @@
         expect(notices.getPauseMs(at(afterMs))).toBe(expected);
         expect(changes).toEqual([]);
     });
+    // Guards against messages that list each endpoint which states nothing.
+    it("tells other hosts nothing of an endpoint that has never named a limit", () => {
+        const { notices } = createNotices();
+        notices.record(silent, "request", at(0));
+        expect(notices.share(at(1))).toBeUndefined();
+    });
     it("tells other hosts the end of a limit for a time, and forgets a limit that no response names any more", () => {
         const { notices, changes } = createNotices();
         notices.record({ ...silent, requestsPerSecond: 2 }, "report", at(0));
