Begin a host's own share of a rate limit without a permit

Cause: while the host that grants permits does not answer, each other host takes a share of the limit itself, and began with one permit: 195 requests at once in a fleet of 195 hosts, where 11 are allowed in 4 s.

Change: a share begins empty.

Evidence: permitLedger.test.ts, the new case failed before with 195.

--- a/packages/forwarding/src/permits/commands/createPermitClient.ts
+++ b/packages/forwarding/src/permits/commands/createPermitClient.ts
@@ -28,7 +28,8 @@
  * that all hosts together stay within the limit.
  */
 export function createPermitClient({ socket, fleet, metrics, address, ledger }: PermitClientOptions): PermitClient {
-    const ownShare = createPermitLedger();
+    // Without initial permits: those of all hosts of a large fleet would exceed the limit at once.
+    const ownShare = createPermitLedger({ initialPermits: 0 });
     const avoidance = createAvoidance();
     const waiter = createReplyWaiter<PermitAnswer | undefined>(ANSWER_TIMEOUT_MS);
     const takeOwnShare = (needs: readonly PermitNeed[]): PermitAnswer => {
--- a/packages/forwarding/src/permits/model/permitLedger.ts
+++ b/packages/forwarding/src/permits/model/permitLedger.ts
@@ -21,8 +21,13 @@
     usedAtMs: number;
 }
 
-/** Creates a ledger. The first permit of an endpoint is available at once. */
-export function createPermitLedger(): PermitLedger {
+export interface PermitLedgerOptions {
+    /** Permits of an endpoint that are available at once. */
+    readonly initialPermits?: number;
+}
+
+/** Creates a ledger. */
+export function createPermitLedger({ initialPermits = 1 }: PermitLedgerOptions = {}): PermitLedger {
     const entries = new Map<string, LedgerEntry>();
     let sweptAtMs = -Infinity;
     const sweep = (nowMs: number): void => {
@@ -39,7 +44,7 @@
     const getEntry = ({ endpointId, requestsPerSecond }: PermitNeed, nowMs: number): LedgerEntry => {
         sweep(nowMs);
         const entry = entries.get(endpointId)
-            ?? { bucket: createTokenBucket(nowMs), requestsPerSecond, usedAtMs: nowMs };
+            ?? { bucket: createTokenBucket(nowMs, initialPermits), requestsPerSecond, usedAtMs: nowMs };
         entry.requestsPerSecond = requestsPerSecond;
         entry.usedAtMs = nowMs;
         entries.set(endpointId, entry);
--- a/packages/forwarding/src/permits/queries/countPermitsLeft.ts
+++ b/packages/forwarding/src/permits/queries/countPermitsLeft.ts
@@ -1,7 +1,7 @@
 import type { EngineProfile } from "../../configuration/model/servingConfiguration.js";
 import { defaultPlacementWeights } from "../../placement/model/placementWeights.js";
 
-/** Permits that a short prompt leaves: the buckets of endpoints with low limits hold two. */
+/** Permits that a short prompt leaves, of the three that endpoints with low limits keep. */
 const LEFT_BY_SHORT_PROMPTS = 1;
 
 /**
--- a/packages/forwarding/tests/permits/model/permitLedger.test.ts
+++ b/packages/forwarding/tests/permits/model/permitLedger.test.ts
@@ -55,6 +55,16 @@
         expect(grants).toHaveLength(3);
         expect(grants.every((nowMs, index) => nowMs >= 4_000 * index && nowMs <= 4_000 * index + STEP_MS)).toBe(true);
     });
+    // Guards against a request from each host of a large fleet at the moment when the host that grants does not answer.
+    it("keeps the shares of many hosts within the limit, from the first moment on", () => {
+        const hosts = Array.from({ length: 195 }, () => createPermitLedger({ initialPermits: 0 }));
+        const need = { endpointId: "e", requestsPerSecond: 1 / hosts.length, permitsLeft: 0 };
+        const grants: number[] = [];
+        for (let nowMs = 0; nowMs < WINDOW_MS; nowMs += 100) {
+            grants.push(...hosts.filter(host => host.grant([need], nowMs).isGranted).map(() => nowMs));
+        }
+        expect(grants.length).toBeLessThanOrEqual(countAllowed(1));
+    });
     // Guards against short prompts taking the last permit, so that a long one delays many on other endpoints.
     it("leaves the last permit to a request that needs it more", () => {
         const ledger = createPermitLedger();
