--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -14,7 +14,7 @@
     withTrouble,
 } from "../lib/system.mjs";
 
-const DEADLINE_MS = 3_000;
+const DEADLINE_MS = 8_000;
 const DESK_CLIENTS = 5;
 const ORDER_CLIENTS = 24;
 const SECONDS = 20;
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -161,6 +161,7 @@
     const [front, ready, control, internal] = await findFreePorts(4);
     const run = /^run = "(.*)"$/m.exec(readFileSync("../../deploy/system.toml", "utf8"))[1].split(" ");
     const seeds = Array.from({ length: Math.min(3, count) }, (_, index) => `127.0.1.${index + 1}:${control}`);
+    let isClosed = false;
     const hosts = Array.from({ length: count }, (_, index) => {
         const ip = `127.0.1.${index + 1}`;
         const name = `front-${index + 1}`;
@@ -192,8 +193,9 @@
                     stdio: ["ignore", "pipe", "pipe"],
                 });
                 host.child = child;
-                child.stdout.on("data", chunk => appendFileSync(host.logFile, chunk));
-                child.stderr.on("data", chunk => appendFileSync(host.logFile, chunk));
+                const writeLog = chunk => isClosed || appendFileSync(host.logFile, chunk);
+                child.stdout.on("data", writeLog);
+                child.stderr.on("data", writeLog);
                 child.once("exit", (code, signal) => {
                     host.child = host.child === child ? undefined : host.child;
                     record(`${name} ended: ${signal ?? `exit code ${code}`}`);
@@ -223,6 +225,7 @@
         return host;
     });
     const close = () => {
+        isClosed = true;
         hosts.forEach(host => host.child?.kill("SIGKILL"));
         if (process.env.KEEP !== "1") {
             rmSync(folder, { recursive: true, force: true });
@@ -383,6 +386,16 @@
     const cleanups = [];
     const record = createRecord();
     let code = 2;
+    const finish = async () => {
+        cleanups.splice(0).reverse().forEach(cleanup => cleanup());
+        await sleep(200);
+        process.exit(code);
+    };
+    process.on("uncaughtException", error => {
+        record(`RESULT: the case could not run: ${error.stack}`);
+        code = 2;
+        void finish();
+    });
     try {
         const isBroken = await Promise.race([
             main({ record, onEnd: cleanup => cleanups.push(cleanup) }),
@@ -396,11 +409,7 @@
     catch (error) {
         record(`RESULT: the case could not run: ${error.stack}`);
     }
-    finally {
-        cleanups.reverse().forEach(cleanup => cleanup());
-        await sleep(200);
-        process.exit(code);
-    }
+    await finish();
 }
 
 /** A client that sends requests one after the other on a connection that it keeps, and opens another one when that ends. */
@@ -435,7 +444,7 @@
     };
     return {
         /** `wasKept`: the connection had carried an answer before. `isClosed`: it ended without an answer. */
-        send: ({ path, id, deadlineMs, headers = {} }) =>
+        send: ({ path, id, deadlineMs, headers = {}, body = "" }) =>
             new Promise(resolve => {
                 if (socket === undefined) {
                     open();
@@ -459,10 +468,11 @@
                     "Request-Id": id,
                     "Deadline-Milliseconds": deadlineMs,
                     "Authorization": "Bearer key-1",
-                    "Content-Length": 0,
+                    "Content-Length": Buffer.byteLength(body),
                     ...headers,
                 }).map(([name, value]) => `${name}: ${value}\r\n`);
                 socket.write(`POST ${path} HTTP/1.1\r\n${lines.join("")}\r\n`);
+                socket.write(body);
             }),
         close: () => socket?.destroy(),
     };
