Review case 4: a replica takes a removed server back in

A host that is cut off from the store for 2.5 s learns of a removal from a peer. The late answer to its own call for changes, older than that copy, brings the removed entry back for good. The host sends orders to the leaving server, which exits while it runs them.

--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -156,7 +156,7 @@
 };
 
 /** Creates hosts, one on each of 127.0.1.1, 127.0.1.2 and so on. They are started by `start`. */
-export async function createHosts({ count, storeAddress, record, zones = ["a", "b", "c"] }) {
+export async function createHosts({ count, storeAddress, storeAddresses = [], record, zones = ["a", "b", "c"] }) {
     const folder = mkdtempSync(join(tmpdir(), "review-"));
     const [front, ready, control, internal] = await findFreePorts(4);
     const run = /^run = "(.*)"$/m.exec(readFileSync("../../deploy/system.toml", "utf8"))[1].split(" ");
@@ -175,7 +175,7 @@
             seed_addresses: seeds,
             limits: { cpu_cores: 1, cpu_share: 0.675 },
             bounds,
-            platform: { address: storeAddress },
+            platform: { address: storeAddresses[index] ?? storeAddress },
         });
         writeFileSync(settingsFile, text.replace(`${ip}:7350`, `${ip}:${control}`));
         const host = {
@@ -549,3 +549,45 @@
         },
     };
 }
+
+/** A TCP proxy on loopback. While it is cut it passes nothing on; what was sent meanwhile arrives when the cut ends. */
+export async function startProxy(target) {
+    const [host, port] = target.split(":");
+    const links = new Set();
+    let isCut = false;
+    const relay = (link, from, to) => {
+        const queue = [];
+        const flush = () => queue.splice(0).forEach(pass => pass());
+        const pass = action => {
+            queue.push(action);
+            if (!isCut) {
+                flush();
+            }
+        };
+        link.push(flush);
+        from.on("data", chunk => pass(() => to.write(chunk)));
+        from.on("end", () => pass(() => to.end()));
+        from.on("error", () => to.destroy());
+        from.on("close", () => pass(() => to.destroy()));
+    };
+    const server = createTcpServer({ allowHalfOpen: true }, caller => {
+        const link = [];
+        const callee = connect({ host, port: Number(port), allowHalfOpen: true });
+        links.add(link);
+        relay(link, caller, callee);
+        relay(link, callee, caller);
+        caller.on("close", () => !isCut && links.delete(link));
+    });
+    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${server.address().port}`,
+        cut: () => {
+            isCut = true;
+        },
+        heal: () => {
+            isCut = false;
+            links.forEach(link => link.forEach(flush => flush()));
+        },
+        close: () => server.close(),
+    };
+}
