--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -391,6 +391,7 @@
         await sleep(200);
         process.exit(code);
     };
+    ["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, () => void finish()));
     process.on("uncaughtException", error => {
         record(`RESULT: the case could not run: ${error.stack}`);
         code = 2;
