--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,128 +1,91 @@
-// A host is cut off from the store while a server leaves.
+// An order that comes late in the grace time, on a connection that the host has left open.
+import { connect } from "node:net";
 import {
     configuration,
     createHosts,
-    createKeptClient,
+    createSoundHandler,
     route,
     runCase,
+    sendRequest,
     serverEntry,
     sleep,
-    startProxy,
     startServer,
     startStore,
     withTrouble,
 } from "../lib/system.mjs";
 
+const ORDERS = 5;
 const TIMEOUT_MS = 1_500;
-const WORK_MS = 700;
-const CLIENTS = 12;
-/** `drain_ms` of the deployment. */
-const DRAIN_MS = 2_000;
-/** From the time at which the host is cut off from the store. */
-const BEAT_AFTER_MS = 100;
-const LEAVES_AFTER_MS = 300;
-const HEALED_AFTER_MS = 2_500;
-const EXIT_AFTER_MS = 3_300;
-const END_AFTER_MS = 6_000;
+/** Time of an order at its server, within the deadline. */
+const WORK_MS = 1_250;
+/** From the SIGTERM to the orders. */
+const ORDERS_AFTER_MS = 6_300;
+/** From the SIGTERM to the end of the grace time and one second more. */
+const GRACE_AND_SLACK_MS = 9_000;
 
 await runCase(async ({ record, onEnd }) => {
     const store = await startStore();
     onEnd(store.close);
-    let isLeaving = false;
-    const arrivals = new Map();
-    const born = Date.now() - 60_000;
-    const startDesk = async (name, getHeaders) => {
-        const server = await startServer((request, response) => {
-            const id = request.headers["request-id"];
-            if (id === undefined) {
-                response.writeHead(200, { "content-type": "application/json", ...getHeaders() }).end("{}");
-                return;
-            }
-            arrivals.set(id, name);
-            record(`server ${name} runs ${id}`);
-            setTimeout(() => {
-                const headers = { "request-id": id, "server-signature": `${name}-${id}`, ...getHeaders() };
-                response.writeHead(200, headers).end(name);
-            }, WORK_MS);
-        });
-        onEnd(server.close);
-        return server;
-    };
-    const staying = [await startDesk("i-1", () => ({})), await startDesk("i-2", () => ({}))];
-    const leaving = await startDesk("i-3", () => isLeaving ? { "server-leaving": "1" } : {});
-    const proxy = await startProxy(store.address);
-    onEnd(proxy.close);
-    const storeAddresses = [proxy.address, store.address];
-    const { hosts, close } = await createHosts({ count: 2, storeAddresses, record, zones: ["a"] });
+    const runs = new Set();
+    const handle = createSoundHandler({ name: "i-1", record, runs, workMs: WORK_MS, events: 20, eventIntervalMs: 330 });
+    const server = await startServer(handle);
+    onEnd(server.close);
+    const { hosts: [host], close } = await createHosts({ count: 1, storeAddress: store.address, record });
     onEnd(close);
-    const [host] = hosts;
-    const orders = route("orders", "unsafe", "desk", { timeout_ms: TIMEOUT_MS });
-    store.put("op", "config", configuration(1, [orders], ["desk"]));
-    staying.forEach(({ address }, index) =>
-        store.put("servers", `i-${index + 1}`, serverEntry("desk", address, "a", { slots: 6, born }))
-    );
-    store.put("servers", "i-3", serverEntry("desk", leaving.address, "a", { slots: 6, born }));
-    hosts.forEach(each => each.start());
-    await Promise.all(hosts.map(each => each.waitUntilReady()));
+    const routes = [
+        route("streams", "streaming", "desk", { timeout_ms: 15_000 }),
+        route("orders", "unsafe", "desk", { timeout_ms: TIMEOUT_MS }),
+    ];
+    store.put("op", "config", configuration(1, routes, ["desk"]));
+    store.put("servers", "i-1", serverEntry("desk", server.address, "a"));
+    host.start();
+    await host.waitUntilReady();
     await sleep(3_500);
 
-    const requests = [];
-    let isOver = false;
-    const runClient = async index => {
-        const client = createKeptClient(host);
-        onEnd(client.close);
-        for (let count = 1; !isOver; count += 1) {
-            const id = `order-${index}-${count}`;
-            const sentAtMs = performance.now();
-            const answer = await client.send({ path: "/orders/x", id, deadlineMs: TIMEOUT_MS });
-            const says = answer.headers?.["server-leaving"] === "1" ? ", the server leaves" : "";
-            record(`client gets ${answer.status ?? "no answer"} for ${id}${says}`);
-            requests.push({ ...answer, sentAtMs, endedAtMs: performance.now(), saysLeaving: says !== "" });
-            await sleep(50);
-        }
-    };
-    const clients = Array.from({ length: CLIENTS }, (_, index) => runClient(index + 1));
-    await sleep(1_000);
-    const [firstStaying] = staying;
-    store.put("servers", "i-1", serverEntry("desk", firstStaying.address, "a", { slots: 6, born, sequence_number: 1 }));
-    await sleep(150);
-    const cutAtMs = performance.now();
-    const waitUntil = afterMs => sleep(cutAtMs + afterMs - performance.now());
-    if (withTrouble) {
-        proxy.cut();
-        record("front-1 is cut off from the store");
-    }
-    await waitUntil(BEAT_AFTER_MS);
-    store.put("servers", "i-3", serverEntry("desk", leaving.address, "a", { slots: 6, born, sequence_number: 1 }));
-    record("server i-3 writes its entry, still ready");
-    await waitUntil(LEAVES_AFTER_MS);
-    isLeaving = true;
-    store.remove("servers", "i-3");
-    record("server i-3 leaves: its entry is removed, and its answers say so");
-    await waitUntil(HEALED_AFTER_MS);
+    // Connections that clients have opened and not used yet.
+    const sockets = Array.from({ length: ORDERS }, () => connect(host.port, host.ip));
+    // A stream of 6.6 s, which ends within the grace time.
+    const stream = sendRequest({
+        ip: host.ip,
+        port: host.port,
+        path: "/streams/x",
+        id: "stream-1",
+        deadlineMs: 15_000,
+    });
+    await sleep(300);
+    const termedAtMs = performance.now();
     if (withTrouble) {
-        proxy.heal();
-        record("front-1 reaches the store again");
+        host.signal("SIGTERM");
     }
-    await waitUntil(EXIT_AFTER_MS);
-    record("server i-3 exits");
-    leaving.crash();
-    await waitUntil(END_AFTER_MS);
-    isOver = true;
-    await Promise.all(clients);
-
-    const passedOnAtMs = Math.min(...requests.filter(each => each.saysLeaving).map(each => each.endedAtMs));
-    if (passedOnAtMs === Infinity) {
-        throw new Error("no answer said that the server leaves");
-    }
-    const late = requests.filter(({ id, sentAtMs }) =>
-        arrivals.get(id) === "i-3" && sentAtMs > passedOnAtMs + DRAIN_MS
-    );
-    const lost = late.filter(({ status }) => status !== 200);
-    record(`the host first passed on that i-3 leaves ${Math.round(passedOnAtMs - cutAtMs)} ms after the cut`);
-    record(
-        `${late.length} orders sent over ${DRAIN_MS} ms later reached i-3 (${late.map(each => each.id).join(", ")}); `
-            + `${lost.length} of them were not answered with success`,
+    await sleep(ORDERS_AFTER_MS);
+    const answers = await Promise.all(sockets.map((socket, index) =>
+        new Promise(resolve => {
+            const id = `order-${index + 1}`;
+            let text = "";
+            const finish = () => {
+                const endedAfterMs = performance.now() - termedAtMs;
+                record(`client gets ${text.split("\r\n")[0] || "no answer"} for ${id}`);
+                socket.destroy();
+                resolve({ id, text, endedAfterMs });
+            };
+            socket.on("error", () => undefined);
+            socket.on("close", finish);
+            socket.on("data", data => {
+                text += data.toString("latin1");
+                finish();
+            });
+            record(`client sends ${id}`);
+            socket.write(
+                "POST /orders/x HTTP/1.1\r\nHost: review.example\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n"
+                    + `Request-Id: ${id}\r\nDeadline-Milliseconds: ${TIMEOUT_MS}\r\n\r\n`,
+            );
+        })
+    ));
+    const { isWhole } = await stream;
+    record(`the stream ${isWhole ? "came whole" : "was cut"}`);
+    const lost = answers.filter(({ id, text, endedAfterMs }) =>
+        runs.has(id) && text === "" && endedAfterMs < GRACE_AND_SLACK_MS
     );
-    return late.length > 0;
+    record(`${lost.length} of ${ORDERS} orders were passed on and got no answer`);
+    return lost.length > 0;
 });
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,4 +1,4 @@
-// A server leaves; then the store comes back from a copy in which the server is still ready.
+// A host is cut off from the store while a server leaves.
 import {
     configuration,
     createHosts,
@@ -7,6 +7,7 @@
     runCase,
     serverEntry,
     sleep,
+    startProxy,
     startServer,
     startStore,
     withTrouble,
@@ -17,21 +18,19 @@
 const CLIENTS = 12;
 /** `drain_ms` of the deployment. */
 const DRAIN_MS = 2_000;
-/** From the time at which the server's leaving is in the store. */
-const STORE_AWAY_AFTER_MS = 2_300;
-const STORE_BACK_AFTER_MS = 2_800;
-/** The entry lapses three heartbeats after the store is back, since the server has exited. */
-const LAPSED_AFTER_MS = 6_400;
-const EXIT_AFTER_MS = 3_900;
-const END_AFTER_MS = 7_000;
-/** Age of the copy at the time at which the store goes away. */
-const COPY_AGE_MS = 3_000;
+/** From the time at which the host is cut off from the store. */
+const BEAT_AFTER_MS = 100;
+const LEAVES_AFTER_MS = 300;
+const HEALED_AFTER_MS = 2_500;
+const EXIT_AFTER_MS = 3_300;
+const END_AFTER_MS = 6_000;
 
 await runCase(async ({ record, onEnd }) => {
     const store = await startStore();
     onEnd(store.close);
     let isLeaving = false;
     const arrivals = new Map();
+    const born = Date.now() - 60_000;
     const startDesk = async (name, getHeaders) => {
         const server = await startServer((request, response) => {
             const id = request.headers["request-id"];
@@ -51,16 +50,20 @@
     };
     const staying = [await startDesk("i-1", () => ({})), await startDesk("i-2", () => ({}))];
     const leaving = await startDesk("i-3", () => isLeaving ? { "server-leaving": "1" } : {});
-    const { hosts: [host], close } = await createHosts({ count: 1, storeAddress: store.address, record });
+    const proxy = await startProxy(store.address);
+    onEnd(proxy.close);
+    const storeAddresses = [proxy.address, store.address];
+    const { hosts, close } = await createHosts({ count: 2, storeAddresses, record, zones: ["a"] });
     onEnd(close);
+    const [host] = hosts;
     const orders = route("orders", "unsafe", "desk", { timeout_ms: TIMEOUT_MS });
     store.put("op", "config", configuration(1, [orders], ["desk"]));
     staying.forEach(({ address }, index) =>
-        store.put("servers", `i-${index + 1}`, serverEntry("desk", address, "a", { slots: 6 }))
+        store.put("servers", `i-${index + 1}`, serverEntry("desk", address, "a", { slots: 6, born }))
     );
-    store.put("servers", "i-3", serverEntry("desk", leaving.address, "a", { slots: 6 }));
-    host.start();
-    await host.waitUntilReady();
+    store.put("servers", "i-3", serverEntry("desk", leaving.address, "a", { slots: 6, born }));
+    hosts.forEach(each => each.start());
+    await Promise.all(hosts.map(each => each.waitUntilReady()));
     await sleep(3_500);
 
     const requests = [];
@@ -80,26 +83,30 @@
     };
     const clients = Array.from({ length: CLIENTS }, (_, index) => runClient(index + 1));
     await sleep(1_000);
-    const copy = store.copy();
-    await sleep(COPY_AGE_MS - STORE_AWAY_AFTER_MS);
-    const leftAtMs = performance.now();
-    const waitUntil = afterMs => sleep(leftAtMs + afterMs - performance.now());
+    const [firstStaying] = staying;
+    store.put("servers", "i-1", serverEntry("desk", firstStaying.address, "a", { slots: 6, born, sequence_number: 1 }));
+    await sleep(150);
+    const cutAtMs = performance.now();
+    const waitUntil = afterMs => sleep(cutAtMs + afterMs - performance.now());
+    if (withTrouble) {
+        proxy.cut();
+        record("front-1 is cut off from the store");
+    }
+    await waitUntil(BEAT_AFTER_MS);
+    store.put("servers", "i-3", serverEntry("desk", leaving.address, "a", { slots: 6, born, sequence_number: 1 }));
+    record("server i-3 writes its entry, still ready");
+    await waitUntil(LEAVES_AFTER_MS);
     isLeaving = true;
     store.remove("servers", "i-3");
     record("server i-3 leaves: its entry is removed, and its answers say so");
-    await waitUntil(STORE_AWAY_AFTER_MS);
+    await waitUntil(HEALED_AFTER_MS);
     if (withTrouble) {
-        record("the store is away");
-        store.leave();
-        await waitUntil(STORE_BACK_AFTER_MS);
-        store.restore(copy);
-        record(`the store is back from a copy ${COPY_AGE_MS} ms older than its end`);
+        proxy.heal();
+        record("front-1 reaches the store again");
     }
     await waitUntil(EXIT_AFTER_MS);
     record("server i-3 exits");
     leaving.crash();
-    await waitUntil(LAPSED_AFTER_MS);
-    store.remove("servers", "i-3");
     await waitUntil(END_AFTER_MS);
     isOver = true;
     await Promise.all(clients);
@@ -112,7 +119,7 @@
         arrivals.get(id) === "i-3" && sentAtMs > passedOnAtMs + DRAIN_MS
     );
     const lost = late.filter(({ status }) => status !== 200);
-    record(`the host first passed on that i-3 leaves ${Math.round(passedOnAtMs - leftAtMs)} ms after that`);
+    record(`the host first passed on that i-3 leaves ${Math.round(passedOnAtMs - cutAtMs)} ms after the cut`);
     record(
         `${late.length} orders sent over ${DRAIN_MS} ms later reached i-3 (${late.map(each => each.id).join(", ")}); `
             + `${lost.length} of them were not answered with success`,
