--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -17,9 +17,9 @@
 const ORDERS = 5;
 const TIMEOUT_MS = 1_500;
 /** Time of an order at its server, within the deadline. */
-const WORK_MS = 1_250;
+const WORK_MS = 1_400;
 /** From the SIGTERM to the orders. */
-const ORDERS_AFTER_MS = 6_300;
+const ORDERS_AFTER_MS = 6_200;
 /** From the SIGTERM to the end of the grace time and one second more. */
 const GRACE_AND_SLACK_MS = 9_000;
 
