--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -11,9 +11,11 @@
     startEndlessServer,
     startServer,
     startStore,
-    withTrouble,
 } from "../lib/system.mjs";
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const withTrouble = process.env.TROUBLE !== "0";
+
 const DEADLINE_MS = 8_000;
 const DESK_CLIENTS = 5;
 const ORDER_CLIENTS = 24;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -12,9 +12,11 @@
     startEndlessServer,
     startServer,
     startStore,
-    withTrouble,
 } from "../lib/system.mjs";
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const withTrouble = process.env.TROUBLE !== "0";
+
 const STREAMS = 6;
 const STREAM_DEADLINE_MS = 10_000;
 const ORDER_TIMEOUT_MS = 800;
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -11,9 +11,11 @@
     sleep,
     startServer,
     startStore,
-    withTrouble,
 } from "../lib/system.mjs";
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const withTrouble = process.env.TROUBLE !== "0";
+
 const ORDERS = 5;
 const TIMEOUT_MS = 1_500;
 /** Time of an order at its server, within the deadline. */
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -7,7 +7,6 @@
 import { join } from "node:path";
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
-export const withTrouble = process.env.TROUBLE !== "0";
 
 const startedAtMs = performance.now();
 const nowMs = () => Math.round((performance.now() - startedAtMs) * 10) / 10;
