Pay for a body's memory and work by its chunks

Cause: limits counted bytes, while memory and work are paid for each chunk. The collector kept a buffer object a chunk: 1 MiB held 218 MiB in chunks of one byte, 108 in chunks of two, 27 in chunks of eight.

Ruled out: a shorter limit on bodies (64 KB of one byte chunks of 16 calls is as much), a limit on framing bytes alone (chunks of eight bytes stay below it).

Change: createByteBuffer in packages/http copies chunks into blocks and takes their memory from the budget. Used for answers to calls, error responses, replies to orders and probes, answers of the store, and in packages/host. Reading pauses for a turn of the event loop after 1,024 chunks or 64 KB. A response over a limit is a failure of its own, and its endpoint is avoided for some ten seconds. Memory returns to the budget when the caller has received the response.

--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -1,10 +1,10 @@
 /** Composes and starts a forwarding host. */
+import { createByteBudget } from "@currantrill/http";
 import { toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { createConfigurationManager } from "../configuration/model/configurationManager.js";
 import { startProbing } from "../endpoints/commands/startProbing.js";
-import { createByteBudget } from "../endpoints/model/byteBudget.js";
 import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import { createEndpointObservationTable } from "../endpoints/model/endpointObservation.js";
 import { listMonitoredEndpoints } from "../endpoints/queries/listMonitoredEndpoints.js";
--- a/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
@@ -1,4 +1,5 @@
 /** Requests that the host itself makes to an endpoint: reservation orders and probes. */
+import { createByteBuffer } from "@currantrill/http";
 import type { EndpointCall, EndpointNotice, EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { ConnectionPool } from "../model/connectionPool.js";
 import { startTimeout } from "../model/startTimeout.js";
@@ -32,8 +33,7 @@
 ): Promise<EndpointReply> {
     const { timeoutMs, protocol, usesNewConnection = false, onNotice } = options;
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const reply = createByteBuffer({ maxBytes: MAX_REPLY_BYTES });
         let status = 0;
         const cancelTimeout = startTimeout(timeoutMs, () => attempt.abort(`no reply within ${timeoutMs} ms`));
         const attempt = sendAttempt(pool, {
@@ -54,14 +54,10 @@
                 }
                 return requestId === "";
             },
-            onData: chunk => {
-                bytes += chunk.length;
-                chunks.push(chunk);
-                return bytes <= MAX_REPLY_BYTES;
-            },
+            onData: reply.append,
             onEnd: () => {
                 cancelTimeout();
-                resolve({ status, body: Buffer.concat(chunks) });
+                resolve({ status, body: reply.read() });
             },
             onFailure: (_failure, error) => {
                 cancelTimeout();
--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -1,5 +1,6 @@
 /** Sends a request to an endpoint at most once and reports the result through callbacks. */
 import type { Dispatcher } from "undici";
+import { createBodyReading } from "../model/bodyReading.js";
 import { type Connection, type ConnectionPool, detectReset, MAX_HEAD_BYTES } from "../model/connectionPool.js";
 
 /** Why an attempt ended without a complete response. */
@@ -8,6 +9,8 @@
     | "not_connected"
     /** The connection failed after the request was sent, or carried bytes that are not a response to it. */
     | "broken"
+    /** The response exceeds a limit. */
+    | "oversized"
     /** The host aborted the attempt. */
     | "aborted";
 
@@ -20,7 +23,7 @@
     readonly onSent: (isReused: boolean) => void;
     /** Receives the response status and headers. Returns `false` if they cannot belong to this request. */
     readonly onResponse: (status: number, headers: ResponseHeaders) => boolean;
-    /** Receives a part of the body. Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
+    /** Receives a part of the body. Returns `false` if the body exceeds a limit, which ends the attempt as oversized. */
     readonly onData: (chunk: Buffer) => boolean;
     /**
      * Called when the response is complete. `isDelimited`: it has a length or chunks, and does not end with its
@@ -66,7 +69,7 @@
     let isSettled = false;
     let hasExplicitLength = false;
     let abortReason: string | undefined;
-    let bodyBytes = 0;
+    let isOversized = false;
 
     const endOnce = (): boolean => {
         if (isSettled) {
@@ -74,6 +77,7 @@
         }
         isSettled = true;
         connection.onBytesReceived = undefined;
+        connection.onEnd = undefined;
         return true;
     };
     const fail = (error: Error): void => {
@@ -81,7 +85,17 @@
             return;
         }
         pool.discard(connection);
-        events.onFailure(abortReason !== undefined ? "aborted" : wasSent ? "broken" : "not_connected", error);
+        const sentFailure = isOversized ? "oversized" : "broken";
+        events.onFailure(abortReason !== undefined ? "aborted" : wasSent ? sentFailure : "not_connected", error);
+    };
+    const closeWith = (reason: string): void => {
+        const error = new Error(reason);
+        controller?.abort(error);
+        fail(error);
+    };
+    const failOversized = (reason: string): void => {
+        isOversized = true;
+        closeWith(reason);
     };
     const finish = (): void => {
         if (!endOnce()) {
@@ -90,19 +104,14 @@
         pool[request.usesNewConnection ? "discard" : "release"](connection);
         events.onEnd(hasExplicitLength);
     };
-    checkOverhead(connection, () => bodyBytes, fail);
-    connection.client.dispatch({
-        method: request.method,
-        path: request.target,
-        headers: [...request.headers],
-        body: request.body.length > 0 ? request.body : null,
-        idempotent: false,
-    }, {
+    const getController = (): Dispatcher.DispatchController | undefined => controller;
+    const reading = createBodyReading({ getController, onData: events.onData, onExceeded: failOversized });
+    connection.onEnd = () => controller?.resume();
+    checkOverhead(connection, reading.getBytes, failOversized);
+    connection.client.dispatch(buildDispatchOptions(request), {
         onRequestStart: started => {
             controller = started;
-            if (events.canSend?.() === false) {
-                abortReason ??= "the request can no longer be sent";
-            }
+            abortReason ??= events.canSend?.() === false ? "the request can no longer be sent" : undefined;
             if (abortReason !== undefined || wasSent) {
                 started.abort(new Error(abortReason ?? "the request has already been sent once"));
                 return;
@@ -111,15 +120,14 @@
             events.onSent(connection.requestCount > 1);
         },
         onResponseStart: (started, status, headers) => {
-            hasExplicitLength = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+            hasExplicitLength = isDelimited(headers);
             if (status >= 200 && !isSettled && !events.onResponse(status, headers)) {
                 started.abort(new Error("the response does not belong to the request"));
             }
         },
-        onResponseData: (started, chunk) => {
-            bodyBytes += chunk.length;
-            if (!isSettled && !events.onData(chunk)) {
-                started.abort(new Error("the response exceeds a size limit"));
+        onResponseData: (_controller, chunk) => {
+            if (!isSettled) {
+                reading.add(chunk);
             }
         },
         onResponseEnd: () => hasExplicitLength ? finish() : checkRegularEnd(connection, finish, fail),
@@ -128,27 +136,38 @@
     return {
         abort: reason => {
             abortReason ??= reason;
-            const error = new Error(reason);
-            controller?.abort(error);
-            fail(error);
+            closeWith(reason);
         },
-        pause: () => controller?.pause(),
-        resume: () => controller?.resume(),
+        pause: reading.pause,
+        resume: reading.resume,
     };
 }
 
+const isDelimited = (headers: ResponseHeaders): boolean =>
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+
+const buildDispatchOptions = (
+    { method, target, headers, body }: AttemptRequest,
+): Parameters<Dispatcher["dispatch"]>[0] => ({
+    method,
+    path: target,
+    headers: [...headers],
+    body: body.length > 0 ? body : null,
+    idempotent: false,
+});
+
 /**
  * Calls `onExceeded` if the endpoint sends much more than the head and the body of a response. The parser drops status
  * lines, informational responses and chunk extensions, and does not limit their length.
  */
-function checkOverhead(connection: Connection, getBodyBytes: () => number, onExceeded: (error: Error) => void): void {
+function checkOverhead(connection: Connection, getBodyBytes: () => number, onExceeded: (reason: string) => void): void {
     const bytesBefore = connection.socket?.bytesRead ?? 0;
     connection.onBytesReceived = bytesReceived => {
         // Bytes that are received and not yet parsed, for example while the attempt is paused, may belong to the body.
         const unparsedBytes = connection.socket?.readableLength ?? 0;
         const overheadBytes = bytesReceived - bytesBefore - unparsedBytes - getBodyBytes();
         if (overheadBytes > 2 * MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * getBodyBytes()) {
-            onExceeded(new Error("the endpoint sends bytes that are not a response"));
+            onExceeded("the endpoint sends bytes that are not a response");
         }
     };
 }
--- a/packages/forwarding/src/endpoints/model/connectionPool.ts
+++ b/packages/forwarding/src/endpoints/model/connectionPool.ts
@@ -27,6 +27,8 @@
     requestCount: number;
     /** Called with the number of bytes received on the connection so far, whenever there are more. */
     onBytesReceived: ((bytesReceived: number) => void) | undefined;
+    /** Called when the endpoint has ended its side and all its bytes have been read. */
+    onEnd: (() => void) | undefined;
 }
 
 /** Connections that are in use are not held by the pool; callers return them by `release` or `discard`. */
@@ -65,6 +67,7 @@
             hasSocketError: false,
             requestCount: 0,
             onBytesReceived: undefined,
+            onEnd: undefined,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
                 keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -81,6 +84,8 @@
                             socket.prependListener("error", () => {
                                 connection.hasSocketError = true;
                             });
+                            // Also before the client's own listener, which fails if the response is still paused.
+                            socket.on("end", () => connection.onEnd?.());
                             socket.on("readable", () => connection.onBytesReceived?.(socket.bytesRead));
                         }
                         callback(...result);
--- a/packages/forwarding/src/endpoints/model/endpointHealth.ts
+++ b/packages/forwarding/src/endpoints/model/endpointHealth.ts
@@ -17,6 +17,8 @@
  * requests.
  */
 const FAILURE_HALF_LIFE_MS = 3_000;
+/** Number of failures that a response over a limit counts as. */
+const OVERSIZED_RESPONSE_FAILURES = 10;
 /** Validity of a reported slowdown. Monitored endpoints are probed about once a second. */
 const SLOWDOWN_VALID_MS = 3_000;
 /** Upper bound on a reported slowdown. */
@@ -42,6 +44,16 @@
     failuresUpdatedAtMs: nowMs,
 });
 
+/**
+ * Records that a response exceeded a limit. An endpoint that sends bytes without end does so again, and each such
+ * response takes up to a second of processor time, so that it is avoided for some ten seconds.
+ */
+export const recordOversizedResponse = (health: EndpointHealth, nowMs: number): EndpointHealth => ({
+    ...health,
+    failures: getFailures(health, nowMs) + OVERSIZED_RESPONSE_FAILURES,
+    failuresUpdatedAtMs: nowMs,
+});
+
 /** Records that an endpoint did not accept a connection or did not respond in time. Also counts as a failure. */
 export const markUnresponsive = (health: EndpointHealth, nowMs: number): EndpointHealth => ({
     ...recordFailure(health, nowMs),
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -1,9 +1,9 @@
 /** State and services that the components of a forwarding host share. */
+import type { ByteBudget } from "@currantrill/http";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import type { ConfigurationIndex } from "../configuration/model/configurationIndex.js";
 import type { Coordination } from "../coordination/commands/startCoordination.js";
-import type { ByteBudget } from "../endpoints/model/byteBudget.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import type { EndpointObservationTable } from "../endpoints/model/endpointObservation.js";
 import type { Permits } from "../permits/commands/startPermits.js";
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -11,6 +11,7 @@
     type EndpointHealth,
     markUnresponsive,
     recordFailure,
+    recordOversizedResponse,
     recordResponse,
 } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
@@ -31,7 +32,7 @@
     readonly usesNewConnection: boolean;
     /** Called when the headers of a response to this request have arrived. */
     readonly onResponse: (status: number, headers: ResponseHeaders, metadata: ResponseMetadata) => void;
-    /** Returns `false` if the body exceeds a limit, which ends the attempt as broken. */
+    /** Returns `false` if the body exceeds a limit, which ends the attempt as oversized. */
     readonly onData: (chunk: Buffer) => boolean;
     /** Called when the response, which belongs to the request, is complete according to its framing. */
     readonly onEnd: (isDelimited: boolean) => void;
@@ -43,6 +44,7 @@
 const updateHealth: Readonly<Record<AttemptFailure, (health: EndpointHealth, nowMs: number) => EndpointHealth>> = {
     not_connected: markUnresponsive,
     broken: recordFailure,
+    oversized: recordOversizedResponse,
     aborted: health => health,
 };
 
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -1,7 +1,7 @@
 /** One attempt of a stream: forwards events as they arrive and detects stalls. */
+import { type ByteBuffer, createByteBuffer } from "@currantrill/http";
 import { probeEndpoint } from "../../endpoints/commands/probeEndpoint.js";
 import type { ResponseHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
-import { type BodyCollector, createBodyCollector } from "../../endpoints/model/bodyCollector.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { markUnresponsive, recordFailure } from "../../endpoints/model/endpointHealth.js";
 import { startTimeout } from "../../endpoints/model/startTimeout.js";
@@ -14,6 +14,7 @@
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
+import { clearWhenClosed } from "./clearWhenClosed.js";
 import { runAttempt } from "./runAttempt.js";
 
 /**
@@ -94,7 +95,7 @@
 interface ErrorResponse {
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[]>>;
-    readonly body: BodyCollector;
+    readonly body: ByteBuffer;
     readonly cancelTimeout: () => void;
 }
 
@@ -204,7 +205,7 @@
     run.cancelStallCheck();
     clearTimeout(run.deadlineTimer);
     run.errorResponse?.cancelTimeout();
-    run.errorResponse?.body.close();
+    run.errorResponse?.body.clear();
     run.exchange.onDisconnect = undefined;
     run.exchange.response.off("drain", run.resumeEndpointStream);
     run.resolve(end);
@@ -271,7 +272,7 @@
         run.errorResponse = {
             status,
             headers,
-            body: createBodyCollector({
+            body: createByteBuffer({
                 maxBytes: run.context.settings.responses.max_body_bytes,
                 budget: run.context.responseBudget,
             }),
@@ -295,7 +296,7 @@
         return true;
     }
     if (run.errorResponse !== undefined) {
-        return run.errorResponse.body.add(chunk);
+        return run.errorResponse.body.append(chunk);
     }
     const events = run.splitter.push(chunk);
     events.forEach(event => forwardEvent(run, event));
@@ -347,8 +348,7 @@
         return;
     }
     if (run.errorResponse !== undefined) {
-        const end = resolveErrorResponse(run, run.errorResponse);
-        finishRun(run, end);
+        finishRun(run, resolveErrorResponse(run, run.errorResponse));
         return;
     }
     // An endpoint that crashes ends its connections, and with them a body that nothing else delimits.
@@ -377,5 +377,8 @@
         "content-length": String(body.length),
     });
     run.exchange.response.end(body);
+    clearWhenClosed(run.exchange.response, errorResponse.body);
+    errorResponse.cancelTimeout();
+    run.errorResponse = undefined;
     return { kind: "passed_on" };
 }
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -1,6 +1,6 @@
 /** Serves requests whose response is a single body. */
+import { createByteBuffer } from "@currantrill/http";
 import type { ResponseHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
-import { createBodyCollector } from "../../endpoints/model/bodyCollector.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { recordFailure } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
@@ -11,6 +11,7 @@
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
+import { clearWhenClosed } from "./clearWhenClosed.js";
 import { runAttempt } from "./runAttempt.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
@@ -161,7 +162,7 @@
         },
         nowMs,
     );
-    const collector = createBodyCollector({
+    const collector = createByteBuffer({
         maxBytes: context.settings.responses.max_body_bytes,
         budget: context.responseBudget,
     });
@@ -170,7 +171,6 @@
     const releaseAttempt = (): void => {
         context.assignmentRegistry.remove(assignment.id);
         state.running.delete(attempt);
-        collector.close();
     };
     const attempt: RunningAttempt = runAttempt(context, exchange, {
         endpoint,
@@ -181,14 +181,16 @@
             status = responseStatus;
             headers = responseHeaders;
         },
-        onData: collector.add,
+        onData: collector.append,
         onEnd: () => {
-            const body = collector.read();
             releaseAttempt();
-            handleResponse(context, exchange, state, endpoint, { status, headers, body });
+            // The body occupies memory until the caller has received it.
+            clearWhenClosed(exchange.response, collector);
+            handleResponse(context, exchange, state, endpoint, { status, headers, body: collector.read() });
         },
         onFailure: outcome => {
             releaseAttempt();
+            collector.clear();
             if (outcome === "unknown") {
                 state.mayHaveRun = true;
             }
--- a/packages/forwarding/tests/requests/commands/endlessResponses.test.ts
+++ b/packages/forwarding/tests/requests/commands/endlessResponses.test.ts
@@ -1,5 +1,5 @@
 /** Endpoints that send bytes without end, until the host closes the connection. */
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { request } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import type { RequestKind } from "../../../src/configuration/model/servingConfiguration.js";
@@ -14,6 +14,7 @@
     type TestHost,
     testProtocol,
     waitUntil,
+    writeAnswer,
     writeChunk,
 } from "../../hostFixture.js";
 
@@ -60,6 +61,12 @@
         kind: "once",
         script: flood(`${ok}transfer-encoding: chunked\r\n\r\n`, formatChunk("a".repeat(4_096))),
     },
+    // Chunks cost a host processor time and memory by their number, not only by their length.
+    ...[1, 2, 8, 64].map(bytes => ({
+        name: `a body in chunks of ${bytes} bytes`,
+        kind: "once" as const,
+        script: flood(`${ok}transfer-encoding: chunked\r\n\r\n`, formatChunk("a".repeat(bytes))),
+    })),
     { name: "a chunk extension", kind: "once", script: flood(`${ok}transfer-encoding: chunked\r\n\r\n1;`, "x") },
     { name: "a trailer", kind: "once", script: flood(`${ok}transfer-encoding: chunked\r\n\r\n0\r\n`, "x-more: 1\r\n") },
     { name: "a body without a length", kind: "once", script: flood(`${ok}\r\n`, "a") },
@@ -136,6 +143,62 @@
     });
 });
 
+/** Defaults of the settings. */
+const deployedLimits = { max_body_bytes: 8 * 1024 * 1024, max_event_bytes: 1024 * 1024, max_buffered_bytes: 48e6 };
+
+describe("bodies in short chunks", () => {
+    // Guards against an endpoint that occupies the event loop of a host, so that it answers nobody.
+    it.each([1, 2, 8])("lets other requests go on during a body in chunks of %d bytes without end", async bytes => {
+        const host = await startSystem(
+            flood(`${ok}transfer-encoding: chunked\r\n\r\n`, formatChunk("a".repeat(bytes))),
+            "once",
+        );
+        host.host.context.settings = { ...host.host.context.settings, responses: deployedLimits };
+        const reply = send(host);
+        const state = { isPending: true };
+        void reply.then(() => void (state.isPending = false));
+        let answers = 0;
+        await waitUntil(() => host.host.context.responseBudget.getUsed() > 0);
+        while (state.isPending) {
+            const { statusCode, body } = await request(`http://${host.listen.readiness}/ready`);
+            await body.dump();
+            expect(statusCode).toBe(200);
+            answers += 1;
+        }
+        expect((await reply).status).toBe(502);
+        // The body takes hundreds of turns of the event loop, in each of which other requests are served.
+        expect(answers).toBeGreaterThan(10);
+    });
+    // Guards against a limit that takes the endless bytes of a faulty endpoint for a reason to cut sound responses.
+    it("accepts a sound body of 100,000 chunks of one byte", async () => {
+        const host = await startSystem(
+            (received, socket) => {
+                beginStream(socket, received);
+                socket.write(`${formatChunk("a").repeat(100_000)}0\r\n\r\n`);
+            },
+            "once",
+        );
+        const reply = await request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q1" } });
+        expect((await reply.body.text()).length).toBe(100_000);
+        await waitUntil(() => host.host.context.responseBudget.getUsed() === 0);
+    });
+    // Guards against a response that waits for a slow caller and does not count as buffered meanwhile.
+    it("counts a response as buffered until its caller has received it", async () => {
+        const host = await startSystem(
+            (received, socket) => writeAnswer(socket, received, 200, "a".repeat(8_000_000)),
+            "once",
+        );
+        host.host.context.settings = { ...host.host.context.settings, responses: deployedLimits };
+        const socket = connect(Number(host.listen.callers.split(":")[1]), "127.0.0.1");
+        socket.pause();
+        socket.write("GET /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\n\r\n");
+        await waitUntil(() => host.logged.some(line => line["outcome"] === "answered"));
+        expect(host.host.context.responseBudget.getUsed()).toBeGreaterThanOrEqual(8_000_000);
+        socket.destroy();
+        await waitUntil(() => host.host.context.responseBudget.getUsed() === 0);
+    });
+});
+
 describe("stalled streams", () => {
     const trickle = (text: string): EndpointScript => (received, socket) => {
         beginStream(socket, received);
--- a/packages/host/src/calls/commands/sendCall.ts
+++ b/packages/host/src/calls/commands/sendCall.ts
@@ -1,5 +1,5 @@
 /** Sends a call to one endpoint of a plain service. */
-import { createGuardedDispatcher, type HttpConnectionPool } from "@currantrill/http";
+import { createByteBuffer, createGuardedDispatcher, type HttpConnectionPool } from "@currantrill/http";
 import { callerHeaders } from "@currantrill/protocol";
 import type { AttemptId } from "@currantrill/protocol";
 import { getRemainingMs } from "../../callers/model/requestScope.js";
@@ -54,14 +54,11 @@
 }
 
 async function readBody(body: AsyncIterable<Uint8Array>): Promise<Buffer> {
-    const chunks: Uint8Array[] = [];
-    let length = 0;
+    const buffer = createByteBuffer({ maxBytes: MAX_ANSWER_BYTES });
     for await (const chunk of body) {
-        length += chunk.length;
-        if (length > MAX_ANSWER_BYTES) {
+        if (!buffer.append(chunk)) {
             throw new Error(`service response exceeds the limit of ${MAX_ANSWER_BYTES} bytes`);
         }
-        chunks.push(chunk);
     }
-    return Buffer.concat(chunks);
+    return buffer.read();
 }
--- a/packages/forwarding/src/endpoints/model/byteBudget.ts
+++ b/packages/http/src/byteBudget.ts
@@ -1,4 +1,4 @@
-/** Limits the bytes of endpoint responses that a host buffers at the same time, over all attempts. */
+/** Limits the memory that all messages of one kind occupy at the same time. */
 export interface ByteBudget {
     /** Takes bytes from the budget. Returns `false`, without taking any, if they exceed what is left. */
     readonly take: (bytes: number) => boolean;
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,5 @@
+export * from "./byteBudget.js";
+export * from "./byteBuffer.js";
 export * from "./createGuardedDispatcher.js";
 export * from "./createHttpConnectionPool.js";
 export * from "./nonForwardedHeaders.js";
--- a/packages/http/src/requestJson.ts
+++ b/packages/http/src/requestJson.ts
@@ -1,5 +1,6 @@
 import { gunzipSync } from "node:zlib";
 import { type Dispatcher, request } from "undici";
+import { createByteBuffer } from "./byteBuffer.js";
 
 /** Options of `requestJson`. The method defaults to GET. */
 export interface RequestJsonOptions {
@@ -50,16 +51,13 @@
 
 /** Reads a body. Rejects, and closes the connection, if it is longer than `maxBytes`. */
 async function readBody(body: AsyncIterable<Buffer>, maxBytes: number): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const buffer = createByteBuffer({ maxBytes });
     for await (const chunk of body) {
-        bytes += chunk.length;
-        if (bytes > maxBytes) {
+        if (!buffer.append(chunk)) {
             throw new Error(`the response body is longer than ${maxBytes} bytes`);
         }
-        chunks.push(chunk);
     }
-    return Buffer.concat(chunks);
+    return buffer.read();
 }
 
 function parseJson(text: string): unknown {
