Limit the memory of request bodies

Callers saw: one body of 4 MB in chunks of one byte ends a host for want of heap, and 44 bodies of 4 MB at the same time take it over the memory of its machine (findings of the review); all other requests on the host end with it.

Change: bodies of requests are collected in a ByteBuffer whose memory is taken from a budget of the host until the response has been sent (setting requests.max_buffered_bytes, 48 MiB). A request beyond it gets 503 bodies_too_large at once, which is true: it has not run. Reading pauses for a turn of the event loop after 1,024 chunks.

--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -3,7 +3,7 @@
 import type { CallerLimits } from "../configuration/model/servingConfiguration.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
 import { forwardRequest } from "../requests/commands/forwardRequest.js";
-import { sendRefusal } from "../requests/commands/sendRefusal.js";
+import { type RefusalReason, sendRefusal } from "../requests/commands/sendRefusal.js";
 
 /** Limit of the HTTP parser on a request's headers; the limit in the configuration is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -12,6 +12,9 @@
 /** Time in which a request must be received in full; after it the connection of a slow sender is closed. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
+/** Reasons to refuse a request whose body could not be read, by the status of the error. */
+const bodyRefusals: Readonly<Record<number, RefusalReason>> = { 413: "body_too_large", 503: "bodies_too_large" };
+
 export interface ForwardingServers {
     readonly callers: RunningServer;
     /** Applies the connection timeouts of a configuration to the server for callers. */
@@ -52,11 +55,14 @@
         ...splitAddress(listen.callers),
         bodies: "raw",
         bodyLimitBytes: () => context.getConfiguration()?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
+        bodyBudget: context.requestBudget,
         maxHeaderBytes: MAX_HEADER_BYTES,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
         handleError: (error, _request, response) => {
             context.log.info({ err: error }, "requests: could not read the request body");
-            sendRefusal(response, error.status === 413 ? "body_too_large" : "body_unreadable");
+            const reason = bodyRefusals[error.status ?? 0] ?? "body_unreadable";
+            context.metrics.requests.inc({ kind: "unrouted", outcome: reason });
+            sendRefusal(response, reason);
         },
         routes: [{
             method: "ALL",
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -91,7 +91,7 @@
         get permits() {
             return fleet.permits;
         },
-        responseBudget: createByteBudget(() => context.settings.responses.max_buffered_bytes),
+        ...createMemoryBudgets(() => context.settings),
         quarantine,
         retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.fleet.countHosts()),
         getConfiguration: configuration.get,
@@ -130,6 +130,13 @@
     };
 }
 
+const createMemoryBudgets = (
+    getSettings: () => ForwardingSettings,
+): Pick<ForwardingContext, "requestBudget" | "responseBudget"> => ({
+    requestBudget: createByteBudget(() => getSettings().requests.max_buffered_bytes),
+    responseBudget: createByteBudget(() => getSettings().responses.max_buffered_bytes),
+});
+
 interface Upkeep {
     /** Writes to the store again what this host has written there. */
     readonly restoreWrites: () => void;
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -31,7 +31,9 @@
     readonly placePrompt: Coordination["placePrompt"];
     /** Limits the requests of all hosts to endpoints that name a rate limit. */
     readonly permits: Permits;
-    /** Limits the bytes of responses that this host buffers. */
+    /** Limits the memory of the request bodies that this host holds. */
+    readonly requestBudget: ByteBudget;
+    /** Limits the memory of the responses that this host buffers. */
     readonly responseBudget: ByteBudget;
     /** Refuses prompts with parts that crash endpoints. */
     readonly quarantine: Quarantine;
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -19,6 +19,8 @@
     | "key_unknown"
     | "body_unreadable"
     | "body_too_large"
+    /** The bodies of all requests on this host exceed its memory for them. */
+    | "bodies_too_large"
     | "outcome_unknown"
     /** The endpoint crashed, and a part of the prompt may be the cause, so that no other endpoint is tried. */
     | "crash_suspected"
@@ -50,6 +52,11 @@
     key_unknown: { status: 401, message: "the key is not known" },
     body_unreadable: { status: 400, message: "the body could not be read" },
     body_too_large: { status: 413, message: "the body is larger than the configuration allows" },
+    bodies_too_large: {
+        status: 503,
+        message: "this host has no memory left for the body; the request was not run",
+        retryAfterSeconds: 0.4,
+    },
     outcome_unknown: { status: 502, message: "the endpoint's answer was lost; the request may have run" },
     crash_suspected: {
         status: 502,
--- a/packages/http/src/byteBuffer.ts
+++ b/packages/http/src/byteBuffer.ts
@@ -2,7 +2,7 @@
 
 /**
  * Collects the bytes of a message that arrives in chunks of any size. Its memory is at most twice its bytes plus
- * `MIN_BLOCK_BYTES`, however small the chunks are, and each byte is copied once.
+ * `MIN_BLOCK_BYTES`, however small the chunks are, and each byte is copied at most twice.
  */
 export interface ByteBuffer {
     /** Copies a chunk to the end. Returns `false`, without copying it, if it exceeds the limit or the budget. */
@@ -62,10 +62,13 @@
         },
         getLength: () => length,
         read: () => {
-            const [first] = blocks;
-            return first !== undefined && blocks.length === 1
-                ? first.subarray(0, length)
-                : Buffer.concat(blocks, length);
+            if (blocks.length > 1) {
+                // Replaces the blocks, so that the bytes are not held twice.
+                blocks = [Buffer.concat(blocks, length)];
+                budget?.give(capacity - length);
+                capacity = length;
+            }
+            return blocks[0]?.subarray(0, length) ?? Buffer.alloc(0);
         },
         clear: () => {
             budget?.give(capacity);
--- a/packages/http/src/readRawBody.ts
+++ b/packages/http/src/readRawBody.ts
@@ -1,28 +1,56 @@
 import type { IncomingMessage } from "node:http";
+import type { ByteBudget } from "./byteBudget.js";
+import { createByteBuffer } from "./byteBuffer.js";
 import type { HttpError } from "./serveHttp.js";
 
 /** Bytes beyond the limit that are read and discarded, so that the client can finish sending and read the response. */
 const DISCARD_LIMIT_BYTES = 64 * 1024 * 1024;
+/** Chunks after which reading pauses for a turn of the event loop. Each one takes a microsecond, however short it is. */
+const MAX_CHUNKS_PER_TURN = 1_024;
+
+export interface ReadRawBodyOptions {
+    readonly limitBytes: number;
+    /** Pays for the memory of the body until `RawBody.release` is called. */
+    readonly budget?: ByteBudget;
+}
+
+export interface RawBody {
+    readonly bytes: Buffer;
+    /** Returns the memory to the budget. Must be called once the body is no longer needed. */
+    readonly release: () => void;
+}
 
 /**
  * Reads a request body without decoding it. Rejects with an `HttpError`: status 413 and type `entity.too.large` if the
- * body exceeds the limit, status 400 and type `request.aborted` if the connection closes before the end of the body.
+ * body exceeds the limit, status 503 and type `body.budget` if it exceeds the budget, status 400 and type
+ * `request.aborted` if the connection closes before the end of the body.
  */
-export function readRawBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
+export function readRawBody(request: IncomingMessage, { limitBytes, budget }: ReadRawBodyOptions): Promise<RawBody> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
+        const buffer = createByteBuffer({ maxBytes: limitBytes, ...(budget === undefined ? {} : { budget }) });
         let length = 0;
+        let chunks = 0;
+        let isDiscarding = false;
         const rejectTooLarge = (): void => reject(createBodyError(413, "entity.too.large", "the body is too large"));
         request.on("data", (chunk: Buffer) => {
             length += chunk.length;
-            if (length <= limitBytes) {
-                chunks.push(chunk);
-                return;
-            }
-            chunks.length = 0;
+            chunks += 1;
             if (length > limitBytes + DISCARD_LIMIT_BYTES) {
                 request.pause();
                 rejectTooLarge();
+                return;
+            }
+            if (chunks % MAX_CHUNKS_PER_TURN === 0) {
+                request.pause();
+                setImmediate(() => request.resume());
+            }
+            if (isDiscarding || buffer.append(chunk)) {
+                return;
+            }
+            isDiscarding = true;
+            buffer.clear();
+            if (length <= limitBytes) {
+                reject(createBodyError(503, "body.budget", "the bodies of all requests occupy too much memory"));
             }
         });
         request.once("end", () => {
@@ -30,11 +58,12 @@
                 rejectTooLarge();
                 return;
             }
-            resolve(Buffer.concat(chunks));
+            resolve({ bytes: buffer.read(), release: buffer.clear });
         });
         const rejectIncomplete = (): void => {
             // `close` is also emitted after a complete body.
             if (!request.complete) {
+                buffer.clear();
                 reject(createBodyError(400, "request.aborted", "the body ended early"));
             }
         };
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import polka from "polka";
+import type { ByteBudget } from "./byteBudget.js";
 import { readRawBody } from "./readRawBody.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
@@ -42,6 +43,11 @@
     readonly middleware?: readonly HttpMiddleware[];
     /** A function is evaluated for each request with `raw` bodies, and once at the start with `json` bodies. */
     readonly bodyLimitBytes?: number | (() => number);
+    /**
+     * Pays for the memory of `raw` bodies until their responses have been sent. A request whose body exceeds it gets an
+     * error with status 503 and type `body.budget`.
+     */
+    readonly bodyBudget?: ByteBudget;
     readonly maxHeaderBytes?: number;
     /** Time limit for receiving a complete request, in milliseconds. */
     readonly requestTimeoutMs?: number;
@@ -138,7 +144,7 @@
     }
     const parseBody = settings.bodies === "json"
         ? await createJsonParser(getBodyLimit(settings.bodyLimitBytes))
-        : createRawParser(settings.bodyLimitBytes);
+        : createRawParser(settings.bodyLimitBytes, settings.bodyBudget);
     app.use(parseBody, ...settings.middleware);
     for (const route of settings.routes) {
         addRoute(app, route, reportError);
@@ -161,10 +167,15 @@
     return bodyParser.json({ limit: limitBytes, strict: false, type: () => true }) as HttpMiddleware;
 }
 
-function createRawParser(limit: number | (() => number)): HttpMiddleware {
-    return (request, _response, next) => {
-        readRawBody(request, getBodyLimit(limit)).then(
-            bytes => {
+function createRawParser(limit: number | (() => number), budget: ByteBudget | undefined): HttpMiddleware {
+    return (request, response, next) => {
+        const limitBytes = getBodyLimit(limit);
+        readRawBody(request, { limitBytes, ...(budget === undefined ? {} : { budget }) }).then(
+            ({ bytes, release }) => {
+                if (response.closed) {
+                    release();
+                }
+                response.once("close", release);
                 Object.assign(request, { body: bytes });
                 next();
             },
--- a/packages/settings/src/model/forwardingSettings.ts
+++ b/packages/settings/src/model/forwardingSettings.ts
@@ -42,13 +42,17 @@
         /** Fraction of each core that this host may use. */
         share: z.number().positive().default(1),
     }).prefault({}),
+    requests: z.strictObject({
+        /** Most memory that bodies of requests occupy at the same time; a request beyond it is refused. */
+        max_buffered_bytes: bytesSchema.default(48 * 1024 * 1024),
+    }).prefault({}),
     /** Limits on responses of endpoints. A response over a limit counts as broken, and its connection is closed. */
     responses: z.strictObject({
         /** Longest body of a response that is not a stream, and of an error response. */
         max_body_bytes: bytesSchema.default(8 * 1024 * 1024),
         /** Most bytes of a stream without an event. */
         max_event_bytes: bytesSchema.default(1024 * 1024),
-        /** Most bytes of bodies that the host holds at the same time. */
+        /** Most memory that bodies of responses occupy at the same time. */
         max_buffered_bytes: bytesSchema.default(48 * 1024 * 1024),
     }).prefault({}),
     /** Parts of prompts that crash endpoints, which are refused for a time. */
