Search each byte of a stream once

Cause: the splitter copied, converted and searched the whole incomplete event at each chunk, so that its work grew with the square of the bytes. Time limits did not end the attempt, since no timer ran meanwhile.

Change: the state of the last line is kept between chunks, an incomplete event is collected in a ByteBuffer whose memory the response budget pays for, and all events of a chunk are written to the caller at once. Events that the caller already has no longer count as progress.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -132,7 +132,10 @@
             progress,
             plan,
             record: createRecord(exchange, plan),
-            splitter: createEventSplitter(),
+            splitter: createEventSplitter({
+                maxBytes: context.settings.responses.max_event_bytes,
+                budget: context.responseBudget,
+            }),
             resolve,
             resumeEndpointStream: () => run.attempt?.resume(),
             deadlineTimer: setTimeout(
@@ -202,6 +205,7 @@
     }
     run.isSettled = true;
     run.tracker.end();
+    run.splitter.close();
     run.cancelStallCheck();
     clearTimeout(run.deadlineTimer);
     run.errorResponse?.cancelTimeout();
@@ -299,23 +303,53 @@
         return run.errorResponse.body.append(chunk);
     }
     const events = run.splitter.push(chunk);
-    events.forEach(event => forwardEvent(run, event));
+    if (events === undefined) {
+        return false;
+    }
+    const forwarded = forwardEvents(run, events);
     // Comments and empty lines are forwarded, but an endpoint that sends nothing else has stalled.
     if (events.some(event => event.hasContent)) {
-        run.bytesWithoutProgress = 0;
         scheduleStallCheck(run, getPauseLimits(run.exchange.route.targetPauseMs));
-        return true;
     }
-    run.bytesWithoutProgress += chunk.length;
+    // Events that the caller already has may be sent again without end.
+    run.bytesWithoutProgress = forwarded.some(event => event.hasContent)
+        ? 0
+        : run.bytesWithoutProgress + chunk.length;
     return run.bytesWithoutProgress <= run.context.settings.responses.max_event_bytes;
 }
 
-/** Forwards an event, unless the caller has already received it from an earlier attempt. */
-function forwardEvent(run: StreamRun, event: StreamEvent): void {
-    const { progress, record, exchange } = run;
-    if (event.id !== undefined && progress.lastEventId !== undefined && event.id <= progress.lastEventId) {
-        return;
+/**
+ * Forwards events, except those that the caller has already received from an earlier attempt, and returns the forwarded
+ * ones. They are written at once: a chunk may hold thousands.
+ */
+function forwardEvents(run: StreamRun, events: readonly StreamEvent[]): readonly StreamEvent[] {
+    const { response } = run.exchange;
+    const forwarded = events.filter(event => {
+        const isForwarded = isNew(run.progress, event);
+        if (isForwarded) {
+            recordEvent(run, event);
+        }
+        return isForwarded;
+    });
+    if (forwarded.length === 0) {
+        return forwarded;
     }
+    const [first] = forwarded;
+    const bytes = forwarded.length === 1 && first !== undefined
+        ? first.bytes
+        : Buffer.concat(forwarded.map(event => event.bytes));
+    if (!response.write(bytes)) {
+        run.attempt?.pause();
+    }
+    return forwarded;
+}
+
+const isNew = ({ lastEventId }: StreamProgress, { id }: StreamEvent): boolean =>
+    id === undefined || lastEventId === undefined || id > lastEventId;
+
+/** Records an event that is forwarded. */
+function recordEvent(run: StreamRun, event: StreamEvent): void {
+    const { progress, record, exchange } = run;
     if (event.hasContent) {
         progress.lastEventId = event.id ?? progress.lastEventId;
         progress.events += 1;
@@ -329,9 +363,6 @@
             run.tracker.recordAnswer(exchange.startedAtMs + record.firstAfterMs);
         }
     }
-    if (!exchange.response.write(event.bytes)) {
-        run.attempt?.pause();
-    }
 }
 
 function recordEventGap(run: StreamRun): void {
--- a/packages/forwarding/src/streams/model/eventSplitter.ts
+++ b/packages/forwarding/src/streams/model/eventSplitter.ts
@@ -1,3 +1,5 @@
+import { type ByteBufferOptions, createByteBuffer } from "@currantrill/http";
+
 /** A complete server-sent event. */
 export interface StreamEvent {
     /** The event as received, including the empty line at its end. */
@@ -9,38 +11,74 @@
 }
 
 export interface EventSplitter {
-    /** Adds received bytes, and returns the events that they complete. */
-    readonly push: (chunk: Buffer) => readonly StreamEvent[];
+    /**
+     * Adds received bytes, and returns the events that they complete; `undefined` if the incomplete event after them
+     * exceeds the limit or the budget.
+     */
+    readonly push: (chunk: Buffer) => readonly StreamEvent[] | undefined;
     /** Whether bytes of an incomplete event are buffered. */
     readonly hasIncompleteEvent: () => boolean;
+    /** Drops the incomplete event and returns its memory to the budget. */
+    readonly close: () => void;
 }
 
-const EVENT_END = /\r?\n\r?\n/g;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 const DATA_LINE = /^data(:|\r?$)/m;
 
-/** Creates a splitter of one response body into complete events, whose bytes it keeps unchanged. */
-export function createEventSplitter(): EventSplitter {
-    let buffered = Buffer.alloc(0);
+/**
+ * Creates a splitter of one response body into complete events, whose bytes it keeps unchanged. Each byte is searched
+ * once, however short the chunks are. The options limit the incomplete event.
+ */
+export function createEventSplitter(options: ByteBufferOptions): EventSplitter {
+    const incomplete = createByteBuffer(options);
+    /** Bytes of the last line so far; infinite in the first line of an event, since an empty one does not end it. */
+    let lineLength = Infinity;
+    let lastByte = 0;
+    const takeEvent = (end: Buffer): StreamEvent | undefined => {
+        if (incomplete.getLength() === 0) {
+            return describeEvent(end);
+        }
+        if (!incomplete.append(end)) {
+            return undefined;
+        }
+        const bytes = incomplete.read();
+        incomplete.clear();
+        return describeEvent(bytes);
+    };
     return {
         push: chunk => {
-            const data = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-            const text = data.toString("latin1");
             const events: StreamEvent[] = [];
             let start = 0;
-            for (const match of text.matchAll(EVENT_END)) {
-                const end = match.index + match[0].length;
-                events.push(describeEvent(data.subarray(start, end), text.slice(start, end)));
-                start = end;
+            let lineStart = -lineLength;
+            for (let index = chunk.indexOf(LINE_FEED); index >= 0; index = chunk.indexOf(LINE_FEED, index + 1)) {
+                const length = index - lineStart;
+                const previous = index > 0 ? chunk[index - 1] : lastByte;
+                const isEmptyLine = length === 0 || length === 1 && previous === CARRIAGE_RETURN;
+                lineStart = index + 1;
+                if (!isEmptyLine) {
+                    continue;
+                }
+                const event = takeEvent(chunk.subarray(start, index + 1));
+                if (event === undefined) {
+                    return undefined;
+                }
+                events.push(event);
+                start = index + 1;
+                lineStart = -Infinity;
             }
-            buffered = Buffer.from(data.subarray(start));
-            return events;
+            lineLength = chunk.length - lineStart;
+            lastByte = chunk.at(-1) ?? lastByte;
+            return incomplete.append(chunk.subarray(start)) ? events : undefined;
         },
-        hasIncompleteEvent: () => buffered.length > 0,
+        hasIncompleteEvent: () => incomplete.getLength() > 0,
+        close: incomplete.clear,
     };
 }
 
-function describeEvent(bytes: Buffer, text: string): StreamEvent {
+function describeEvent(bytes: Buffer): StreamEvent {
+    const text = bytes.toString("latin1");
     const id = ID_LINE.exec(text)?.[1];
     return id === undefined
         ? { bytes, hasContent: DATA_LINE.test(text) }
--- a/packages/forwarding/tests/requests/commands/endlessResponses.test.ts
+++ b/packages/forwarding/tests/requests/commands/endlessResponses.test.ts
@@ -28,13 +28,14 @@
 /** Writes a head, then blocks until the connection is closed. */
 const flood = (head: string, block: string): EndpointScript => (received, socket) => {
     socket.write(head.replace("ID", received.headers["t-id"] ?? ""));
-    writeForever(socket, block);
+    const repeated = block.repeat(Math.ceil(BLOCK_BYTES / block.length));
+    writeForever(socket, () => repeated);
 };
 
-function writeForever(socket: Socket, block: string): void {
+function writeForever(socket: Socket, getBlock: () => string): void {
     const write = (): void => {
         if (!socket.destroyed) {
-            socket.write(block.repeat(Math.ceil(BLOCK_BYTES / block.length)), () => setImmediate(write));
+            socket.write(getBlock(), () => setImmediate(write));
         }
     };
     write();
@@ -72,6 +73,16 @@
     { name: "a body without a length", kind: "once", script: flood(`${ok}\r\n`, "a") },
     { name: "a repeatable request's body", kind: "repeatable", script: flood(`${ok}\r\n`, "a") },
     { name: "an event of a stream", kind: "stream", script: flood(chunkedStream, formatChunk("data: a")) },
+    ...[1, 2, 8, 64].map(bytes => ({
+        name: `an event in chunks of ${bytes} bytes`,
+        kind: "stream" as const,
+        script: flood(chunkedStream, formatChunk("a".repeat(bytes))),
+    })),
+    {
+        name: "events that the caller already has",
+        kind: "stream",
+        script: flood(chunkedStream, formatChunk("id: 1\ndata: a\n\n")),
+    },
     { name: "comments of a stream", kind: "stream", script: flood(chunkedStream, formatChunk(": a\n\n")) },
     { name: "empty lines of a stream", kind: "stream", script: flood(chunkedStream, formatChunk("\n\n")) },
     {
@@ -86,9 +97,13 @@
     },
 ];
 
-async function startSystem(script: EndpointScript, kind: RequestKind): Promise<TestHost> {
+async function startSystem(
+    script: EndpointScript,
+    kind: RequestKind,
+    changes: Parameters<typeof createRoute>[0] = {},
+): Promise<TestHost> {
     const endpoint = await startEndpoint("e0", script);
-    const host = await startTestHost([createRoute({ kind, attempts: 1 })], [endpoint], { graceMs: 200 });
+    const host = await startTestHost([createRoute({ kind, attempts: 1, ...changes })], [endpoint], { graceMs: 200 });
     closers.push(() => host.host.drain(), endpoint.close);
     return host;
 }
@@ -146,6 +161,24 @@
 /** Defaults of the settings. */
 const deployedLimits = { max_body_bytes: 8 * 1024 * 1024, max_event_bytes: 1024 * 1024, max_buffered_bytes: 48e6 };
 
+/** Sends a request that fails, with the default limits, and counts the answers about readiness until its end. */
+async function countReadyAnswers(host: TestHost): Promise<number> {
+    host.host.context.settings = { ...host.host.context.settings, responses: deployedLimits };
+    const reply = send(host);
+    const state = { isPending: true };
+    void reply.then(() => void (state.isPending = false));
+    let answers = 0;
+    while (state.isPending) {
+        const { statusCode, body } = await request(`http://${host.listen.readiness}/ready`);
+        await body.dump();
+        expect(statusCode).toBe(200);
+        answers += host.host.context.inFlight;
+    }
+    const { status, isComplete } = await reply;
+    expect(status === 502 || !isComplete).toBe(true);
+    return answers;
+}
+
 describe("bodies in short chunks", () => {
     // Guards against an endpoint that occupies the event loop of a host, so that it answers nobody.
     it.each([1, 2, 8])("lets other requests go on during a body in chunks of %d bytes without end", async bytes => {
@@ -153,21 +186,28 @@
             flood(`${ok}transfer-encoding: chunked\r\n\r\n`, formatChunk("a".repeat(bytes))),
             "once",
         );
-        host.host.context.settings = { ...host.host.context.settings, responses: deployedLimits };
-        const reply = send(host);
-        const state = { isPending: true };
-        void reply.then(() => void (state.isPending = false));
-        let answers = 0;
-        await waitUntil(() => host.host.context.responseBudget.getUsed() > 0);
-        while (state.isPending) {
-            const { statusCode, body } = await request(`http://${host.listen.readiness}/ready`);
-            await body.dump();
-            expect(statusCode).toBe(200);
-            answers += 1;
-        }
-        expect((await reply).status).toBe(502);
         // The body takes hundreds of turns of the event loop, in each of which other requests are served.
-        expect(answers).toBeGreaterThan(10);
+        expect(await countReadyAnswers(host)).toBeGreaterThan(10);
+    });
+    // Guards against work for each byte of an incomplete event that grows with its length.
+    it.each([1, 8, 64])("lets other requests go on during an event in chunks of %d bytes without end", async bytes => {
+        const host = await startSystem(flood(chunkedStream, formatChunk("a".repeat(bytes))), "stream");
+        expect(await countReadyAnswers(host)).toBeGreaterThan(10);
+    });
+    it("lets other requests go on during short events without end", async () => {
+        let id = 0;
+        const host = await startSystem(
+            (received, socket) => {
+                socket.write(chunkedStream.replace("ID", received.headers["t-id"] ?? ""));
+                writeForever(
+                    socket,
+                    () => formatChunk(Array.from({ length: 1_000 }, () => `id:${id += 1}\n\n`).join("")),
+                );
+            },
+            "stream",
+            { timeoutMs: 1_000 },
+        );
+        expect(await countReadyAnswers(host)).toBeGreaterThan(10);
     });
     // Guards against a limit that takes the endless bytes of a faulty endpoint for a reason to cut sound responses.
     it("accepts a sound body of 100,000 chunks of one byte", async () => {
