Decide by time limits whether a stopping host can answer

Cause: a fixed time for each kind of route (one second for calls) decided whether a request is still taken.

Ruled out: an end of the process later than 93% of the grace time (what is left is for the exit), and a longer fixed time (it refuses early requests that could be answered).

Change: taken is what ends by its own time limit before the stop, or arrives while the balancer may still send and is expected in time by what the route's requests have lately taken. Asked again before each further attempt. Requests in flight at the stop get a final answer in place of a closed connection.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -4,35 +4,39 @@
 
 /** Fraction of the grace time after which no connection is accepted; the load balancer has noticed by then. */
 const DRAIN_NOTICE_FRACTION = 0.35;
-/** Fraction of the grace time after which the process ends even if requests are in flight. */
-const DRAIN_END_FRACTION = 0.93;
+/** Fraction of the grace time after which requests in flight get their final answer. */
+const DRAIN_END_FRACTION = 0.92;
+/** Time in which these answers are sent, before the connections are closed. */
+const FLUSH_MS = 80;
 /** Interval at which the number of requests in flight is checked. */
 const DRAIN_POLL_MS = 20;
 
 /**
  * Drains a host: reports not ready, goes on serving until the load balancer has noticed, then stops accepting
- * connections and waits for the requests in flight. Resolves when all servers are closed.
+ * connections and waits for the requests in flight. Those that have not ended by then get a final answer. Resolves when
+ * all servers are closed.
  */
 export async function drainForwarding(context: ForwardingContext, servers: ForwardingServers): Promise<void> {
     const graceMs = context.settings.drain.grace_ms;
     const startedAtMs = performance.now();
-    const endAtMs = startedAtMs + graceMs * DRAIN_END_FRACTION;
-    context.isDraining = true;
-    context.stopsAtMs = endAtMs;
-    context.log.info({ inFlight: context.inFlight, graceMs }, "host: draining");
-    await sleep(graceMs * DRAIN_NOTICE_FRACTION);
+    const noticedAtMs = startedAtMs + graceMs * DRAIN_NOTICE_FRACTION;
+    const stopsAtMs = startedAtMs + graceMs * DRAIN_END_FRACTION;
+    context.shutdown = { noticedAtMs, stopsAtMs };
+    context.log.info({ inFlight: context.exchanges.size, graceMs }, "host: draining");
+    await sleep(noticedAtMs - startedAtMs);
     const closed = servers.callers.drain();
     // Requests whose body is still being received, and responses that are still being sent, count as well.
-    await Promise.race([
-        closed,
-        waitUntil(() => servers.callers.countPending() === 0 || performance.now() >= endAtMs),
-    ]);
+    const waitForPending = (endAtMs: number): Promise<void> =>
+        waitUntil(() => servers.callers.countPending() === 0 || performance.now() >= endAtMs);
+    await Promise.race([closed, waitForPending(stopsAtMs)]);
     const pending = servers.callers.countPending();
     if (pending > 0) {
         context.log.warn(
-            { inFlight: context.inFlight, pending },
+            { inFlight: context.exchanges.size, pending },
             "host: requests in flight at the end of the grace time",
         );
+        context.exchanges.forEach(exchange => exchange.onStop?.());
+        await waitForPending(performance.now() + FLUSH_MS);
     }
     await servers.callers.close();
     await servers.close();
--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -33,7 +33,7 @@
             method: "GET",
             path: context.callers.readinessPath,
             handle: (_request, response) => {
-                const isReady = !context.isDraining && context.getConfiguration() !== undefined;
+                const isReady = context.shutdown === undefined && context.getConfiguration() !== undefined;
                 sendJson(response, isReady ? 200 : 503, { ready: isReady });
             },
         }],
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -16,6 +16,7 @@
 import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows, TableSource } from "../ports/index.js";
 import { type Quarantine, type QuarantineOptions, startQuarantine } from "../quarantine/commands/startQuarantine.js";
 import type { SharedTable } from "../replicas/model/sharedTable.js";
+import { createRouteDurations } from "../requests/model/routeDurations.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import { connectFleet } from "./connectFleet.js";
 import { drainForwarding } from "./drainForwarding.js";
@@ -96,8 +97,8 @@
         retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.fleet.countHosts()),
         getConfiguration: configuration.get,
         createReservationId: createIdGenerator(settings.host_id),
-        isDraining: false,
-        inFlight: 0,
+        exchanges: new Set(),
+        routeDurations: createRouteDurations(),
     };
     const servers = await serveForwarding(context);
     const sharedTables = new Map<string, SharedTable>();
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -11,8 +11,11 @@
 import type { CallerProtocol } from "../ports/callerProtocol.js";
 import type { EndpointProtocol } from "../ports/endpointProtocol.js";
 import type { Quarantine } from "../quarantine/commands/startQuarantine.js";
+import type { Exchange } from "../requests/model/exchange.js";
+import type { RouteDurations } from "../requests/model/routeDurations.js";
 import type { SharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import type { ForwardingMetrics } from "./forwardingMetrics.js";
+import type { Shutdown } from "./shutdown.js";
 
 export interface ForwardingContext {
     /** Replaced when the settings file changes. */
@@ -43,10 +46,9 @@
     readonly getConfiguration: () => ConfigurationIndex | undefined;
     /** Creates an id that is unique among all hosts and all runs of their processes. */
     readonly createReservationId: () => string;
-    /** Whether a graceful shutdown has begun; the host then reports not ready. */
-    isDraining: boolean;
-    /** When the shutdown ends, on the monotonic clock; requests in flight are cut off then. Absent before it. */
-    stopsAtMs?: number;
-    /** Number of caller requests that are being served. */
-    inFlight: number;
+    /** Set when a graceful shutdown has begun; the host then reports not ready. */
+    shutdown?: Shutdown;
+    /** Requests of callers that are being served. */
+    readonly exchanges: Set<Exchange>;
+    readonly routeDurations: RouteDurations;
 }
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -8,7 +8,8 @@
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { selectTrackedParts } from "../../quarantine/queries/selectTrackedParts.js";
 import type { Exchange } from "../model/exchange.js";
-import { canAnswerInTime } from "../queries/canAnswerInTime.js";
+import { canBeAnswered } from "../queries/canAnswerInTime.js";
+import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { selectRequestHeaders } from "../queries/selectHeaders.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 import { serveCall } from "./serveCall.js";
@@ -22,6 +23,9 @@
     stream: serveStream,
 };
 
+/** Outcomes of requests that endpoints have answered. */
+const answeredOutcomes: ReadonlySet<string> = new Set(["answered", "complete"]);
+
 /** Limit on the shared parts of a prompt in its log line. */
 const MAX_LOGGED_PARTS = 16;
 
@@ -31,7 +35,7 @@
     request: HttpRequest,
     response: ServerResponse,
 ): Promise<void> {
-    if (context.isDraining) {
+    if (context.shutdown !== undefined) {
         response.setHeader("connection", "close");
     }
     const index = context.getConfiguration();
@@ -42,8 +46,8 @@
         return;
     }
     context.retryBudget.recordRequest(exchange.service.name, exchange.startedAtMs);
-    context.inFlight += 1;
-    context.metrics.inFlight.set(context.inFlight);
+    context.exchanges.add(exchange);
+    context.metrics.inFlight.set(context.exchanges.size);
     response.once("close", () => {
         if (!response.writableEnded) {
             exchange.isDisconnected = true;
@@ -55,21 +59,16 @@
     }
     catch (error) {
         context.log.error({ err: error, request: exchange.requestId }, "requests: internal error");
-        const mayHaveRun = exchange.attempts.some(attempt => attempt.wasSent);
-        const reason = mayHaveRun ? "outcome_unknown" : "not_run";
+        const reason = hasPossiblyRun(exchange) ? "outcome_unknown" : "not_run";
         sendRefusal(response, reason, context.callers.buildResponseHeaders(exchange.requestId));
         logExchange(context, exchange, reason);
     }
     finally {
-        context.inFlight -= 1;
-        context.metrics.inFlight.set(context.inFlight);
+        context.exchanges.delete(exchange);
+        context.metrics.inFlight.set(context.exchanges.size);
     }
 }
 
-/** Returns whether the request can be answered before a shutdown ends, at which its answer would be cut off. */
-const canBeAnswered = ({ stopsAtMs }: ForwardingContext, exchange: Exchange): boolean =>
-    stopsAtMs === undefined || canAnswerInTime(exchange, stopsAtMs);
-
 function createExchange(
     context: ForwardingContext,
     index: ConfigurationIndex,
@@ -106,11 +105,13 @@
         ...(authorization.workspace === undefined ? {} : { workspace: authorization.workspace }),
         priority: authorization.priority,
         configurationVersion: index.configuration.version,
+        receivedAtMs: request.receivedAtMs,
         startedAtMs,
         deadlineAtMs: startedAtMs + Math.min(callerMetadata.deadlineMs ?? Infinity, route.timeoutMs),
         attempts: [],
         onDisconnect: undefined,
         isDisconnected: false,
+        onStop: undefined,
     };
 }
 
@@ -141,6 +142,9 @@
     const { route, attempts } = exchange;
     const durationMs = Math.round(performance.now() - exchange.startedAtMs);
     context.metrics.requests.inc({ kind: route.kind, outcome });
+    if (answeredOutcomes.has(outcome)) {
+        context.routeDurations.record(route.name, durationMs);
+    }
     context.metrics.requestSeconds.observe({ kind: route.kind }, durationMs / 1_000);
     const firstAfterMs = attempts.find(attempt => attempt.firstAfterMs !== undefined)?.firstAfterMs;
     if (firstAfterMs !== undefined) {
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -11,36 +11,13 @@
 import type { PromptTracker } from "../../quarantine/model/promptTracker.js";
 import type { QuarantineEntry } from "../../quarantine/model/quarantineEntry.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
+import { getFirstEventLimits, getPauseLimits, type WaitLimits } from "../../streams/model/waitLimits.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
 import { clearWhenClosed } from "./clearWhenClosed.js";
 import { runAttempt } from "./runAttempt.js";
 
-/**
- * Limits on the wait for the next event. The endpoint is probed after `probeAfterMs`; the attempt is aborted after
- * `abortAfterMs`, so that another endpoint can be tried.
- */
-interface WaitLimits {
-    readonly probeAfterMs: number;
-    readonly abortAfterMs: number;
-}
-
-/** Generous limits: aborting a slow attempt at a busy endpoint would waste its work and repeat it elsewhere. */
-const getFirstEventLimits = (expectedMs: number): WaitLimits => ({
-    probeAfterMs: 300 + 1.5 * expectedMs,
-    abortAfterMs: 1_300 + 4 * expectedMs,
-});
-
-/**
- * Callers disconnect after a pause of 2 s, or of eight times the pause that their route allows. Nine of ten streams were
- * continued within 0.35 s after an abort under load (kotuku-fit-grown, scale-1).
- */
-const getPauseLimits = (targetPauseMs: number): WaitLimits => ({
-    probeAfterMs: Math.max(600, 1.5 * targetPauseMs),
-    abortAfterMs: Math.max(1_500, 4 * targetPauseMs),
-});
-
 /** Interval at which a stalled attempt is checked again that cannot be retried, because the retry budget is used up. */
 const RETRY_BUDGET_CHECK_MS = 200;
 
@@ -65,9 +42,9 @@
     events: number;
 }
 
-/** Result of an attempt. `passed_on`: an error response of the endpoint was forwarded. */
+/** Result of an attempt. `passed_on`: an error response of the endpoint was forwarded; `stopped`: the host stops. */
 export type StreamAttemptResult =
-    | { readonly kind: "complete" | "passed_on" | "caller_gone" | "out_of_time"; }
+    | { readonly kind: "complete" | "passed_on" | "caller_gone" | "out_of_time" | "stopped"; }
     /** `not_run`: the endpoint has not run the request. `broken`: it may have run, partly or completely. */
     | {
         readonly kind: "not_run" | "broken";
@@ -156,6 +133,7 @@
             isSettled: false,
         };
         exchange.onDisconnect = () => abortRun(run, { kind: "caller_gone" }, "caller disconnected");
+        exchange.onStop = () => abortRun(run, { kind: "stopped" }, "the host stops");
         exchange.response.on("drain", run.resumeEndpointStream);
         run.attempt = runAttempt(context, exchange, {
             endpoint: plan.endpoint,
@@ -211,6 +189,7 @@
     run.errorResponse?.cancelTimeout();
     run.errorResponse?.body.clear();
     run.exchange.onDisconnect = undefined;
+    run.exchange.onStop = undefined;
     run.exchange.response.off("drain", run.resumeEndpointStream);
     run.resolve(end);
 }
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -7,7 +7,9 @@
 import { chooseLeastLoaded } from "../../placement/queries/chooseLeastLoaded.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
+import { canBeAnswered } from "../queries/canAnswerInTime.js";
 import { getRetrySeconds } from "../queries/getRetrySeconds.js";
+import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
@@ -73,6 +75,7 @@
             },
         };
         exchange.onDisconnect = () => state.finish("caller_gone");
+        exchange.onStop = () => finishAtStop(context, exchange, state);
         const remainingMs = exchange.deadlineAtMs - performance.now();
         timers.push(setTimeout(() => finishAtDeadline(context, exchange, state), remainingMs));
         if (exchange.route.kind === "repeatable") {
@@ -116,6 +119,7 @@
 
 const canStartAttempt = (context: ForwardingContext, exchange: Exchange, { attemptsSent }: CallState): boolean =>
     attemptsSent < exchange.route.attempts
+    && canBeAnswered(context, exchange)
     && (attemptsSent === 0 || context.retryBudget.canSpend(exchange.service.name, performance.now()));
 
 /** Chooses an endpoint. If it names a rate limit, a permit is acquired. */
@@ -277,6 +281,20 @@
     state.finish(reason);
 }
 
+/** Gives a call its final answer when the host stops. */
+function finishAtStop(context: ForwardingContext, exchange: Exchange, state: CallState): void {
+    if (state.isFinished) {
+        return;
+    }
+    if (state.fallback !== undefined) {
+        sendResponse(exchange, state, state.fallback);
+        return;
+    }
+    const reason = hasPossiblyRun(exchange) ? "outcome_unknown" : "stopping";
+    sendRefusal(exchange.response, reason, context.callers.buildResponseHeaders(exchange.requestId));
+    state.finish(reason);
+}
+
 function finishAtDeadline(context: ForwardingContext, exchange: Exchange, state: CallState): void {
     recordPendingFailures(state);
     sendRefusal(exchange.response, "out_of_time", context.callers.buildResponseHeaders(exchange.requestId));
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -14,7 +14,9 @@
 import type { Admission } from "../../quarantine/commands/startQuarantine.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
 import type { Exchange } from "../model/exchange.js";
+import { canBeAnswered } from "../queries/canAnswerInTime.js";
 import { getRetrySeconds } from "../queries/getRetrySeconds.js";
+import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import {
@@ -69,10 +71,10 @@
             return finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run");
         }
         const chosen = await chooseEndpoints(context, exchange, tried);
-        if (exchange.isDisconnected) {
+        if (exchange.isDisconnected || !progress.hasSentHeaders && !canBeAnswered(context, exchange)) {
             chosen?.reservedMemory?.release();
             chosen?.settle();
-            return "caller_gone";
+            return exchange.isDisconnected ? "caller_gone" : finishAtStop(context, exchange);
         }
         if (chosen === undefined) {
             return mayHaveRun
@@ -93,6 +95,9 @@
             isFinalAttempt,
             ...(admission.kind === "trial" ? { trial: admission.trial } : {}),
         });
+        if (end.kind === "stopped") {
+            return finishAtStop(context, exchange);
+        }
         if (!("wasSent" in end)) {
             const reason = fatalReasons[end.kind];
             return reason === undefined ? end.kind : finishWithRefusal(context, exchange, reason);
@@ -162,6 +167,10 @@
     return hasBegun && await reported === true || quarantine.isSuspect(service, parts);
 }
 
+/** Gives a stream its final answer when the host stops. */
+const finishAtStop = (context: ForwardingContext, exchange: Exchange): string =>
+    finishWithRefusal(context, exchange, hasPossiblyRun(exchange) ? "outcome_unknown" : "stopping");
+
 function finishWithRefusal(context: ForwardingContext, exchange: Exchange, reason: RefusalReason): string {
     sendRefusal(exchange.response, reason, context.callers.buildResponseHeaders(exchange.requestId));
     return reason;
--- a/packages/forwarding/src/requests/model/exchange.ts
+++ b/packages/forwarding/src/requests/model/exchange.ts
@@ -23,7 +23,9 @@
     readonly workspace?: WorkspaceId;
     readonly priority: number;
     readonly configurationVersion: number;
-    /** Arrival on the monotonic clock, in milliseconds. */
+    /** Arrival of the head on the monotonic clock, in milliseconds. */
+    readonly receivedAtMs: number;
+    /** Arrival of the whole request on the monotonic clock, in milliseconds. */
     readonly startedAtMs: number;
     /** Deadline on the monotonic clock: the caller's or the route's, whichever is earlier. */
     readonly deadlineAtMs: number;
@@ -32,6 +34,8 @@
     /** Called once if the caller disconnects before the response is complete. */
     onDisconnect: (() => void) | undefined;
     isDisconnected: boolean;
+    /** Called if the host stops before the response is complete. It must be given its final answer. */
+    onStop: (() => void) | undefined;
     /** Part of the prompt for which it was refused, as written to the request log. */
     isolatedPart?: string;
 }
--- a/packages/forwarding/src/requests/queries/canAnswerInTime.ts
+++ b/packages/forwarding/src/requests/queries/canAnswerInTime.ts
@@ -1,9 +1,43 @@
 import type { RequestKind } from "../../configuration/model/servingConfiguration.js";
+import type { ForwardingContext } from "../../model/forwardingContext.js";
+import type { Shutdown } from "../../model/shutdown.js";
 import type { Exchange } from "../model/exchange.js";
 
-/** Time in which the answer to a request is complete, by the kind of its route; long streams take a few seconds. */
-const ANSWER_MS: Readonly<Record<RequestKind, number>> = { once: 1_000, repeatable: 1_000, stream: 5_000 };
+export interface AnswerTimes {
+    /** When the host began to receive the request. */
+    readonly receivedAtMs: number;
+    /** Deadline of the request. At the latest then it has a final answer. */
+    readonly deadlineAtMs: number;
+    /** Time that requests of the route take. */
+    readonly expectedMs: number;
+}
 
-/** Returns whether the answer will be complete, or late in any case, before the host stops at `stopsAtMs`. */
-export const canAnswerInTime = ({ route, startedAtMs, deadlineAtMs }: Exchange, stopsAtMs: number): boolean =>
-    Math.min(startedAtMs + ANSWER_MS[route.kind], deadlineAtMs) <= stopsAtMs;
+/**
+ * Returns whether a request that is sent to an endpoint now has its answer before the host stops. Those that arrive
+ * while the load balancer may still send requests are served if they are expected to be answered in time. Later ones
+ * come on connections that callers kept, and only a time limit that ends before the stop is certain enough for them: a
+ * refused request goes to another host, and one that is cut off may not be repeated.
+ */
+export const canAnswerInTime = (
+    { receivedAtMs, deadlineAtMs, expectedMs }: AnswerTimes,
+    { noticedAtMs, stopsAtMs }: Shutdown,
+    nowMs: number,
+): boolean => deadlineAtMs <= stopsAtMs || receivedAtMs < noticedAtMs && nowMs + expectedMs <= stopsAtMs;
+
+/**
+ * Assumed duration of a request while no answer on its route is known, as a fraction of the route's target latency.
+ * Most calls take half of it. The target of a stream is for its first event, after which it goes on.
+ */
+const ASSUMED_TARGET_FRACTION: Readonly<Record<RequestKind, number>> = { once: 0.5, repeatable: 0.5, stream: 1 };
+
+/** Returns whether the host can answer a request, if it is sent to an endpoint now. */
+export const canBeAnswered = (
+    { shutdown, routeDurations }: ForwardingContext,
+    { route, receivedAtMs, deadlineAtMs }: Pick<Exchange, "route" | "receivedAtMs" | "deadlineAtMs">,
+): boolean => {
+    if (shutdown === undefined) {
+        return true;
+    }
+    const expectedMs = routeDurations.estimateMs(route.name) ?? route.targetMs * ASSUMED_TARGET_FRACTION[route.kind];
+    return canAnswerInTime({ receivedAtMs, deadlineAtMs, expectedMs }, shutdown, performance.now());
+};
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -119,6 +119,80 @@
         expect(received).toContain("whole");
         expect(endpoint.received[0]?.body).toBe("abcd");
     });
+    // Guards against a request on a connection that its caller opened before the shutdown and did not use, which is
+    // passed on and cut off: the balancer has noticed long ago, and such a call must not be repeated.
+    it.each([
+        {
+            name: "refuses a late call that may take until after the stop",
+            route: createRoute({ kind: "once", timeoutMs: 1_500 }),
+            afterMs: 2_600,
+            workMs: 1_400,
+            status: 503,
+            received: 0,
+        },
+        {
+            name: "refuses a late call with a long time limit",
+            route: createRoute({ kind: "once", timeoutMs: 3_000 }),
+            afterMs: 1_800,
+            workMs: 2_500,
+            status: 503,
+            received: 0,
+        },
+        {
+            name: "answers a late call whose time limit ends before the stop",
+            route: createRoute({ kind: "once", timeoutMs: 700 }),
+            afterMs: 2_600,
+            workMs: 300,
+            status: 200,
+            received: 1,
+        },
+        {
+            name: "answers an early call with a long time limit",
+            route: createRoute({ kind: "once", timeoutMs: 15_000 }),
+            afterMs: 1_000,
+            workMs: 2_000,
+            status: 200,
+            received: 1,
+        },
+        {
+            name: "gives a final answer to a call that runs at the stop",
+            route: createRoute({ kind: "once", timeoutMs: 15_000 }),
+            afterMs: 1_000,
+            workMs: 10_000,
+            status: 502,
+            received: 1,
+        },
+        {
+            name: "gives a final answer to a stream that has not begun at the stop",
+            route: createRoute({ kind: "stream", canResume: false, timeoutMs: 15_000 }),
+            afterMs: 1_000,
+            workMs: 10_000,
+            status: 502,
+            received: 1,
+        },
+    ])("$name", async ({ route, afterMs, workMs, status, received }) => {
+        const endpoint = await startEndpoint("e0", (request, socket) => {
+            setTimeout(() => writeAnswer(socket, request, 200, "whole"), workMs);
+        });
+        closers.push(endpoint.close);
+        const host = await startTestHost([route], [endpoint], { graceMs: 4_000 });
+        const [ip = "", port = "0"] = host.listen.callers.split(":");
+        const [unused, pending] = [connect(Number(port), ip), connect(Number(port), ip)];
+        closers.push(() => unused.destroy(), () => pending.destroy());
+        // A request whose body does not end keeps the host from stopping early.
+        pending.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 4\r\n\r\n");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const drained = host.host.drain();
+        await new Promise(resolve => setTimeout(resolve, afterMs));
+        const answer = new Promise<string>(resolve => {
+            unused.once("data", data => resolve(data.toString()));
+            unused.once("close", () => resolve("closed"));
+        });
+        unused.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 0\r\n\r\n");
+        expect(await answer).toContain(`HTTP/1.1 ${status}`);
+        expect(endpoint.received).toHaveLength(received);
+        await drained;
+    });
     // Guards against a request that is passed on late in the grace time and cut off at its end, although it may not run
     // a second time.
     it.each([
--- a/packages/forwarding/tests/requests/commands/endlessResponses.test.ts
+++ b/packages/forwarding/tests/requests/commands/endlessResponses.test.ts
@@ -125,7 +125,7 @@
         // The route's time limit is 5 s: the attempt must end because of what it received, not at its deadline.
         expect(performance.now() - startedAtMs).toBeLessThan(4_000);
         await waitUntil(() => host.host.context.responseBudget.getUsed() === 0);
-        expect(host.host.context.inFlight).toBe(0);
+        expect(host.host.context.exchanges.size).toBe(0);
     });
     it("counts an endless response as a failure of the endpoint", async () => {
         const host = await startSystem(flood(`${ok}\r\n`, "a"), "once");
@@ -172,7 +172,7 @@
         const { statusCode, body } = await request(`http://${host.listen.readiness}/ready`);
         await body.dump();
         expect(statusCode).toBe(200);
-        answers += host.host.context.inFlight;
+        answers += host.host.context.exchanges.size;
     }
     const { status, isComplete } = await reply;
     expect(status === 502 || !isComplete).toBe(true);
--- a/packages/forwarding/tests/requests/commands/serveStream.test.ts
+++ b/packages/forwarding/tests/requests/commands/serveStream.test.ts
@@ -175,7 +175,7 @@
         await new Promise(resolve => reply.body.once("data", resolve));
         reply.body.destroy();
         await waitUntil(() => endpoints.some(endpoint => endpoint.received.length === 1 && endpoint.closed >= 1));
-        await waitUntil(() => host.host.context.inFlight === 0);
+        await waitUntil(() => host.host.context.exchanges.size === 0);
         expect(host.host.context.assignmentRegistry.listLocal()).toEqual([]);
     });
     it("ends a stream at the time limit of its route", async () => {
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -15,6 +15,8 @@
     readonly params: Readonly<Record<string, string>>;
     /** Query string with the leading `?`; empty if there is none. */
     readonly search: string;
+    /** When the head was received, on the monotonic clock. */
+    readonly receivedAtMs: number;
     /** Parsed JSON value, or a `Buffer` if the server was started with `bodies: "raw"`. */
     readonly body: unknown;
 }
@@ -130,7 +132,8 @@
         headersTimeout: settings.requestTimeoutMs,
     });
     let pendingCount = 0;
-    server.on("request", (_request, response) => {
+    server.on("request", (request, response) => {
+        Object.assign(request, { receivedAtMs: performance.now() } satisfies Partial<HttpRequest>);
         pendingCount += 1;
         response.once("close", () => {
             pendingCount -= 1;
