Apply only changes after the replica's version

Cause: an answer to a call for changes that was made before a removal, and arrives after a peer's copy has brought the removal, adds the row again, since an unknown row was accepted whatever its position.

Ruled out: the copy of the peer (complete and newer), whole reads (compared by version), the expiry after an outage (the entry was there, not missing).

Change: applyChanges accepts only changes after the replica's version, up to which the replica is complete.

--- a/packages/forwarding/src/replicas/model/tableReplica.ts
+++ b/packages/forwarding/src/replicas/model/tableReplica.ts
@@ -27,10 +27,14 @@
 });
 
 /**
- * Applies changes that follow the replica's version. Rows with a newer known version are kept, and of several changes
- * to one row only the last one is applied.
+ * Applies changes that were requested after the replica's version, or after an earlier one: the replica may have adopted
+ * a peer's copy since. It is complete up to its version, so that only later changes are applied; an earlier one may be of
+ * a row that has been removed since. Of several changes to one row only the last one is applied.
  */
-export function applyChanges(replica: TableReplica, changes: TableChanges): ReplicaUpdate {
+export const applyChanges = (replica: TableReplica, changes: TableChanges): ReplicaUpdate =>
+    applyRows(replica, { ...changes, rows: changes.rows.filter(row => row.version > replica.version) });
+
+function applyRows(replica: TableReplica, changes: TableChanges): ReplicaUpdate {
     const rows = new Map(replica.rows);
     const newest = new Map(changes.rows.map(row => [row.key, row]));
     const changed = [...newest.values()].filter(row => isNewer(replica, row));
@@ -67,7 +71,7 @@
     const removed = [...replica.rows.values()]
         .filter(row => !present.has(row.key))
         .map((row): TableRow => ({ key: row.key, version: snapshot.version }));
-    return applyChanges(replica, { version: snapshot.version, rows: [...snapshot.rows, ...removed] });
+    return applyRows(replica, { version: snapshot.version, rows: [...snapshot.rows, ...removed] });
 }
 
 function isNewer(replica: TableReplica, row: TableRow): boolean {
