Keep what an endpoint has said when its entry is removed

Cause: notices and the draining state of the entry were dropped with the entry, and a restored store has the entry of such an endpoint again.

Ruled out: the order of positions across eras (the entry is new by its era, rightly).

Change: the directory remembers removed endpoints for a minute. An entry of the same process takes up its notices.

Before: 2 of 5 new cases of endpointDirectory.test.ts failed.

--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -8,6 +8,7 @@
 import { type ConnectionPool, createConnectionPool } from "./connectionPool.js";
 import { createEndpointHealth, type EndpointHealth } from "./endpointHealth.js";
 import { createExpirations } from "./expirations.js";
+import { createFormerEndpoints, isSameProcess } from "./formerEndpoints.js";
 
 /** One endpoint process. A restart under the same id is a new `Endpoint`. */
 export interface Endpoint {
@@ -50,11 +51,13 @@
 export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
     const { rows, log, onConnect, onNotice } = options;
     const endpoints = new Map<string, Endpoint>();
+    const formerEndpoints = createFormerEndpoints();
 
     const removeEndpoint = (id: string, reason: string): void => {
         const endpoint = endpoints.get(id);
         if (endpoint !== undefined) {
             endpoints.delete(id);
+            formerEndpoints.add(endpoint);
             endpoint.pool.close();
             log.info({ endpoint: id, reason }, "endpoints: removed");
         }
@@ -76,14 +79,16 @@
             return;
         }
         existing?.pool.close();
+        const former = formerEndpoints.take(entry);
         endpoints.set(entry.id, {
-            entry,
+            entry: { ...entry, isDraining: former?.entry.isDraining === true || entry.isDraining },
             pool: createConnectionPool(entry.address, onConnect),
             bias: Math.random(),
             health: createEndpointHealth(performance.now()),
-            notices: createEndpointNotices({ endpointId: entry.id, log, onChange: onNotice }),
+            notices: former?.notices ?? createEndpointNotices({ endpointId: entry.id, log, onChange: onNotice }),
         });
-        log.info({ endpoint: entry.id, service: entry.service, address: entry.address }, "endpoints: added");
+        const isKnown = former !== undefined;
+        log.info({ endpoint: entry.id, service: entry.service, address: entry.address, isKnown }, "endpoints: added");
     };
     const applyRow = (row: TableRow, afterOutage: boolean): void => {
         if (row.value === undefined) {
@@ -128,6 +133,3 @@
     const now = readClocks();
     return ({ entry, notices }) => entry.service === service && !entry.isDraining && !notices.isLeaving(now);
 }
-
-const isSameProcess = (a: EndpointEntry, b: EndpointEntry): boolean =>
-    a.address === b.address && a.processStartedAtMs === b.processStartedAtMs && a.service === b.service;
--- a/packages/forwarding/src/notices/model/endpointNotices.ts
+++ b/packages/forwarding/src/notices/model/endpointNotices.ts
@@ -14,7 +14,7 @@
 /** A limit that no response has named for this time is forgotten. The lowest limit allows a request every 10 s. */
 const LIMIT_VALID_MS = 60_000;
 /** Time after which a leaving endpoint that still runs and no longer says so is used again. */
-const LEAVING_VALID_MS = 60_000;
+export const LEAVING_VALID_MS = 60_000;
 /** Time for which hosts tell each other that an endpoint no longer names a limit. */
 const SHARE_END_MS = 10_000;
 
--- a/packages/forwarding/tests/endpoints/model/endpointDirectory.test.ts
+++ b/packages/forwarding/tests/endpoints/model/endpointDirectory.test.ts
@@ -1,4 +1,4 @@
-import { toFailureDomainId } from "@currantrill/protocol";
+import { readClocks, toFailureDomainId } from "@currantrill/protocol";
 import bunyan from "bunyan";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { EndpointEntry } from "../../../src/configuration/model/servingConfiguration.js";
@@ -44,6 +44,11 @@
     });
 }
 
+const markLeaving = (directory: EndpointDirectory): void =>
+    directory.get("e1")?.notices.record({ isLeaving: true }, "request", readClocks());
+const markDraining = (directory: EndpointDirectory): void =>
+    directory.applyRows([createRow("e1", { isDraining: true })], false);
+
 describe("createEndpointDirectory", () => {
     beforeEach(() => {
         vi.useFakeTimers();
@@ -66,6 +71,29 @@
         directory.applyRows([createRemoval("e1")], false);
         expect(listIds(directory)).toEqual([]);
     });
+    // Guards against requests to an endpoint that has said that it leaves, or drains, because a store that is restored
+    // from an older copy has its entry from before again.
+    it.each([
+        { name: "leaves", leave: markLeaving, changes: {}, afterMs: 3_000, expected: [] },
+        { name: "drains", leave: markDraining, changes: {}, afterMs: 3_000, expected: [] },
+        { name: "leaves, a minute later", leave: markLeaving, changes: {}, afterMs: 61_000, expected: ["e1"] },
+        {
+            name: "has left, and has been started again",
+            leave: markLeaving,
+            changes: { processStartedAtMs: 2 },
+            afterMs: 3_000,
+            expected: ["e1"],
+        },
+        { name: "had lost its entry", leave: () => undefined, changes: {}, afterMs: 3_000, expected: ["e1"] },
+    ])("remembers what an endpoint that $name has said", ({ leave, changes, afterMs, expected }) => {
+        const directory = createDirectory();
+        directory.applyRows([createRow("e1")], false);
+        leave(directory);
+        directory.applyRows([createRemoval("e1")], false);
+        vi.advanceTimersByTime(afterMs);
+        directory.applyRows([createRow("e1", changes, 3)], true);
+        expect(listIds(directory)).toEqual(expected);
+    });
     // Guards against a host without any endpoints after a store outage in which all entries expired.
     it("keeps an endpoint whose entry expired during an outage for the grace period", () => {
         const directory = createDirectory();
