Keep listening for SIGTERM during a shutdown

Cause: the listeners were removed after the first signal, so that the default action ends the process.

Ruled out: the shutdown itself, which is idempotent (drain returns the same promise).

Change: handleStopSignals keeps listening for SIGTERM. A second SIGINT still ends the process.

--- /dev/null
+++ b/packages/forwarding/src/commands/handleStopSignals.ts
@@ -0,0 +1,24 @@
+import type Logger from "bunyan";
+import type { EventEmitter } from "node:events";
+
+export interface StopSignalOptions {
+    /** Emits the signals of this process. */
+    readonly source: Pick<EventEmitter, "on" | "once">;
+    readonly log: Logger;
+    /** Shuts the host down gracefully. Further calls return the same promise. */
+    readonly drain: () => Promise<void>;
+    readonly exit: () => void;
+}
+
+/**
+ * Shuts the host down on SIGTERM or SIGINT. Further SIGTERMs change nothing: without a listener they would end the
+ * process at once, with all requests in flight. A second SIGINT does, for those who run a host in a terminal.
+ */
+export function handleStopSignals({ source, log, drain, exit }: StopSignalOptions): void {
+    const stop = (signal: string): void => {
+        log.info({ signal }, "host: stop signal received");
+        void drain().then(exit);
+    };
+    source.on("SIGTERM", () => stop("SIGTERM"));
+    source.once("SIGINT", () => stop("SIGINT"));
+}
--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -3,6 +3,7 @@
 import { type ForwardingSettings, parseForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { readFileSync } from "node:fs";
+import { handleStopSignals } from "./handleStopSignals.js";
 import { type ForwardingOptions, type RunningForwarding, startForwarding } from "./startForwarding.js";
 
 const EXIT_BAD_SETTINGS = 2;
@@ -31,9 +32,7 @@
     process.on("unhandledRejection", reason => log.error({ err: reason }, "host: unexpected rejection"));
     const host = await startForwarding({ ...options, settings, log });
     watchSettingsFile(options.settingsPath, text, log, host);
-    const stop = (): void => void host.drain().then(() => process.exit(0));
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
+    handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(0) });
 }
 
 /** Reloads the settings on SIGHUP, and when a periodic check finds that the file has changed. */
