Do not take a slow caller for a stalled endpoint

Cause: while reading waits for the caller, no event arrives, and the stall check went on: after 1.5 s the attempt was aborted, and the rest asked for at another endpoint.

Ruled out: the HTTP client alone (a chunked stream was cut, too).

Change: the stall check stops while reading waits for the caller, and starts again with it.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -93,6 +93,8 @@
     lastEventAtMs: number | undefined;
     /** Bytes received since the last event that counts as progress. */
     bytesWithoutProgress: number;
+    /** Whether reading waits for the caller. */
+    isPaused: boolean;
     isSettled: boolean;
 }
 
@@ -114,7 +116,7 @@
                 budget: context.responseBudget,
             }),
             resolve,
-            resumeEndpointStream: () => run.attempt?.resume(),
+            resumeEndpointStream: () => resumeAttempt(run),
             deadlineTimer: setTimeout(
                 () => abortRun(run, { kind: "out_of_time" }, "request deadline exceeded"),
                 exchange.deadlineAtMs - performance.now(),
@@ -130,6 +132,7 @@
             errorResponse: undefined,
             lastEventAtMs: undefined,
             bytesWithoutProgress: 0,
+            isPaused: false,
             isSettled: false,
         };
         exchange.onDisconnect = () => abortRun(run, { kind: "caller_gone" }, "caller disconnected");
@@ -202,7 +205,7 @@
 /** If no event arrives in time, probes the endpoint and handles the stall. Not done for the final attempt. */
 function scheduleStallCheck(run: StreamRun, limits: WaitLimits): void {
     run.cancelStallCheck();
-    if (run.plan.isFinalAttempt || run.isSettled) {
+    if (run.plan.isFinalAttempt || run.isSettled || run.isPaused) {
         return;
     }
     const { events } = run.progress;
@@ -318,11 +321,24 @@
         ? first.bytes
         : Buffer.concat(forwarded.map(event => event.bytes));
     if (!response.write(bytes)) {
-        run.attempt?.pause();
+        waitForCaller(run);
     }
     return forwarded;
 }
 
+/** Stops reading until the caller has received what was written. The endpoint has not stalled meanwhile. */
+function waitForCaller(run: StreamRun): void {
+    run.isPaused = true;
+    run.cancelStallCheck();
+    run.attempt?.pause();
+}
+
+function resumeAttempt(run: StreamRun): void {
+    run.isPaused = false;
+    run.attempt?.resume();
+    scheduleStallCheck(run, getPauseLimits(run.exchange.route.targetPauseMs));
+}
+
 const isNew = ({ lastEventId }: StreamProgress, { id }: StreamEvent): boolean =>
     id === undefined || lastEventId === undefined || id > lastEventId;
 
--- a/packages/forwarding/tests/requests/commands/serveStream.test.ts
+++ b/packages/forwarding/tests/requests/commands/serveStream.test.ts
@@ -185,4 +185,23 @@
         });
         expect((await send(host)).body).toBe("truncated");
     });
+    // Guards against a sound stream that is cut as stalled because its caller reads slowly, and against one that ends with
+    // its connection while the caller has not read all of it.
+    it.each([
+        { name: "chunks", head: "transfer-encoding: chunked\r\n" },
+        { name: "neither a length nor chunks", head: "connection: close\r\n" },
+    ])("delivers a stream with $name to a caller that reads slowly", async ({ head }) => {
+        const text = Array.from({ length: 1_200 }, (_, index) => `id: ${index + 1}\ndata: ${"a".repeat(10_000)}\n\n`)
+            .join("");
+        const { host } = await startSystem((received, socket) => {
+            socket.write(`HTTP/1.1 200 OK\r\nt-id: ${received.headers["t-id"] ?? ""}\r\nt-signature: s\r\n${head}\r\n`);
+            socket.end(head.includes("chunked") ? `${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n` : text);
+        }, { timeoutMs: 20_000 });
+        const reply = await request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q1" } });
+        await new Promise(resolve => setTimeout(resolve, 2_500));
+        expect((await reply.body.text()).length).toBe(text.length);
+        const ended = host.logged.find(line => line["msg"] === "requests: ended");
+        expect(ended?.["attempts"]).toHaveLength(1);
+        expect(ended?.["outcome"]).toBe("complete");
+    });
 });
