Move the types of a stream's attempt to the model

Change: the types of plan, progress and result are in requests/model/streamAttempt.ts; nothing else changes.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -2,18 +2,16 @@
 import { type ByteBuffer, createByteBuffer } from "@currantrill/http";
 import { probeEndpoint } from "../../endpoints/commands/probeEndpoint.js";
 import type { ResponseHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
-import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { markUnresponsive, recordFailure } from "../../endpoints/model/endpointHealth.js";
 import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
-import type { PrefillShard } from "../../ports/endpointProtocol.js";
 import type { PromptTracker } from "../../quarantine/model/promptTracker.js";
-import type { QuarantineEntry } from "../../quarantine/model/quarantineEntry.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
 import { getFirstEventLimits, getPauseLimits, type WaitLimits } from "../../streams/model/waitLimits.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
+import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
 import { clearWhenClosed } from "./clearWhenClosed.js";
 import { runAttempt } from "./runAttempt.js";
@@ -33,41 +31,6 @@
 const MIN_UNSUCCESSFUL_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
-/** What the caller has received so far, over all attempts. */
-export interface StreamProgress {
-    lastEventId: number | undefined;
-    /** Whether the response headers have been sent. */
-    hasSentHeaders: boolean;
-    /** Number of events forwarded. */
-    events: number;
-}
-
-/** Result of an attempt. `passed_on`: an error response of the endpoint was forwarded; `stopped`: the host stops. */
-export type StreamAttemptResult =
-    | { readonly kind: "complete" | "passed_on" | "caller_gone" | "out_of_time" | "stopped"; }
-    /** `not_run`: the endpoint has not run the request. `broken`: it may have run, partly or completely. */
-    | {
-        readonly kind: "not_run" | "broken";
-        readonly wasSent: boolean;
-        /** Whether the endpoint closed the connection before it had written two events, and may have crashed. */
-        readonly mayBeCrash?: boolean;
-    }
-    /** A part of the prompt was isolated while the endpoint had not written an answer. */
-    | { readonly kind: "isolated"; };
-
-/** Endpoints of an attempt and the estimate of the placement that chose them. */
-export interface StreamAttemptPlan {
-    readonly endpoint: Endpoint;
-    /** No other endpoint may be tried, so the attempt continues until the deadline, without stall checks. */
-    readonly isFinalAttempt: boolean;
-    readonly placement: PromptPlacement;
-    /** Endpoints that prefill further shards of the prompt. */
-    readonly shardTargets: readonly PrefillShard[];
-    readonly onFirstEvent: () => void;
-    /** Set if the prompt is the trial of an isolated part. */
-    readonly trial?: QuarantineEntry;
-}
-
 /** An error response of the endpoint, which is collected instead of streamed. */
 interface ErrorResponse {
     readonly status: number;
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -14,18 +14,13 @@
 import type { Admission } from "../../quarantine/commands/startQuarantine.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
 import type { Exchange } from "../model/exchange.js";
+import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
 import { getRetrySeconds } from "../queries/getRetrySeconds.js";
 import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
-import {
-    ANSWER_EVENTS,
-    runStreamAttempt,
-    type StreamAttemptPlan,
-    type StreamAttemptResult,
-    type StreamProgress,
-} from "./runStreamAttempt.js";
+import { ANSWER_EVENTS, runStreamAttempt } from "./runStreamAttempt.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
 /** Limit on attempts that fail before the request is sent. They do not count as attempts of the route. */
