Keep the limits on the first event when an earlier attempt's bytes drain

Cause (found by reading): the event 'drain' of the caller's connection may belong to bytes that an earlier attempt wrote. It then replaced the limits on the first event of the present attempt by the shorter ones on a pause.

Change: only an attempt that waits for the caller is resumed. Checked: serveStream.test.ts (17 passed); no test shows the fault itself.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -296,7 +296,11 @@
     run.attempt?.pause();
 }
 
+/** Goes on reading, unless what the caller has received now was written by an earlier attempt. */
 function resumeAttempt(run: StreamRun): void {
+    if (!run.isPaused) {
+        return;
+    }
     run.isPaused = false;
     run.attempt?.resume();
     scheduleStallCheck(run, getPauseLimits(run.exchange.route.targetPauseMs));
