--- a/packages/forwarding/src/endpoints/model/bodyReading.ts
+++ b/packages/forwarding/src/endpoints/model/bodyReading.ts
@@ -1,6 +1,6 @@
 /**
- * Number of chunks that a body may have whatever their length. Each chunk takes some microseconds, and 16 bytes are half
- * of a short event.
+ * Number of chunks that a body may have whatever their length. Each chunk costs work of its own, and 16 bytes are half of
+ * a short event.
  */
 const MAX_SHORT_CHUNKS = 131_072;
 /** Mean length of the chunks of a body that has more of them. */
--- a/packages/forwarding/src/endpoints/model/endpointHealth.ts
+++ b/packages/forwarding/src/endpoints/model/endpointHealth.ts
@@ -45,8 +45,8 @@
 });
 
 /**
- * Records that a response exceeded a limit. An endpoint that sends bytes without end does so again, and each such
- * response takes up to a second of processor time, so that it is avoided for some ten seconds.
+ * Records that a response exceeded a limit. An endpoint that sends bytes without end does so again, and reading
+ * such a response is costly, so that it is avoided for some ten seconds.
  */
 export const recordOversizedResponse = (health: EndpointHealth, nowMs: number): EndpointHealth => ({
     ...health,
--- a/packages/forwarding/src/streams/model/waitLimits.ts
+++ b/packages/forwarding/src/streams/model/waitLimits.ts
@@ -15,7 +15,7 @@
 
 /**
  * Callers disconnect after a pause of 2 s, or of eight times the pause that their route allows. Nine of ten streams were
- * continued within 0.35 s after an abort under load (kotuku-fit-grown, scale-1).
+ * continued within 0.35 s after an abort under load (68 hosts, bursts of short prompts).
  */
 export const getPauseLimits = (targetPauseMs: number): WaitLimits => ({
     probeAfterMs: Math.max(600, 1.5 * targetPauseMs),
--- a/packages/http/src/readRawBody.ts
+++ b/packages/http/src/readRawBody.ts
@@ -5,7 +5,7 @@
 
 /** Bytes beyond the limit that are read and discarded, so that the client can finish sending and read the response. */
 const DISCARD_LIMIT_BYTES = 64 * 1024 * 1024;
-/** Chunks after which reading pauses for a turn of the event loop. Each one takes a microsecond, however short it is. */
+/** Chunks after which reading pauses for a turn of the event loop. Each one costs work, however short it is. */
 const MAX_CHUNKS_PER_TURN = 1_024;
 
 export interface ReadRawBodyOptions {
