Log the steps of a start, and the memory and delays of a running host

Change: a line `host: starting` for each step, `host: alive` every 5 s with memory, heap limit, longest delay of the event loop and what readiness waits for; gauges for the same and a counter of unexpected errors; the readiness response names what is missing; the last lines are written at the exit of a process even if the reader of its output is slow. No decision changes.

--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -1,4 +1,5 @@
 /** Runs a forwarding host as a process: settings file, signals and exit codes. */
+import { createStartProgress } from "@currantrill/lifecycle";
 import { createLog } from "@currantrill/logging";
 import { type ForwardingSettings, parseForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
@@ -20,17 +21,32 @@
  * findings to standard error and ends the process with exit code 2.
  */
 export async function runForwarding(options: RunForwardingOptions): Promise<void> {
+    const baseLog = createLog({ name: "currantrill" });
+    const progress = createStartProgress(baseLog);
+    progress.beginStep("settings");
     const text = readFileSync(options.settingsPath, "utf8");
     const parsed = parseForwardingSettings(text, options.settingsPath);
     if (!parsed.ok) {
         process.stderr.write(`${parsed.findings.map(finding => JSON.stringify(finding)).join("\n")}\n`);
+        baseLog.fatal({ path: options.settingsPath, exitCode: EXIT_BAD_SETTINGS }, "host: settings are invalid");
         process.exit(EXIT_BAD_SETTINGS);
     }
     const settings = parsed.value;
-    const log = createLog({ name: "currantrill", host: settings.host_id, level: settings.log_level });
-    process.on("uncaughtException", error => log.error({ err: error }, "host: unexpected error"));
-    process.on("unhandledRejection", reason => log.error({ err: reason }, "host: unexpected rejection"));
+    const log = baseLog.child({ host: settings.host_id });
+    log.level(settings.log_level);
+    const running: { host?: RunningForwarding; } = {};
+    const reportUnexpected = (error: unknown): void => {
+        running.host?.context.metrics.unexpectedErrors.inc();
+        log.error(
+            { err: error, step: running.host === undefined ? progress.getStep() : undefined },
+            "host: unexpected error",
+        );
+    };
+    process.on("uncaughtException", reportUnexpected);
+    process.on("unhandledRejection", reportUnexpected);
+    progress.beginStep("addresses");
     const host = await startForwarding({ ...options, settings, log });
+    running.host = host;
     watchSettingsFile(options.settingsPath, text, log, host);
     handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(0) });
 }
--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -2,6 +2,7 @@
 import { type RunningServer, sendJson, serveHttp } from "@currantrill/http";
 import type { CallerLimits } from "../configuration/model/servingConfiguration.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
+import { describeMissing } from "../queries/describeMissing.js";
 import { forwardRequest } from "../requests/commands/forwardRequest.js";
 import { type RefusalReason, sendRefusal } from "../requests/commands/sendRefusal.js";
 
@@ -33,8 +34,11 @@
             method: "GET",
             path: context.callers.readinessPath,
             handle: (_request, response) => {
-                const isReady = context.shutdown === undefined && context.getConfiguration() !== undefined;
-                sendJson(response, isReady ? 200 : 503, { ready: isReady });
+                const waitingFor = describeMissing(context);
+                sendJson(response, waitingFor === undefined ? 200 : 503, {
+                    ready: waitingFor === undefined,
+                    ...(waitingFor === undefined ? {} : { waitingFor }),
+                });
             },
         }],
     });
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -1,5 +1,6 @@
 /** Composes and starts a forwarding host. */
 import { createByteBudget } from "@currantrill/http";
+import { type ProcessReport, startProcessReport } from "@currantrill/lifecycle";
 import { toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
@@ -15,6 +16,7 @@
 import { createAssignmentRegistry } from "../placement/model/assignmentRegistry.js";
 import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows, TableSource } from "../ports/index.js";
 import { type Quarantine, type QuarantineOptions, startQuarantine } from "../quarantine/commands/startQuarantine.js";
+import { describeMissing } from "../queries/describeMissing.js";
 import type { SharedTable } from "../replicas/model/sharedTable.js";
 import { createRouteDurations } from "../requests/model/routeDurations.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
@@ -28,6 +30,7 @@
 /** Limit on the backoff, since a change must be active two seconds after the store is reachable again. */
 const MAX_STORE_BACKOFF_MS = 500;
 const GAUGE_INTERVAL_MS = 1_000;
+const BYTES_PER_MB = 1_048_576;
 
 /** Settings of a host, and the platform's protocols, rows and store. */
 export interface ForwardingOptions {
@@ -165,6 +168,11 @@
         listMonitored: () => listMonitoredEndpoints(context, fleet.listLocalDomain(), settings.listen.peers),
     });
     const gaugeTimer = setInterval(() => updateGauges(context, fleet.countHosts()), GAUGE_INTERVAL_MS);
+    const stopReport = startProcessReport({
+        log,
+        describeState: () => ({ inFlight: context.exchanges.size, waitingFor: describeMissing(context) }),
+        onReport: report => updateProcessGauges(context.metrics, report),
+    });
     return {
         restoreWrites: () => {
             publication.republish();
@@ -174,6 +182,7 @@
             publication.stop();
             stopProbing();
             clearInterval(gaugeTimer);
+            stopReport();
         },
     };
 }
@@ -223,3 +232,10 @@
     context.metrics.endpoints.set({ state: "draining" }, all.filter(endpoint => endpoint.entry.isDraining).length);
     context.metrics.endpoints.set({ state: "known" }, all.length);
 }
+
+function updateProcessGauges({ memory, loopDelaySeconds }: ForwardingMetrics, report: ProcessReport): void {
+    memory.set({ kind: "rss" }, report.rssMb * BYTES_PER_MB);
+    memory.set({ kind: "heap" }, report.heapMb * BYTES_PER_MB);
+    memory.set({ kind: "heap_limit" }, report.heapLimitMb * BYTES_PER_MB);
+    loopDelaySeconds.set(report.loopDelayMs / 1_000);
+}
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -19,6 +19,9 @@
     readonly crashReports: Counter<"state">;
     readonly isolatedParts: Gauge;
     readonly inFlight: Gauge;
+    readonly unexpectedErrors: Counter;
+    readonly memory: Gauge<"kind">;
+    readonly loopDelaySeconds: Gauge;
     readonly configurationVersion: Gauge;
     readonly endpoints: Gauge<"state">;
     readonly peers: Gauge;
@@ -96,10 +99,35 @@
             labelNames: ["state"],
             registers,
         }),
+        ...createProcessMetrics(registers),
         ...createPeerMetrics(registers),
     };
 }
 
+/** Creates the metrics of the process. */
+function createProcessMetrics(
+    registers: Registry[],
+): Pick<ForwardingMetrics, "unexpectedErrors" | "memory" | "loopDelaySeconds"> {
+    return {
+        unexpectedErrors: new Counter({
+            name: "currantrill_unexpected_errors_total",
+            help: "Errors that no component has handled.",
+            registers,
+        }),
+        memory: new Gauge({
+            name: "currantrill_memory_bytes",
+            help: "Memory of the process (rss), used heap (heap), and size at which the runtime ends it (heap_limit).",
+            labelNames: ["kind"],
+            registers,
+        }),
+        loopDelaySeconds: new Gauge({
+            name: "currantrill_loop_delay_seconds",
+            help: "Longest time in the last report in which the process handled nothing else.",
+            registers,
+        }),
+    };
+}
+
 /** Creates the metrics of the exchange with other hosts. */
 function createPeerMetrics(
     registers: Registry[],
--- /dev/null
+++ b/packages/lifecycle/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./startProcessReport.js";
+export * from "./startProgress.js";
--- a/packages/logging/src/createLog.ts
+++ b/packages/logging/src/createLog.ts
@@ -8,8 +8,8 @@
 export interface LogOptions {
     /** Program name, written to each line. */
     readonly name: string;
-    /** Host id, written to each line. */
-    readonly host: string;
+    /** Host id, written to each line. Left out until the settings are known. */
+    readonly host?: string;
     readonly level?: bunyan.LogLevelString;
 }
 
@@ -52,7 +52,11 @@
     output.on("error", () => {
         isBlocked = true;
     });
-    process.once("exit", flush);
+    process.once("exit", () => {
+        // The last lines are written even if the consumer has not read the ones before.
+        isBlocked = false;
+        flush();
+    });
     const write = (line: string): boolean => {
         if (lines.length >= MAX_BUFFERED_LINES) {
             dropped += 1;
