Bind listen addresses again while they are taken, and end a start that fails

Callers saw nothing from a host that was started while one of its addresses was taken: the process lived on, never ready, and kept the addresses that it had bound. With its UDP address taken it served without its peers.

Cause: the start rejected and the handler of unhandled rejections kept the process alive; the UDP bind was not awaited.

Ruled out: ending at once (restarts are counted as faults); trying for ever (hides a wrong setting).

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -1,4 +1,5 @@
 /** Connects a host with the others of its fleet: messages, copies of tables, and placement by coordinators. */
+import type { AddressBinder } from "@currantrill/lifecycle";
 import { readClocks } from "@currantrill/protocol";
 import { type Coordination, startCoordination } from "../coordination/commands/startCoordination.js";
 import type { EndpointObservation } from "../endpoints/model/endpointObservation.js";
@@ -20,21 +21,25 @@
     readonly close: () => Promise<void>;
 }
 
-/** Connects the host. Rejects if the peer address cannot be bound. */
+/** Connects the host. Rejects if `bindAddress` gives up the peer address. */
 export async function connectFleet(
     context: ForwardingContext,
     sharedTables: ReadonlyMap<string, SharedTable>,
     isStoreUnavailable: () => boolean,
+    bindAddress: AddressBinder,
 ): Promise<FleetConnection> {
     const { log, metrics } = context;
     const address = context.settings.listen.peers;
-    const synchronization = await startTableSynchronization(
+    const synchronization = await bindAddress(
+        "peers",
         address,
-        sharedTables,
-        log,
-        outcome => metrics.tableFetches.inc({ outcome }),
+        () => startTableSynchronization(address, sharedTables, log, outcome => metrics.tableFetches.inc({ outcome })),
+    );
+    const socket = await bindAddress(
+        "peers",
+        address,
+        () => openPeerSocket({ address, log, onDatagram: direction => metrics.datagrams.inc({ direction }) }),
     );
-    const socket = openPeerSocket({ address, log, onDatagram: direction => metrics.datagrams.inc({ direction }) });
     const peers = startHostPeers({
         context,
         socket,
--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -1,13 +1,13 @@
 /** Runs a forwarding host as a process: settings file, signals and exit codes. */
-import { createStartProgress } from "@currantrill/lifecycle";
+import { createStartProgress, endProcess, exitCodes } from "@currantrill/lifecycle";
 import { createLog } from "@currantrill/logging";
 import { type ForwardingSettings, parseForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { readFileSync } from "node:fs";
+import { getStartExitCode } from "../queries/getStartExitCode.js";
 import { handleStopSignals } from "./handleStopSignals.js";
 import { type ForwardingOptions, type RunningForwarding, startForwarding } from "./startForwarding.js";
 
-const EXIT_BAD_SETTINGS = 2;
 /** Interval at which the settings file is checked, since it may change without a signal. */
 const SETTINGS_CHECK_MS = 2_000;
 
@@ -28,8 +28,9 @@
     const parsed = parseForwardingSettings(text, options.settingsPath);
     if (!parsed.ok) {
         process.stderr.write(`${parsed.findings.map(finding => JSON.stringify(finding)).join("\n")}\n`);
-        baseLog.fatal({ path: options.settingsPath, exitCode: EXIT_BAD_SETTINGS }, "host: settings are invalid");
-        process.exit(EXIT_BAD_SETTINGS);
+        const fields = { path: options.settingsPath };
+        endProcess({ log: baseLog, code: exitCodes.invalidSettings, reason: "host: settings are invalid", fields });
+        return;
     }
     const settings = parsed.value;
     const log = baseLog.child({ host: settings.host_id });
@@ -45,7 +46,17 @@
     process.on("uncaughtException", reportUnexpected);
     process.on("unhandledRejection", reportUnexpected);
     progress.beginStep("addresses");
-    const host = await startForwarding({ ...options, settings, log });
+    const host = await startForwarding({ ...options, settings, log }).catch((error: unknown) =>
+        endProcess({
+            log,
+            code: getStartExitCode(error),
+            reason: "host: start failed",
+            fields: { err: error, step: progress.getStep() },
+        })
+    );
+    if (host === undefined) {
+        return;
+    }
     running.host = host;
     watchSettingsFile(options.settingsPath, text, log, host);
     handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(0) });
--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -1,5 +1,6 @@
 /** HTTP servers of a forwarding host: requests of callers, readiness, and metrics. */
-import { type RunningServer, sendJson, serveHttp } from "@currantrill/http";
+import { type RunningServer, sendJson, serveHttp, type ServeHttpOptions } from "@currantrill/http";
+import type { AddressBinder } from "@currantrill/lifecycle";
 import type { CallerLimits } from "../configuration/model/servingConfiguration.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
 import { describeMissing } from "../queries/describeMissing.js";
@@ -16,6 +17,8 @@
 /** Reasons to refuse a request whose body could not be read, by the status of the error. */
 const bodyRefusals: Readonly<Record<number, RefusalReason>> = { 413: "body_too_large", 503: "bodies_too_large" };
 
+type ServerOptions = Omit<ServeHttpOptions, "host" | "port" | "bodies">;
+
 export interface ForwardingServers {
     readonly callers: RunningServer;
     /** Applies the connection timeouts of a configuration to the server for callers. */
@@ -24,12 +27,16 @@
     readonly close: () => Promise<void>;
 }
 
-/** Starts the servers on the addresses in the settings. Rejects if an address cannot be bound. */
-export async function serveForwarding(context: ForwardingContext): Promise<ForwardingServers> {
-    const { listen } = context.settings;
-    const readiness = await serveHttp({
-        ...splitAddress(listen.readiness),
-        bodies: "raw",
+/** Starts the servers on the addresses in the settings. Rejects if `bindAddress` gives up one of them. */
+export async function serveForwarding(
+    context: ForwardingContext,
+    bindAddress: AddressBinder,
+): Promise<ForwardingServers> {
+    const serve = (name: "readiness" | "metrics" | "callers", options: ServerOptions): Promise<RunningServer> => {
+        const address = context.settings.listen[name];
+        return bindAddress(name, address, () => serveHttp({ ...splitAddress(address), bodies: "raw", ...options }));
+    };
+    const readiness = await serve("readiness", {
         routes: [{
             method: "GET",
             path: context.callers.readinessPath,
@@ -42,9 +49,7 @@
             },
         }],
     });
-    const metrics = await serveHttp({
-        ...splitAddress(listen.metrics),
-        bodies: "raw",
+    const metrics = await serve("metrics", {
         routes: [{
             method: "GET",
             path: "/metrics",
@@ -55,9 +60,7 @@
             },
         }],
     });
-    const callers = await serveHttp({
-        ...splitAddress(listen.callers),
-        bodies: "raw",
+    const callers = await serve("callers", {
         bodyLimitBytes: () => context.getConfiguration()?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
         bodyBudget: context.requestBudget,
         maxHeaderBytes: MAX_HEADER_BYTES,
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -1,6 +1,6 @@
 /** Composes and starts a forwarding host. */
 import { createByteBudget } from "@currantrill/http";
-import { type ProcessReport, startProcessReport } from "@currantrill/lifecycle";
+import { createAddressBinder, type ProcessReport, startProcessReport } from "@currantrill/lifecycle";
 import { toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
@@ -29,6 +29,11 @@
 const STORE_CALL_TIMEOUT_MS = 900;
 /** Limit on the backoff, since a change must be active two seconds after the store is reachable again. */
 const MAX_STORE_BACKOFF_MS = 500;
+/**
+ * Time limit for the listen addresses to become available. It leaves time for the former process of the host to end,
+ * and is below the time in which a fleet must serve again after a loss of power.
+ */
+const ADDRESS_TIMEOUT_MS = 10_000;
 const GAUGE_INTERVAL_MS = 1_000;
 const BYTES_PER_MB = 1_048_576;
 
@@ -52,7 +57,7 @@
     readonly drain: () => Promise<void>;
 }
 
-/** Starts a forwarding host. Rejects if an address cannot be bound. */
+/** Starts a forwarding host. Rejects if an address cannot be bound within `ADDRESS_TIMEOUT_MS`. */
 export async function startForwarding(options: ForwardingOptions): Promise<RunningForwarding> {
     const { settings, log, rows } = options;
     const metrics = createForwardingMetrics();
@@ -103,9 +108,10 @@
         exchanges: new Set(),
         routeDurations: createRouteDurations(),
     };
-    const servers = await serveForwarding(context);
+    const bindAddress = createAddressBinder({ log, timeoutMs: ADDRESS_TIMEOUT_MS });
+    const servers = await serveForwarding(context, bindAddress);
     const sharedTables = new Map<string, SharedTable>();
-    const fleet = await connectFleet(context, sharedTables, () => tables.isStoreUnavailable());
+    const fleet = await connectFleet(context, sharedTables, () => tables.isStoreUnavailable(), bindAddress);
     const { peers } = fleet;
     isConnected = true;
     const upkeep = startUpkeep(context, options, source, peers);
--- a/packages/forwarding/src/peers/commands/openPeerSocket.ts
+++ b/packages/forwarding/src/peers/commands/openPeerSocket.ts
@@ -1,6 +1,6 @@
 /** UDP socket for the messages between hosts. */
 import type Logger from "bunyan";
-import { createSocket } from "node:dgram";
+import { createSocket, type Socket } from "node:dgram";
 import { decodeMessage, type MessageKind } from "../queries/messageCodec.js";
 
 /** Handles the fields of a message. `nowMs` is the time of its receipt on the monotonic clock. */
@@ -22,8 +22,8 @@
     readonly onDatagram: (direction: "sent" | "received" | "invalid") => void;
 }
 
-/** Opens the socket. */
-export function openPeerSocket({ address, log, onDatagram }: PeerSocketOptions): PeerSocket {
+/** Opens the socket. Rejects if the address cannot be bound. */
+export async function openPeerSocket({ address, log, onDatagram }: PeerSocketOptions): Promise<PeerSocket> {
     const [localIp = "", port = "0"] = address.split(":");
     const socket = createSocket("udp4");
     const handlers = new Map<MessageKind, MessageHandler>();
@@ -43,8 +43,8 @@
             log.warn({ err: error, kind: message.kind }, "peers: could not handle a message");
         }
     });
+    await bindSocket(socket, Number(port), localIp);
     socket.on("error", error => log.warn({ err: error }, "peers: socket error"));
-    socket.bind(Number(port), localIp);
     return {
         setHandler: (kind, handle) => void handlers.set(kind, handle),
         send: (data, targets) => {
@@ -61,3 +61,16 @@
         close: () => socket.close(),
     };
 }
+
+function bindSocket(socket: Socket, port: number, ip: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+        socket.once("error", error => {
+            socket.close();
+            reject(error);
+        });
+        socket.bind(port, ip, () => {
+            socket.removeAllListeners("error");
+            resolve();
+        });
+    });
+}
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,2 +1,5 @@
+export * from "./createAddressBinder.js";
+export * from "./endProcess.js";
+export * from "./exitCodes.js";
 export * from "./startProcessReport.js";
 export * from "./startProgress.js";
