End a process whose start meets an unexpected error or does not end

Callers would see nothing from such a host: the handlers of unexpected errors kept the process alive during the start as well, and a step that never ended had no time limit.

Cause: one rule for a process that starts and for one that serves.

Ruled out: ending a serving process at its first unexpected error, which ends all requests for a fault of one.

--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -1,5 +1,5 @@
 /** Runs a forwarding host as a process: settings file, signals and exit codes. */
-import { createStartProgress, endProcess, exitCodes } from "@currantrill/lifecycle";
+import { createStartProgress, endProcess, exitCodes, monitorStart } from "@currantrill/lifecycle";
 import { createLog } from "@currantrill/logging";
 import { type ForwardingSettings, parseForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
@@ -23,6 +23,13 @@
 export async function runForwarding(options: RunForwardingOptions): Promise<void> {
     const baseLog = createLog({ name: "currantrill" });
     const progress = createStartProgress(baseLog);
+    const running: { host?: RunningForwarding; } = {};
+    const start = monitorStart({
+        log: baseLog,
+        progress,
+        getExitCode: getStartExitCode,
+        onUnexpectedError: () => running.host?.context.metrics.unexpectedErrors.inc(),
+    });
     progress.beginStep("settings");
     const text = readFileSync(options.settingsPath, "utf8");
     const parsed = parseForwardingSettings(text, options.settingsPath);
@@ -35,29 +42,13 @@
     const settings = parsed.value;
     const log = baseLog.child({ host: settings.host_id });
     log.level(settings.log_level);
-    const running: { host?: RunningForwarding; } = {};
-    const reportUnexpected = (error: unknown): void => {
-        running.host?.context.metrics.unexpectedErrors.inc();
-        log.error(
-            { err: error, step: running.host === undefined ? progress.getStep() : undefined },
-            "host: unexpected error",
-        );
-    };
-    process.on("uncaughtException", reportUnexpected);
-    process.on("unhandledRejection", reportUnexpected);
     progress.beginStep("addresses");
-    const host = await startForwarding({ ...options, settings, log }).catch((error: unknown) =>
-        endProcess({
-            log,
-            code: getStartExitCode(error),
-            reason: "host: start failed",
-            fields: { err: error, step: progress.getStep() },
-        })
-    );
+    const host = await startForwarding({ ...options, settings, log }).catch(start.fail);
     if (host === undefined) {
         return;
     }
     running.host = host;
+    start.complete();
     watchSettingsFile(options.settingsPath, text, log, host);
     handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(0) });
 }
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -131,15 +131,17 @@
     };
     return {
         context,
-        reload: changed => {
-            context.settings = changed;
-            log.level(changed.log_level);
-            log.info({ retries: changed.retries, drain: changed.drain }, "host: settings reloaded");
-        },
+        reload: changed => applySettings(context, changed),
         drain: () => drained ??= stop(),
     };
 }
 
+function applySettings(context: ForwardingContext, changed: ForwardingSettings): void {
+    context.settings = changed;
+    context.log.level(changed.log_level);
+    context.log.info({ retries: changed.retries, drain: changed.drain }, "host: settings reloaded");
+}
+
 const createMemoryBudgets = (
     getSettings: () => ForwardingSettings,
 ): Pick<ForwardingContext, "requestBudget" | "responseBudget"> => ({
--- a/packages/forwarding/src/peers/commands/openPeerSocket.ts
+++ b/packages/forwarding/src/peers/commands/openPeerSocket.ts
@@ -43,7 +43,7 @@
             log.warn({ err: error, kind: message.kind }, "peers: could not handle a message");
         }
     });
-    await bindSocket(socket, Number(port), localIp);
+    await awaitBinding(socket, Number(port), localIp);
     socket.on("error", error => log.warn({ err: error }, "peers: socket error"));
     return {
         setHandler: (kind, handle) => void handlers.set(kind, handle),
@@ -62,7 +62,7 @@
     };
 }
 
-function bindSocket(socket: Socket, port: number, ip: string): Promise<void> {
+function awaitBinding(socket: Socket, port: number, ip: string): Promise<void> {
     return new Promise((resolve, reject) => {
         socket.once("error", error => {
             socket.close();
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./createAddressBinder.js";
 export * from "./endProcess.js";
 export * from "./exitCodes.js";
+export * from "./monitorStart.js";
 export * from "./startProcessReport.js";
 export * from "./startProgress.js";
