Read the settings again while their file is being written at the start

Cause: the file was read once. Ruled out: a lock or a checksum, which the platform does not offer.

Change: awaitSettings reads it again for 3 s, with one line in the log; after that the findings and exit code 2 as before, also for an absent file.

--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -5,9 +5,12 @@
 import type Logger from "bunyan";
 import { readFileSync } from "node:fs";
 import { getStartExitCode } from "../queries/getStartExitCode.js";
+import { awaitSettings } from "./awaitSettings.js";
 import { handleStopSignals } from "./handleStopSignals.js";
 import { type ForwardingOptions, type RunningForwarding, startForwarding } from "./startForwarding.js";
 
+/** Time limit for a settings file that is being written at the start. A wrong file is reported after this time. */
+const SETTINGS_TIMEOUT_MS = 3_000;
 /** Interval at which the settings file is checked, since it may change without a signal. */
 const SETTINGS_CHECK_MS = 2_000;
 
@@ -17,8 +20,8 @@
 }
 
 /**
- * Starts a host with a settings file, and stops it on SIGTERM or SIGINT. If the settings are invalid, writes all
- * findings to standard error and ends the process with exit code 2.
+ * Starts a host with a settings file, and stops it on SIGTERM or SIGINT. If the settings stay
+ * invalid, writes all findings to standard error and ends the process with exit code 2.
  */
 export async function runForwarding(options: RunForwardingOptions): Promise<void> {
     const baseLog = createLog({ name: "currantrill" });
@@ -31,15 +34,14 @@
         onUnexpectedError: () => running.host?.context.metrics.unexpectedErrors.inc(),
     });
     progress.beginStep("settings");
-    const text = readFileSync(options.settingsPath, "utf8");
-    const parsed = parseForwardingSettings(text, options.settingsPath);
-    if (!parsed.ok) {
-        process.stderr.write(`${parsed.findings.map(finding => JSON.stringify(finding)).join("\n")}\n`);
+    const read = await awaitSettings({ path: options.settingsPath, log: baseLog, timeoutMs: SETTINGS_TIMEOUT_MS });
+    if (!read.ok) {
+        process.stderr.write(`${read.findings.map(finding => JSON.stringify(finding)).join("\n")}\n`);
         const fields = { path: options.settingsPath };
         endProcess({ log: baseLog, code: exitCodes.invalidSettings, reason: "host: settings are invalid", fields });
         return;
     }
-    const settings = parsed.value;
+    const { settings, text } = read;
     const log = baseLog.child({ host: settings.host_id });
     log.level(settings.log_level);
     progress.beginStep("addresses");
