Listen for signals before the host is loaded

What was seen: SIGHUP or SIGTERM in the first 0.35 s of a process ended it without a line (8 of 8 each, on and on, beside other load). A host that the platform tells of changed settings right after its start ended by that.

Cause: the listeners were set when the start was complete, and until then the default action of the signal ends the process. The program was one file of 3.5 MB, so that no earlier line could listen before all of it had been parsed.

Ruled out: listeners at the top of the same bundle (they run after parsing); ignoring the signals by the parent (the runtime resets the actions at its boot).

Change: the entry point is a small file that collects signals and then loads the host.

At 5, 20 and 40 ms they still end the process: the runtime boots then, and no line of the program has run.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,7 +10,9 @@
 fi
 npx tsc -b platform
 mkdir -p target
-npx esbuild platform/dist/main.js --bundle --platform=node --target=node20 --format=esm --sourcemap \
-    --outfile=target/currantrill.mjs --log-level=warning \
+rm -f target/*.mjs target/*.mjs.map
+# The entry point is a file of its own that loads the rest: it listens for signals before the rest has been parsed.
+npx esbuild currantrill=platform/dist/main.js --bundle --splitting --platform=node --target=node20 --format=esm \
+    --sourcemap --outdir=target --out-extension:.js=.mjs --log-level=warning \
     --external:dtrace-provider --external:mv --external:source-map-support \
     --banner:js="import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);"
--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -1,12 +1,20 @@
 /** Runs a forwarding host as a process: settings file, signals and exit codes. */
-import { createStartProgress, endProcess, exitCodes, monitorStart } from "@currantrill/lifecycle";
+import {
+    type CollectedSignals,
+    createStartProgress,
+    endProcess,
+    exitCodes,
+    handleStopSignals,
+    type HostSignal,
+    monitorStart,
+    type StartProgress,
+} from "@currantrill/lifecycle";
 import { createLog } from "@currantrill/logging";
 import { type ForwardingSettings, parseForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { readFileSync } from "node:fs";
 import { getStartExitCode } from "../queries/getStartExitCode.js";
 import { awaitSettings } from "./awaitSettings.js";
-import { handleStopSignals } from "./handleStopSignals.js";
 import { type ForwardingOptions, type RunningForwarding, startForwarding } from "./startForwarding.js";
 
 /** Time limit for a settings file that is being written at the start. A wrong file is reported after this time. */
@@ -17,6 +25,8 @@
 export interface RunForwardingOptions extends Omit<ForwardingOptions, "settings" | "log"> {
     /** Path of the TOML settings file. */
     readonly settingsPath: string;
+    /** Signals of the process since its first line. */
+    readonly signals: CollectedSignals;
 }
 
 /**
@@ -33,6 +43,7 @@
         getExitCode: getStartExitCode,
         onUnexpectedError: () => running.host?.context.metrics.unexpectedErrors.inc(),
     });
+    handleStartSignals(options.signals, baseLog, progress);
     progress.beginStep("settings");
     const read = await awaitSettings({ path: options.settingsPath, log: baseLog, timeoutMs: SETTINGS_TIMEOUT_MS });
     if (!read.ok) {
@@ -53,9 +64,24 @@
     start.complete();
     watchSettingsFile(options.settingsPath, text, log, host);
     handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(0) });
+    options.signals.close();
 }
 
-/** Reloads the settings on SIGHUP, and when a periodic check finds that the file has changed. */
+/** Ends the process if it is stopped before it has started. Changed settings are read when the start is complete. */
+function handleStartSignals(signals: CollectedSignals, log: Logger, progress: StartProgress): void {
+    const stop = (signal: HostSignal): void => {
+        const fields = { signal, step: progress.getStep() };
+        endProcess({ log, code: exitCodes.stopped, reason: "host: stopped during the start", fields });
+    };
+    const reactions: Readonly<Record<HostSignal, (signal: HostSignal) => void>> = {
+        SIGTERM: stop,
+        SIGINT: stop,
+        SIGHUP: signal => log.info({ signal, step: progress.getStep() }, "host: signal received during the start"),
+    };
+    signals.setHandler(signal => reactions[signal](signal));
+}
+
+/** Reloads the settings if the file has changed during the start, on SIGHUP, and when a periodic check finds a change. */
 function watchSettingsFile(path: string, initialText: string, log: Logger, host: RunningForwarding): void {
     let currentText = initialText;
     const reload = (): void => {
@@ -73,6 +99,7 @@
     };
     process.on("SIGHUP", reload);
     setInterval(reload, SETTINGS_CHECK_MS).unref();
+    reload();
 }
 
 function readSettings(path: string, log: Logger): string | undefined {
--- a/packages/forwarding/tests/commands/handleStopSignals.test.ts
+++ b/packages/lifecycle/tests/handleStopSignals.test.ts
@@ -1,7 +1,7 @@
 import bunyan from "bunyan";
 import { EventEmitter } from "node:events";
 import { describe, expect, it } from "vitest";
-import { handleStopSignals } from "../../src/commands/handleStopSignals.js";
+import { handleStopSignals } from "../src/handleStopSignals.js";
 
 const log = bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 });
 
