--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -242,7 +242,9 @@
 }
 
 function updateProcessGauges({ memory, loopDelaySeconds }: ForwardingMetrics, report: ProcessReport): void {
-    memory.set({ kind: "rss" }, report.rssMb * BYTES_PER_MB);
+    if (report.rssMb !== undefined) {
+        memory.set({ kind: "rss" }, report.rssMb * BYTES_PER_MB);
+    }
     memory.set({ kind: "heap" }, report.heapMb * BYTES_PER_MB);
     memory.set({ kind: "heap_limit" }, report.heapLimitMb * BYTES_PER_MB);
     loopDelaySeconds.set(report.loopDelayMs / 1_000);
--- a/packages/lifecycle/src/startProcessReport.ts
+++ b/packages/lifecycle/src/startProcessReport.ts
@@ -9,7 +9,8 @@
 
 /** Resources of the process. Sizes are in MB of 1,048,576 bytes. */
 export interface ProcessReport {
-    readonly rssMb: number;
+    /** Left out if the process has no free file descriptor, which reading it takes. */
+    readonly rssMb?: number;
     readonly heapMb: number;
     /** Size of the heap at which the runtime ends the process. */
     readonly heapLimitMb: number;
@@ -38,7 +39,7 @@
             return;
         }
         reportedAtMs = nowMs;
-        const report = readReport(loopDelayMs);
+        const report = readReport(loopDelayMs, log);
         loopDelayMs = 0;
         onReport?.(report);
         log.info({ ...report, ...describeState() }, "host: alive");
@@ -47,12 +48,22 @@
     return () => clearInterval(timer);
 }
 
-function readReport(loopDelayMs: number): ProcessReport {
+function readReport(loopDelayMs: number, log: Logger): ProcessReport {
     const { used_heap_size: heapBytes, heap_size_limit: heapLimitBytes } = getHeapStatistics();
     return {
-        rssMb: Math.round(process.memoryUsage.rss() / BYTES_PER_MB),
+        ...readRss(log),
         heapMb: Math.round(heapBytes / BYTES_PER_MB),
         heapLimitMb: Math.round(heapLimitBytes / BYTES_PER_MB),
         loopDelayMs: Math.round(loopDelayMs),
     };
 }
+
+function readRss(log: Logger): Pick<ProcessReport, "rssMb"> {
+    try {
+        return { rssMb: Math.round(process.memoryUsage.rss() / BYTES_PER_MB) };
+    }
+    catch (error) {
+        log.warn({ err: error }, "host: could not read the memory of the process");
+        return {};
+    }
+}
