Begin one request of a connection at a time, and none of a closed one

Callers saw a host that answered neither its readiness nor them for over 30 s, with one core full, after 50 connections with 400 pipelined calls each had been closed with unread responses.

Cause: Node.js emits `request` for all requests of a read (64 KiB) at once, and `close` only for the response whose turn it is. The calls behind it were begun and never got an end when their connection closed: their attempts went on, they stayed pending, and the memory of their bodies was not returned.

Ruled out: `maxRequestsPerSocket` (it also ends sequential keep-alive connections); the request's `aborted` event (not emitted once the body has been read); `parser.pause` (not public).

Change: createRequestQueues in packages/http begins the requests of a connection one at a time, drops those that wait when it ends, and stops reading at 16 waiting ones.

--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -5,6 +5,7 @@
 import type { Duplex } from "node:stream";
 import polka from "polka";
 import type { ByteBudget } from "./byteBudget.js";
+import { type BeginRequest, createRequestQueues } from "./createRequestQueues.js";
 import { readRawBody } from "./readRawBody.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
@@ -131,17 +132,16 @@
         requestTimeout: settings.requestTimeoutMs,
         headersTimeout: settings.requestTimeoutMs,
     });
-    let pendingCount = 0;
+    const queues = createRequestQueues();
     server.on("request", (request, response) => {
         Object.assign(request, { receivedAtMs: performance.now() } satisfies Partial<HttpRequest>);
-        pendingCount += 1;
-        response.once("close", () => {
-            pendingCount -= 1;
-        });
+        queues.enqueue(request, response, handleRequest);
     });
+    server.on("checkExpectation", (request, response) => queues.enqueue(request, response, rejectExpectation));
     server.on("clientError", (error, socket) => sendBadRequest(error, socket, settings.describeBadRequest));
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
-    const app = polka({ server, onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
+    const app = polka({ onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
+    const handleRequest: BeginRequest = (request, response) => app.handler(request, response);
     function reportError(error: unknown, request: IncomingMessage, response: ServerResponse): void {
         settings.handleError(error as HttpError, request, response);
     }
@@ -152,11 +152,11 @@
     for (const route of settings.routes) {
         addRoute(app, route, reportError);
     }
-    await startListening(app, server, settings);
+    await startListening(server, settings);
     return {
         server,
         port: (server.address() as AddressInfo).port,
-        countPending: () => pendingCount,
+        countPending: queues.countPending,
         drain: () => drainServer(server),
         close: () => closeServer(server),
     };
@@ -187,6 +187,15 @@
     };
 }
 
+/**
+ * Sends what Node.js would send without a listener. Its own response is not in the queue, so the requests after it would be
+ * taken for requests of an ended connection.
+ */
+function rejectExpectation(_request: IncomingMessage, response: ServerResponse): void {
+    response.writeHead(417);
+    response.end();
+}
+
 const badRequestStatuses: Readonly<Record<string, BadRequestStatus>> = {
     HPE_HEADER_OVERFLOW: 431,
     ERR_HTTP_REQUEST_TIMEOUT: 408,
@@ -226,7 +235,7 @@
     use(...middleware: HttpMiddleware[]): void;
     add(method: string, path: string, handler: (request: HttpRequest, response: ServerResponse) => void): void;
     all(path: string, handler: (request: HttpRequest, response: ServerResponse) => void): void;
-    listen(port: number, host: string, callback: () => void): void;
+    handler(request: IncomingMessage, response: ServerResponse): void;
 }
 
 type ReportError = (error: unknown, request: IncomingMessage, response: ServerResponse) => void;
@@ -244,10 +253,10 @@
     app.add(route.method, route.path, handle);
 }
 
-function startListening(app: PolkaApp, server: Server, options: ServeHttpOptions): Promise<void> {
+function startListening(server: Server, options: ServeHttpOptions): Promise<void> {
     return new Promise((resolve, reject) => {
         server.once("error", reject);
-        app.listen(options.port, options.host, () => {
+        server.listen(options.port, options.host, () => {
             server.off("error", reject);
             resolve();
         });
