Close the connections with most waiting requests beyond a limit

Callers saw closed connections: the process ended with SIGABRT when 50 connections sent 4,000 pipelined requests of 29 bytes each behind a call of 0.2 s.

Cause: one read contains over 2,000 such requests, Node.js keeps the objects of each, and the heap has 200 MB. Reading stops only after the read.

Change: createWaitingLimit lets 16,384 requests wait in a server; beyond that the connection with most of them is closed.

Conclusion: a caller with many waiting requests may be closed when a server has more than 16,384; nothing else changes.

--- a/packages/http/src/createRequestQueues.ts
+++ b/packages/http/src/createRequestQueues.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { createWaitingLimit } from "./createWaitingLimit.js";
 
 /**
  * Waiting requests of a connection at which reading from it stops. Below it reading goes on, since a connection that is not
@@ -7,12 +8,18 @@
  */
 const MAX_WAITING_REQUESTS = 16;
 
+/**
+ * Limit on the waiting requests of all connections of a server. Node.js keeps the objects of a request from its arrival:
+ * 19,000 of them take 84 MB, and 113,000 short ones of 50 connections exceeded a heap of 200 MB.
+ */
+const MAX_WAITING_REQUESTS_OF_SERVER = 16_384;
+
 export type BeginRequest = (request: IncomingMessage, response: ServerResponse) => void;
 
 export interface RequestQueues {
     /**
      * Begins a request once the responses to all earlier requests of its connection have been sent. It is never begun if the
-     * connection ends before that.
+     * connection ends before that. If too many requests wait, the connection with most of them is closed.
      */
     readonly enqueue: (request: IncomingMessage, response: ServerResponse, begin: BeginRequest) => void;
     /** Returns the number of requests that wait or have been begun. */
@@ -40,6 +47,7 @@
  */
 export function createRequestQueues(): RequestQueues {
     const queues = new WeakMap<Socket, RequestQueue>();
+    const waitingLimit = createWaitingLimit<RequestQueue>(MAX_WAITING_REQUESTS_OF_SERVER);
     let pendingCount = 0;
 
     function beginRequest(queue: RequestQueue, { request, response, begin }: WaitingRequest): void {
@@ -64,6 +72,7 @@
         }
         const next = queue.waiting.shift();
         if (next !== undefined) {
+            waitingLimit.remove(queue, 1);
             if (queue.waiting.length === MAX_WAITING_REQUESTS - 1) {
                 queue.socket.resume();
             }
@@ -72,7 +81,9 @@
     }
 
     function dropWaiting(queue: RequestQueue): void {
-        pendingCount -= queue.waiting.splice(0).length;
+        const dropped = queue.waiting.splice(0);
+        pendingCount -= dropped.length;
+        waitingLimit.remove(queue, dropped.length);
     }
 
     function addWaiting(queue: RequestQueue, entry: WaitingRequest): void {
@@ -82,6 +93,11 @@
             monitorConnection(queue);
         }
         stopReading(queue);
+        const excess = waitingLimit.add(queue);
+        if (excess !== undefined) {
+            excess.socket.destroy();
+            dropWaiting(excess);
+        }
     }
 
     function monitorConnection(queue: RequestQueue): void {
--- a/packages/http/tests/pipelinedRequests.test.ts
+++ b/packages/http/tests/pipelinedRequests.test.ts
@@ -181,6 +181,27 @@
         expect(server.countPending()).toBeLessThan(150);
     });
 
+    // Many connections with short requests, of which one read contains thousands, exceeded the heap.
+    it("closes the connections with most requests if too many wait", async () => {
+        const server = await startServer();
+        const callers = Array.from({ length: 12 }, () => openCaller(server.port));
+        const few = openCaller(server.port);
+        few.socket.write(buildRequests(3, "/call/"));
+        for (const { socket } of callers) {
+            socket.write("GET /call HTTP/1.1\r\nhost: a\r\n\r\n".repeat(4_000));
+        }
+        await waitUntil(() => callers.some(caller => caller.isClosed()) || server.countPending() > 20_000);
+        await probeServer(server);
+        expect(server.countPending()).toBeLessThanOrEqual(16_384 + callers.length + 1);
+        expect(server.countPending()).toBeGreaterThan(8_000);
+        expect(few.isClosed()).toBe(false);
+        [few, ...callers].forEach(({ socket }) => socket.resetAndDestroy());
+        await waitUntil(() => {
+            server.respond();
+            return server.countPending() === 0;
+        });
+    });
+
     // Node.js ends a connection that is half-closed: its callers get no response, so its requests must not be begun.
     it("begins no further request of a half-closed connection", async () => {
         const server = await startServer();
