Answer the requests before a malformed or late one first

Callers that pipelined requests got 400 or 408 in place of the response to an earlier, valid request.

Cause: the error of the parser was answered as soon as it was reported, while another response was in progress. The time limit for receiving a request also passes while reading has stopped for the requests that wait before it.

Ruled out: destroying the connection without a response (the callers of the earlier requests would not learn their outcome).

Change: handleClientErrors sends the response to a malformed request once the earlier ones are answered, and applies the time limit again from then. A caller that closes its side in the middle of a request ends its connection at once, as before.

A connection half-closed in the middle of a request still gets 400 in place of the response in progress.

--- a/packages/http/src/createRequestQueues.ts
+++ b/packages/http/src/createRequestQueues.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { createWaitingLimit } from "./createWaitingLimit.js";
+import type { Duplex } from "node:stream";
+import { createWaitingLimit, type WaitingLimit } from "./createWaitingLimit.js";
 
 /**
  * Waiting requests of a connection at which reading from it stops. Below it reading goes on, since a connection that is not
@@ -22,6 +23,15 @@
      * connection ends before that. If too many requests wait, the connection with most of them is closed.
      */
     readonly enqueue: (request: IncomingMessage, response: ServerResponse, begin: BeginRequest) => void;
+    /**
+     * Calls `fail` once the requests of the connection that have been received in full are answered, at once if there are none.
+     * A request whose body is incomplete is not begun.
+     */
+    readonly failAfterPending: (socket: Duplex, fail: () => void) => void;
+    /** Returns the number of requests of the connection that have been received in full. */
+    readonly countReceived: (socket: Duplex) => number;
+    /** Returns whether a request that has been received in full is in progress or waits. */
+    readonly hasPending: (socket: Duplex) => boolean;
     /** Returns the number of requests that wait or have been begun. */
     readonly countPending: () => number;
 }
@@ -38,6 +48,19 @@
     /** Whether a request has been begun and its response has not been sent. */
     isBusy: boolean;
     isMonitored: boolean;
+    /** Request whose head was received last, until its response has been sent. */
+    last: IncomingMessage | undefined;
+    /** Number of requests whose head has been received. */
+    receivedCount: number;
+    /** Called once no request is in progress or waits. */
+    onIdle: (() => void) | undefined;
+}
+
+/** State of all connections of a server. */
+interface ServerState {
+    readonly queues: WeakMap<Duplex, RequestQueue>;
+    readonly waitingLimit: WaitingLimit<RequestQueue>;
+    pendingCount: number;
 }
 
 /**
@@ -46,100 +69,152 @@
  * connection has closed.
  */
 export function createRequestQueues(): RequestQueues {
-    const queues = new WeakMap<Socket, RequestQueue>();
-    const waitingLimit = createWaitingLimit<RequestQueue>(MAX_WAITING_REQUESTS_OF_SERVER);
-    let pendingCount = 0;
-
-    function beginRequest(queue: RequestQueue, { request, response, begin }: WaitingRequest): void {
-        queue.isBusy = true;
-        response.once("close", () => {
-            pendingCount -= 1;
-            if (queue.waiting.length === 0) {
-                queue.isBusy = false;
-                return;
-            }
-            // Other connections get their turn, and a closed connection is noticed, before the next request is begun.
-            setImmediate(beginNext, queue);
-        });
-        begin(request, response);
+    const queues = new WeakMap<Duplex, RequestQueue>();
+    const state: ServerState = {
+        queues,
+        waitingLimit: createWaitingLimit(MAX_WAITING_REQUESTS_OF_SERVER),
+        pendingCount: 0,
+    };
+    return {
+        enqueue: (request, response, begin) => enqueueRequest(state, { request, response, begin }),
+        failAfterPending: (socket, fail) => failAfterPending(state, queues.get(socket), fail),
+        countReceived: socket => countReceivedRequests(queues.get(socket)),
+        hasPending: socket => hasPendingRequest(queues.get(socket)),
+        countPending: () => state.pendingCount,
+    };
+}
+
+function enqueueRequest(state: ServerState, entry: WaitingRequest): void {
+    const { socket } = entry.request;
+    const queue = state.queues.get(socket) ?? createQueue(socket);
+    state.queues.set(socket, queue);
+    queue.last = entry.request;
+    queue.receivedCount += 1;
+    if (!queue.isBusy && canRespond(entry)) {
+        state.pendingCount += 1;
+        beginRequest(state, queue, entry);
+    }
+    else if (queue.isBusy && socket.writable) {
+        addWaiting(state, queue, entry);
     }
+    else {
+        // The connection ends with an earlier response. Further requests would only occupy memory.
+        socket.pause();
+    }
+}
 
-    function beginNext(queue: RequestQueue): void {
-        queue.isBusy = false;
-        if (!canRespond(queue.waiting[0])) {
-            dropWaiting(queue);
+function beginRequest(state: ServerState, queue: RequestQueue, { request, response, begin }: WaitingRequest): void {
+    queue.isBusy = true;
+    response.once("close", () => {
+        state.pendingCount -= 1;
+        if (queue.last === request) {
+            // An idle connection would keep the body in memory.
+            queue.last = undefined;
+        }
+        if (queue.waiting.length > 0) {
+            // Other connections get their turn, and a closed connection is noticed, before the next request is begun.
+            setImmediate(beginNext, state, queue);
             return;
         }
-        const next = queue.waiting.shift();
-        if (next !== undefined) {
-            waitingLimit.remove(queue, 1);
-            if (queue.waiting.length === MAX_WAITING_REQUESTS - 1) {
-                queue.socket.resume();
-            }
-            beginRequest(queue, next);
+        queue.isBusy = false;
+        if (queue.socket.writable) {
+            queue.onIdle?.();
         }
-    }
+    });
+    begin(request, response);
+}
 
-    function dropWaiting(queue: RequestQueue): void {
-        const dropped = queue.waiting.splice(0);
-        pendingCount -= dropped.length;
-        waitingLimit.remove(queue, dropped.length);
+function beginNext(state: ServerState, queue: RequestQueue): void {
+    queue.isBusy = false;
+    if (!canRespond(queue.waiting[0])) {
+        dropWaiting(state, queue);
+        return;
     }
-
-    function addWaiting(queue: RequestQueue, entry: WaitingRequest): void {
-        pendingCount += 1;
-        queue.waiting.push(entry);
-        if (!queue.isMonitored) {
-            monitorConnection(queue);
-        }
-        stopReading(queue);
-        const excess = waitingLimit.add(queue);
-        if (excess !== undefined) {
-            excess.socket.destroy();
-            dropWaiting(excess);
+    const next = queue.waiting.shift();
+    if (next !== undefined) {
+        state.waitingLimit.remove(queue, 1);
+        if (queue.waiting.length === MAX_WAITING_REQUESTS - 1) {
+            queue.socket.resume();
         }
+        beginRequest(state, queue, next);
     }
+}
 
-    function monitorConnection(queue: RequestQueue): void {
-        queue.isMonitored = true;
-        const drop = (): void => dropWaiting(queue);
-        // Node.js ends a connection that its caller has half-closed.
-        queue.socket.once("end", drop);
-        queue.socket.once("close", drop);
-        // Reading the body of a request resumes its connection.
-        queue.socket.on("resume", () => stopReading(queue));
+function addWaiting(state: ServerState, queue: RequestQueue, entry: WaitingRequest): void {
+    state.pendingCount += 1;
+    queue.waiting.push(entry);
+    if (!queue.isMonitored) {
+        monitorConnection(state, queue);
+    }
+    stopReading(queue);
+    const excess = state.waitingLimit.add(queue);
+    if (excess !== undefined) {
+        excess.socket.destroy();
+        dropWaiting(state, excess);
     }
-
-    return {
-        countPending: () => pendingCount,
-        enqueue: (request, response, begin) => {
-            const { socket } = request;
-            let queue = queues.get(socket);
-            if (queue === undefined) {
-                queue = { socket, waiting: [], isBusy: false, isMonitored: false };
-                queues.set(socket, queue);
-            }
-            const entry = { request, response, begin };
-            if (!queue.isBusy && canRespond(entry)) {
-                pendingCount += 1;
-                beginRequest(queue, entry);
-            }
-            else if (queue.isBusy && socket.writable) {
-                addWaiting(queue, entry);
-            }
-            else {
-                // The connection ends with an earlier response. Further requests would only occupy memory.
-                socket.pause();
-            }
-        },
-    };
 }
 
-/** A response has no socket if the one before it ends the connection. */
-const canRespond = (entry: WaitingRequest | undefined): boolean => entry?.response.socket?.writable === true;
+function monitorConnection(state: ServerState, queue: RequestQueue): void {
+    queue.isMonitored = true;
+    const drop = (): void => dropWaiting(state, queue);
+    // Node.js ends a connection that its caller has half-closed.
+    queue.socket.once("end", drop);
+    queue.socket.once("close", drop);
+    // Reading the body of a request resumes its connection.
+    queue.socket.on("resume", () => stopReading(queue));
+}
 
 function stopReading({ socket, waiting }: RequestQueue): void {
     if (waiting.length >= MAX_WAITING_REQUESTS) {
         socket.pause();
     }
 }
+
+function dropWaiting(state: ServerState, queue: RequestQueue): void {
+    const dropped = queue.waiting.splice(0);
+    state.pendingCount -= dropped.length;
+    state.waitingLimit.remove(queue, dropped.length);
+}
+
+function failAfterPending(state: ServerState, queue: RequestQueue | undefined, fail: () => void): void {
+    if (queue === undefined) {
+        fail();
+        return;
+    }
+    // The parser reports its error again for each later read.
+    if (queue.onIdle !== undefined) {
+        return;
+    }
+    if (!hasPendingRequest(queue)) {
+        fail();
+        return;
+    }
+    if (isIncomplete(queue) && queue.waiting.at(-1)?.request === queue.last) {
+        queue.waiting.pop();
+        state.pendingCount -= 1;
+        state.waitingLimit.remove(queue, 1);
+    }
+    queue.onIdle = fail;
+}
+
+const createQueue = (socket: Socket): RequestQueue => ({
+    socket,
+    waiting: [],
+    isBusy: false,
+    isMonitored: false,
+    last: undefined,
+    receivedCount: 0,
+    onIdle: undefined,
+});
+
+const isIncomplete = ({ last }: RequestQueue): boolean => last?.complete === false;
+
+const countReceivedRequests = (queue: RequestQueue | undefined): number =>
+    queue === undefined ? 0 : queue.receivedCount - (isIncomplete(queue) ? 1 : 0);
+
+/** The request whose body is incomplete can only be the last one. */
+const hasPendingRequest = (queue: RequestQueue | undefined): boolean =>
+    queue !== undefined && queue.isBusy && (queue.waiting.length > 0 || !isIncomplete(queue));
+
+/** A response has no socket if the one before it ends the connection. */
+const canRespond = (entry: WaitingRequest | undefined): boolean => entry?.response.socket?.writable === true;
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -6,6 +6,7 @@
 import polka from "polka";
 import type { ByteBudget } from "./byteBudget.js";
 import { type BeginRequest, createRequestQueues } from "./createRequestQueues.js";
+import { handleClientErrors } from "./handleClientErrors.js";
 import { readRawBody } from "./readRawBody.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
@@ -138,7 +139,11 @@
         queues.enqueue(request, response, handleRequest);
     });
     server.on("checkExpectation", (request, response) => queues.enqueue(request, response, rejectExpectation));
-    server.on("clientError", (error, socket) => sendBadRequest(error, socket, settings.describeBadRequest));
+    handleClientErrors(server, {
+        queues,
+        requestTimeoutMs: settings.requestTimeoutMs,
+        fail: (error, socket) => sendBadRequest(error, socket, settings.describeBadRequest),
+    });
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
     const handleRequest: BeginRequest = (request, response) => app.handler(request, response);
--- a/packages/http/tests/pipelinedRequests.test.ts
+++ b/packages/http/tests/pipelinedRequests.test.ts
@@ -203,10 +203,14 @@
     });
 
     // Node.js ends a connection that is half-closed: its callers get no response, so its requests must not be begun.
-    it("begins no further request of a half-closed connection", async () => {
+    it.each([
+        { name: "after a request", rest: "" },
+        { name: "in a head", rest: "POST /call" },
+        { name: "in a body", rest: buildRequest("/call/5", "xxx").slice(0, -1) },
+    ])("begins no further request of a connection half-closed $name", async ({ rest }) => {
         const server = await startServer();
         const { socket, isClosed } = openCaller(server.port);
-        socket.end(buildRequests(5, "/call/"));
+        socket.end(buildRequests(5, "/call/") + rest);
         await waitUntil(isClosed);
         server.respond();
         await probeServer(server);
@@ -286,4 +290,51 @@
         expect(listResponses()).toEqual(["/now/0 0", "100", "/now/1 3", "417", "/now/3 0"]);
         await waitUntil(() => server.countPending() === 0);
     });
+
+    // The error response to a malformed request was sent in place of the response to the request before it.
+    it.each([
+        { name: "head", text: "no HTTP\r\n\r\n" },
+        { name: "body", text: "POST /bad HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nxyz\r\n" },
+    ])("answers the requests before a malformed $name first", async ({ text }) => {
+        const server = await startServer();
+        const { socket, listResponses, isClosed } = openCaller(server.port);
+        socket.write(buildRequests(3, "/call/") + text);
+        await waitUntil(() => server.countPending() === 3 && countBegun(server) > 0);
+        await probeServer(server);
+        await waitUntil(() => {
+            server.respond();
+            return isClosed();
+        });
+        expect(listResponses()).toEqual([...listExpected(3, "/call/"), "400"]);
+        expect(server.countPending()).toBe(0);
+    });
+
+    /** Reports that the message which the server is receiving has exceeded the time limit, as Node.js does every 30 s. */
+    function reportTimeout(server: TestServer, accepted: Socket | undefined): void {
+        const error = Object.assign(new Error("request timeout"), { code: "ERR_HTTP_REQUEST_TIMEOUT" });
+        server.server.emit("clientError", error, accepted);
+    }
+
+    // A request that cannot be read while others are answered must not end its connection by the time limit for receiving.
+    it.each([
+        { name: "answers it if its rest arrives", rest: "x".repeat(80_000), last: "/call/2 90000" },
+        { name: "ends the connection if its rest does not arrive", rest: "", last: "408" },
+    ])("does not apply the time limit to a request behind others: $name", async ({ rest, last }) => {
+        const server = await startServer({ requestTimeoutMs: 100 });
+        let accepted: Socket | undefined;
+        server.server.once("connection", connection => void (accepted = connection));
+        const { socket, listResponses } = openCaller(server.port);
+        socket.write(buildRequests(2, "/call/") + buildRequest("/call/2", "x".repeat(90_000)).slice(0, -80_000));
+        await waitUntil(() => server.countPending() === 3 && countBegun(server) === 1);
+        reportTimeout(server, accepted);
+        await probeServer(server);
+        socket.write(rest);
+        await waitUntil(() => {
+            server.respond();
+            return listResponses().length === 3;
+        });
+        expect(listResponses()).toEqual([...listExpected(2, "/call/"), last]);
+        socket.destroy();
+        await waitUntil(() => server.countPending() === 0);
+    });
 });
