Handle errors of servers that cannot accept connections

Node.js emits `error` on a server whose accept fails. The servers for callers, readiness, metrics and peers had no listener after their start, so that a lack of descriptors or memory was an uncaught exception: only the handler of unexpected errors kept the process alive. Found in an audit; not seen on a real host.

Cause: serveHttp listened for errors only until the address was bound.

Ruled out: the spare descriptor of the runtime as a protection. It avoids the error only for EMFILE, and only where files and sockets share one limit, which DEPLOY.md does not say. Closing and opening the listener again: it resets waiting connections.

Change: a listener for the life of the server; a line `host: server error` with the count, at most one a second.

--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -6,6 +6,7 @@
 import { describeMissing } from "../queries/describeMissing.js";
 import { forwardRequest } from "../requests/commands/forwardRequest.js";
 import { type RefusalReason, sendRefusal } from "../requests/commands/sendRefusal.js";
+import { createServerErrorLog } from "./createServerErrorLog.js";
 
 /** Limit of the HTTP parser on a request's headers; the limit in the configuration is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -34,7 +35,12 @@
 ): Promise<ForwardingServers> {
     const serve = (name: "readiness" | "metrics" | "callers", options: ServerOptions): Promise<RunningServer> => {
         const address = context.settings.listen[name];
-        return bindAddress(name, address, () => serveHttp({ ...splitAddress(address), bodies: "raw", ...options }));
+        const onServerError = createServerErrorLog(context.log, name);
+        return bindAddress(
+            name,
+            address,
+            () => serveHttp({ ...splitAddress(address), bodies: "raw", onServerError, ...options }),
+        );
     };
     const readiness = await serve("readiness", {
         routes: [{
--- a/packages/forwarding/src/peers/commands/synchronizeTables.ts
+++ b/packages/forwarding/src/peers/commands/synchronizeTables.ts
@@ -2,6 +2,7 @@
 import { requestJson, type RunningServer, sendJson, serveHttp } from "@currantrill/http";
 import type Logger from "bunyan";
 import { gzipSync } from "node:zlib";
+import { createServerErrorLog } from "../../commands/createServerErrorLog.js";
 import type { TableChanges } from "../../ports/tableSource.js";
 import type { SharedTable } from "../../replicas/model/sharedTable.js";
 import type { TableReplica } from "../../replicas/model/tableReplica.js";
@@ -57,6 +58,7 @@
         host,
         port: Number(port),
         bodies: "raw",
+        onServerError: createServerErrorLog(log, "peers"),
         routes: [{
             method: "GET",
             path: "/tables/:name",
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -59,6 +59,8 @@
     readonly handleError?: (error: HttpError, request: IncomingMessage, response: ServerResponse) => void;
     /** Called if no route matches. */
     readonly handleNotFound?: (request: IncomingMessage, response: ServerResponse) => void;
+    /** Called if the server cannot accept a connection, such as without free file descriptors. It goes on listening. */
+    readonly onServerError?: (error: Error) => void;
     /** Builds the JSON response to bytes that the HTTP parser rejects. */
     readonly describeBadRequest?: (status: BadRequestStatus) => BadRequestResponse;
 }
@@ -95,6 +97,7 @@
         sendJson(response, error.status ?? 500, { error: error.message }),
     handleNotFound: (_request: IncomingMessage, response: ServerResponse): void =>
         sendJson(response, 404, { error: "no such path" }),
+    onServerError: (): void => undefined,
     describeBadRequest: (status: BadRequestStatus): BadRequestResponse => ({
         headers: {},
         body: { error: badRequestReasons[status] },
@@ -153,6 +156,8 @@
         addRoute(app, route, reportError);
     }
     await startListening(app, server, settings);
+    // Without a listener, a failure to accept a connection would be an uncaught exception.
+    server.on("error", settings.onServerError);
     return {
         server,
         port: (server.address() as AddressInfo).port,
--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -1,1 +1,2 @@
 export * from "./createLog.js";
+export * from "./createThrottledLog.js";
