Limit connections so that callers leave descriptors for endpoints

With 200 descriptors and 400 connections of callers, the deployed program answered 1 of 170 requests with 200 and the others with 503, since it had no descriptor for a connection to an endpoint. Readiness and further calls were reset for as long as the callers kept their connections, and `host: unexpected error` (EMFILE) came every 5 s. It recovered once they were closed.

Cause: no server limited its connections.

Ruled out: server.maxConnections of Node.js alone: it closes connections without an answer, so that callers cannot tell whether a request ran, and idle connections keep others out.

Change: limitConnections: at the limit, a new connection replaces the kept one that has been idle for longest, or one without a head for 1 s; otherwise its request is read and gets 503 `too_many_connections`.

Conclusion: callers cannot exhaust the descriptors by connections.

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -13,6 +13,7 @@
 import type { PeerHeader } from "../peers/model/peerState.js";
 import { type Permits, startPermits } from "../permits/commands/startPermits.js";
 import type { SharedTable } from "../replicas/model/sharedTable.js";
+import { createServerGuard } from "./createServerGuard.js";
 
 export interface FleetConnection {
     readonly peers: Peers;
@@ -33,7 +34,11 @@
     const synchronization = await bindAddress(
         "peers",
         address,
-        () => startTableSynchronization(address, sharedTables, log, outcome => metrics.tableFetches.inc({ outcome })),
+        () =>
+            startTableSynchronization(address, sharedTables, log, {
+                onFetch: outcome => metrics.tableFetches.inc({ outcome }),
+                ...createServerGuard(context, "peers"),
+            }),
     );
     const socket = await bindAddress(
         "peers",
--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -6,7 +6,7 @@
 import { describeMissing } from "../queries/describeMissing.js";
 import { forwardRequest } from "../requests/commands/forwardRequest.js";
 import { type RefusalReason, sendRefusal } from "../requests/commands/sendRefusal.js";
-import { createServerErrorLog } from "./createServerErrorLog.js";
+import { createServerGuard } from "./createServerGuard.js";
 
 /** Limit of the HTTP parser on a request's headers; the limit in the configuration is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -15,8 +15,12 @@
 /** Time in which a request must be received in full; after it the connection of a slow sender is closed. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
-/** Reasons to refuse a request whose body could not be read, by the status of the error. */
-const bodyRefusals: Readonly<Record<number, RefusalReason>> = { 413: "body_too_large", 503: "bodies_too_large" };
+/** Reasons to refuse a request that is not forwarded, by the type of the error. */
+const refusalReasons: Readonly<Record<string, RefusalReason>> = {
+    "entity.too.large": "body_too_large",
+    "body.budget": "bodies_too_large",
+    "connection.limit": "too_many_connections",
+};
 
 type ServerOptions = Omit<ServeHttpOptions, "host" | "port" | "bodies">;
 
@@ -35,11 +39,11 @@
 ): Promise<ForwardingServers> {
     const serve = (name: "readiness" | "metrics" | "callers", options: ServerOptions): Promise<RunningServer> => {
         const address = context.settings.listen[name];
-        const onServerError = createServerErrorLog(context.log, name);
+        const guard = createServerGuard(context, name);
         return bindAddress(
             name,
             address,
-            () => serveHttp({ ...splitAddress(address), bodies: "raw", onServerError, ...options }),
+            () => serveHttp({ ...splitAddress(address), bodies: "raw", ...guard, ...options }),
         );
     };
     const readiness = await serve("readiness", {
@@ -72,8 +76,10 @@
         maxHeaderBytes: MAX_HEADER_BYTES,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
         handleError: (error, _request, response) => {
-            context.log.info({ err: error }, "requests: could not read the request body");
-            const reason = bodyRefusals[error.status ?? 0] ?? "body_unreadable";
+            const reason = refusalReasons[error.type ?? ""] ?? "body_unreadable";
+            if (reason !== "too_many_connections") {
+                context.log.info({ err: error }, "requests: could not read the request body");
+            }
             context.metrics.requests.inc({ kind: "unrouted", outcome: reason });
             sendRefusal(response, reason);
         },
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -20,6 +20,7 @@
     readonly isolatedParts: Gauge;
     readonly inFlight: Gauge;
     readonly unexpectedErrors: Counter;
+    readonly excessConnections: Counter;
     readonly memory: Gauge<"kind">;
     readonly loopDelaySeconds: Gauge;
     readonly configurationVersion: Gauge;
@@ -107,13 +108,19 @@
 /** Creates the metrics of the process. */
 function createProcessMetrics(
     registers: Registry[],
-): Pick<ForwardingMetrics, "unexpectedErrors" | "memory" | "loopDelaySeconds"> {
+): Pick<ForwardingMetrics, "unexpectedErrors" | "excessConnections" | "memory" | "loopDelaySeconds"> {
     return {
         unexpectedErrors: new Counter({
             name: "currantrill_unexpected_errors_total",
             help: "Errors that no component has handled.",
             registers,
         }),
+        excessConnections: new Counter({
+            name: "currantrill_excess_connections_total",
+            help: "Connections beyond the limit of a server, by server and what became of them.",
+            labelNames: ["server", "event"],
+            registers,
+        }),
         memory: new Gauge({
             name: "currantrill_memory_bytes",
             help: "Memory of the process (rss), used heap (heap), and size at which the runtime ends it (heap_limit).",
--- a/packages/forwarding/src/peers/commands/synchronizeTables.ts
+++ b/packages/forwarding/src/peers/commands/synchronizeTables.ts
@@ -1,8 +1,7 @@
 /** Synchronizes tables between hosts, for hosts that do not receive changes from the store. */
-import { requestJson, type RunningServer, sendJson, serveHttp } from "@currantrill/http";
+import { requestJson, type RunningServer, sendJson, serveHttp, type ServeHttpOptions } from "@currantrill/http";
 import type Logger from "bunyan";
 import { gzipSync } from "node:zlib";
-import { createServerErrorLog } from "../../commands/createServerErrorLog.js";
 import type { TableChanges } from "../../ports/tableSource.js";
 import type { SharedTable } from "../../replicas/model/sharedTable.js";
 import type { TableReplica } from "../../replicas/model/tableReplica.js";
@@ -43,22 +42,28 @@
     readonly close: () => Promise<void>;
 }
 
+export interface TableSynchronizationOptions
+    extends Pick<ServeHttpOptions, "maxConnections" | "onConnectionLimit" | "onServerError"> {
+    /** Called with the outcome of each fetch, for metrics. */
+    readonly onFetch?: (outcome: "copied" | "refused" | "failed") => void;
+}
+
 /**
  * Serves copies of tables over HTTP on the peer address, and fetches newer ones from peers. Rejects if the address
- * cannot be bound. `onFetch` is called with the outcome of each fetch, for metrics.
+ * cannot be bound.
  */
 export async function startTableSynchronization(
     address: string,
     tables: ReadonlyMap<string, SharedTable>,
     log: Logger,
-    onFetch: (outcome: "copied" | "refused" | "failed") => void = () => undefined,
+    { onFetch = () => undefined, ...guard }: TableSynchronizationOptions = {},
 ): Promise<TableSynchronization> {
     const [host = "", port = "0"] = address.split(":");
     const server: RunningServer = await serveHttp({
         host,
         port: Number(port),
         bodies: "raw",
-        onServerError: createServerErrorLog(log, "peers"),
+        ...guard,
         routes: [{
             method: "GET",
             path: "/tables/:name",
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -21,6 +21,8 @@
     | "body_too_large"
     /** The bodies of all requests on this host exceed its memory for them. */
     | "bodies_too_large"
+    /** The host has as many connections as it may, all of them with requests in flight. */
+    | "too_many_connections"
     | "outcome_unknown"
     /** The endpoint crashed, and a part of the prompt may be the cause, so that no other endpoint is tried. */
     | "crash_suspected"
@@ -57,6 +59,11 @@
         message: "this host has no memory left for the body; the request was not run",
         retryAfterSeconds: 0.4,
     },
+    too_many_connections: {
+        status: 503,
+        message: "this host has too many connections; the request was not run",
+        retryAfterSeconds: 0.4,
+    },
     outcome_unknown: { status: 502, message: "the endpoint's answer was lost; the request may have run" },
     crash_suspected: {
         status: 502,
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -270,6 +270,8 @@
     /** Store in which the first configuration is written, with rows of its own. */
     readonly storeToUse?: TestStore;
     readonly quarantine?: Partial<ForwardingSettings["quarantine"]>;
+    /** File descriptors that the host may use. */
+    readonly fileDescriptors?: number;
     /** Peer port, which must be the same for hosts that are to discover each other. */
     readonly peerPort?: number;
 }
@@ -299,6 +301,7 @@
         drain: { grace_ms: options.graceMs ?? 2_000 },
         reservations: { free_ms: 2_000 },
         processor: { cores: 1, share: 1 },
+        limits: { file_descriptors: options.fileDescriptors ?? 4_200 },
         requests: { max_buffered_bytes: 400_000 },
         responses: { max_body_bytes: 300_000, max_event_bytes: 50_000, max_buffered_bytes: 400_000 },
         quarantine: { crashes: 3, retry_after_ms: 30_000, forget_after_ms: 1_800_000, ...options.quarantine },
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./byteBuffer.js";
 export * from "./createGuardedDispatcher.js";
 export * from "./createHttpConnectionPool.js";
+export * from "./limitConnections.js";
 export * from "./nonForwardedHeaders.js";
 export * from "./readRawBody.js";
 export * from "./readServerSentEvents.js";
--- /dev/null
+++ b/packages/http/src/limitConnections.ts
@@ -0,0 +1,133 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/**
+ * Fraction of the limit by which connections may exceed it, so that their requests get a refusal. Connections beyond that
+ * are closed when they are accepted.
+ */
+const EXCESS_FRACTION = 0.05;
+const MIN_EXCESS = 8;
+/**
+ * Time that a connection has for the head of a request before it may be closed in favour of another one. Heads arrive
+ * within milliseconds; connections that send none must not keep others out.
+ */
+const HEAD_TIME_MS = 1_000;
+
+export type ConnectionLimitEvent =
+    /** An idle connection has been closed in favour of a new one. */
+    | "idle_closed"
+    /** All connections have requests in flight, so that the requests of a new one are refused. */
+    | "refused"
+    /** A connection has been closed without reading from it. */
+    | "dropped";
+
+export interface ConnectionLimitOptions {
+    readonly server: Server;
+    readonly maxConnections: number;
+    /** Called for each connection beyond the limit. */
+    readonly onLimit: (event: ConnectionLimitEvent) => void;
+    /** Returns the time on a monotonic clock, in milliseconds. */
+    readonly getNowMs?: () => number;
+}
+
+export interface ConnectionLimit {
+    /** Returns whether the request came on a connection beyond the limit. */
+    readonly isExcess: (request: IncomingMessage) => boolean;
+}
+
+interface ConnectionState {
+    /** Requests whose head has been received and whose response has not been sent. */
+    pendingCount: number;
+    /** Whether a response has been sent, so that the client keeps the connection for a further request. */
+    isKept: boolean;
+    idleSinceMs: number;
+    /** Number of bytes that had been received when the connection became idle. More mean that a request is arriving. */
+    bytesWhenIdle: number;
+}
+
+/**
+ * Limits the connections of a server, so that it leaves file descriptors for other purposes. A connection beyond the limit
+ * replaces the one that has been idle for longest, which a client expects of a connection that it keeps. If there is none,
+ * its requests are to be refused.
+ */
+export function limitConnections(
+    { server, maxConnections, onLimit, getNowMs = () => performance.now() }: ConnectionLimitOptions,
+): ConnectionLimit {
+    const connections = new Map<Socket, ConnectionState>();
+    /** Connections without a request in flight, the one that has been idle for longest first. */
+    const idle = new Set<Socket>();
+    const excess = new Set<Socket>();
+    const maxExcess = Math.max(MIN_EXCESS, Math.ceil(maxConnections * EXCESS_FRACTION));
+    const markIdle = (socket: Socket, state: ConnectionState): void => {
+        state.idleSinceMs = getNowMs();
+        state.bytesWhenIdle = socket.bytesRead;
+        idle.add(socket);
+    };
+    /** Finds the connection to close: one that is kept, or else one that has not sent the head of a request in time. */
+    const findIdle = (): Socket | undefined => {
+        for (const socket of idle) {
+            const state = connections.get(socket);
+            if (state?.isKept === true && socket.bytesRead === state.bytesWhenIdle) {
+                return socket;
+            }
+        }
+        const [oldest] = idle;
+        const idleSinceMs = oldest === undefined ? Infinity : connections.get(oldest)?.idleSinceMs ?? Infinity;
+        return getNowMs() - idleSinceMs >= HEAD_TIME_MS ? oldest : undefined;
+    };
+    const remove = (socket: Socket): void => {
+        connections.delete(socket);
+        idle.delete(socket);
+    };
+    /** Closes an idle connection. Returns whether there was one. */
+    const closeIdle = (): boolean => {
+        const closed = findIdle();
+        if (closed === undefined) {
+            return false;
+        }
+        remove(closed);
+        closed.destroy();
+        return true;
+    };
+    /** Kept apart from the others, so that these connections do not replace each other before their requests are refused. */
+    const addExcess = (socket: Socket): void => {
+        if (excess.size >= maxExcess) {
+            socket.destroy();
+            onLimit("dropped");
+            return;
+        }
+        excess.add(socket);
+        socket.once("close", () => excess.delete(socket));
+        onLimit("refused");
+    };
+    server.on("connection", (socket: Socket) => {
+        const isFull = connections.size >= maxConnections;
+        if (isFull && !closeIdle()) {
+            addExcess(socket);
+            return;
+        }
+        const state = { pendingCount: 0, isKept: false, idleSinceMs: 0, bytesWhenIdle: 0 };
+        connections.set(socket, state);
+        markIdle(socket, state);
+        socket.once("close", () => remove(socket));
+        if (isFull) {
+            onLimit("idle_closed");
+        }
+    });
+    server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
+        const state = connections.get(socket);
+        if (state === undefined) {
+            return;
+        }
+        state.pendingCount += 1;
+        idle.delete(socket);
+        response.once("close", () => {
+            state.pendingCount -= 1;
+            if (state.pendingCount === 0 && connections.has(socket)) {
+                state.isKept = true;
+                markIdle(socket, state);
+            }
+        });
+    });
+    return { isExcess: request => excess.has(request.socket) };
+}
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -5,6 +5,7 @@
 import type { Duplex } from "node:stream";
 import polka from "polka";
 import type { ByteBudget } from "./byteBudget.js";
+import { type ConnectionLimit, type ConnectionLimitEvent, limitConnections } from "./limitConnections.js";
 import { readRawBody } from "./readRawBody.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
@@ -51,6 +52,15 @@
      */
     readonly bodyBudget?: ByteBudget;
     readonly maxHeaderBytes?: number;
+    /**
+     * Most connections, without limit by default. If all have requests in flight, a request on a further one gets an error
+     * with status 503 and type `connection.limit`, and its connection is closed.
+     */
+    readonly maxConnections?: number;
+    /** Called for each connection beyond `maxConnections`. */
+    readonly onConnectionLimit?: (event: ConnectionLimitEvent) => void;
+    /** Returns the time on a monotonic clock, in milliseconds, for the limit on connections. */
+    readonly getNowMs?: () => number;
     /** Time limit for receiving a complete request, in milliseconds. */
     readonly requestTimeoutMs?: number;
     /** `json` parses each body as JSON. `raw` keeps the bytes as received and does not decompress them. */
@@ -97,6 +107,9 @@
         sendJson(response, error.status ?? 500, { error: error.message }),
     handleNotFound: (_request: IncomingMessage, response: ServerResponse): void =>
         sendJson(response, 404, { error: "no such path" }),
+    maxConnections: Infinity,
+    onConnectionLimit: (): void => undefined,
+    getNowMs: (): number => performance.now(),
     onServerError: (): void => undefined,
     describeBadRequest: (status: BadRequestStatus): BadRequestResponse => ({
         headers: {},
@@ -142,6 +155,12 @@
             pendingCount -= 1;
         });
     });
+    const connectionLimit = limitConnections({
+        server,
+        maxConnections: settings.maxConnections,
+        onLimit: settings.onConnectionLimit,
+        getNowMs: settings.getNowMs,
+    });
     server.on("clientError", (error, socket) => sendBadRequest(error, socket, settings.describeBadRequest));
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ server, onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
@@ -151,7 +170,7 @@
     const parseBody = settings.bodies === "json"
         ? await createJsonParser(getBodyLimit(settings.bodyLimitBytes))
         : createRawParser(settings.bodyLimitBytes, settings.bodyBudget);
-    app.use(parseBody, ...settings.middleware);
+    app.use(parseBody, createExcessRefusal(connectionLimit), ...settings.middleware);
     for (const route of settings.routes) {
         addRoute(app, route, reportError);
     }
@@ -192,6 +211,16 @@
     };
 }
 
+/** Runs after the body has been read, since closing a connection with unread bytes may destroy the response. */
+const createExcessRefusal = ({ isExcess }: ConnectionLimit): HttpMiddleware => (request, response, next) => {
+    if (!isExcess(request)) {
+        next();
+        return;
+    }
+    response.setHeader("connection", "close");
+    next(Object.assign(new Error("too many connections"), { status: 503, type: "connection.limit" }));
+};
+
 const badRequestStatuses: Readonly<Record<string, BadRequestStatus>> = {
     HPE_HEADER_OVERFLOW: 431,
     ERR_HTTP_REQUEST_TIMEOUT: 408,
--- a/packages/settings/src/model/forwardingSettings.ts
+++ b/packages/settings/src/model/forwardingSettings.ts
@@ -1,6 +1,9 @@
 import { z } from "zod";
 import { addressSchema, millisecondsSchema } from "./addressSchema.js";
 
+/** With fewer, there would be too few for the store, peers, readiness and a handful of callers. */
+const MIN_FILE_DESCRIPTORS = 256;
+
 const bytesSchema = z.number().int().min(1);
 
 /** Settings of a host that forwards whole requests, read from a TOML file at startup and whenever the file changes. */
@@ -42,6 +45,10 @@
         /** Fraction of each core that this host may use. */
         share: z.number().positive().default(1),
     }).prefault({}),
+    limits: z.strictObject({
+        /** File descriptors that the process may have open. Most of them are connections of callers and to endpoints. */
+        file_descriptors: z.number().int().min(MIN_FILE_DESCRIPTORS).default(4_200),
+    }).prefault({}),
     requests: z.strictObject({
         /** Most memory that bodies of requests occupy at the same time; a request beyond it is refused. */
         max_buffered_bytes: bytesSchema.default(48 * 1024 * 1024),
