Limit the buffered log by its characters

With an output that nobody read, and 8 callers whose requests without a route had paths of 60 KB, the deployed program reached its heap limit after 2 s and ended by SIGABRT (RSS 263 MB a moment before).

Cause: the log buffers up to 4,000 lines, and lines quote up to 64 KB that a caller sent: 240 MB, where the heap has 200 MB.

Ruled out: shortening values in lines, which every new field would have to repeat, and which loses what a reader may need.

Change: the buffer holds at most 4 Mi characters as well; what is beyond is dropped and counted as before. The count is written even if no line was kept.

Conclusion: the log can no longer fill the heap.

--- a/packages/logging/src/createLog.ts
+++ b/packages/logging/src/createLog.ts
@@ -4,6 +4,8 @@
 const FLUSH_INTERVAL_MS = 20;
 /** Buffer size while the consumer of the output is slower than the process. Further lines are dropped and counted. */
 const MAX_BUFFERED_LINES = 4_000;
+/** The same in characters: a line quotes what a caller sent, such as a path of 64 KB. */
+const MAX_BUFFERED_CHARACTERS = 4 * 1024 * 1024;
 
 export interface LogOptions {
     /** Program name, written to each line. */
@@ -29,12 +31,13 @@
  */
 export function createBufferedOutput(output: NodeJS.WritableStream): NodeJS.WritableStream {
     let lines: string[] = [];
+    let characters = 0;
     let dropped = 0;
     let isBlocked = false;
     let timer: NodeJS.Timeout | undefined;
     const flush = (): void => {
         timer = undefined;
-        if (isBlocked || lines.length === 0) {
+        if (isBlocked || lines.length === 0 && dropped === 0) {
             return;
         }
         if (dropped > 0) {
@@ -43,6 +46,7 @@
         }
         isBlocked = !output.write(lines.join(""));
         lines = [];
+        characters = 0;
     };
     output.on("drain", () => {
         isBlocked = false;
@@ -58,12 +62,13 @@
         flush();
     });
     const write = (line: string): boolean => {
-        if (lines.length >= MAX_BUFFERED_LINES) {
+        timer ??= setTimeout(flush, FLUSH_INTERVAL_MS);
+        if (lines.length >= MAX_BUFFERED_LINES || characters + line.length > MAX_BUFFERED_CHARACTERS) {
             dropped += 1;
             return true;
         }
         lines.push(line);
-        timer ??= setTimeout(flush, FLUSH_INTERVAL_MS);
+        characters += line.length;
         return true;
     };
     // bunyan calls only the `write` method of a stream.
