--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -7,6 +7,7 @@
 import type { ByteBudget } from "./byteBudget.js";
 import { type BeginRequest, createRequestQueues } from "./createRequestQueues.js";
 import { handleClientErrors } from "./handleClientErrors.js";
+import { type ConnectionLimit, type ConnectionLimitEvent, limitConnections } from "./limitConnections.js";
 import { readRawBody } from "./readRawBody.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
@@ -53,6 +54,15 @@
      */
     readonly bodyBudget?: ByteBudget;
     readonly maxHeaderBytes?: number;
+    /**
+     * Most connections, without limit by default. If all have requests in flight, a request on a further one gets an error
+     * with status 503 and type `connection.limit`, and its connection is closed.
+     */
+    readonly maxConnections?: number;
+    /** Called for each connection beyond `maxConnections`. */
+    readonly onConnectionLimit?: (event: ConnectionLimitEvent) => void;
+    /** Returns the time on a monotonic clock, in milliseconds, for the limit on connections. */
+    readonly getNowMs?: () => number;
     /** Time limit for receiving a complete request, in milliseconds. */
     readonly requestTimeoutMs?: number;
     /** `json` parses each body as JSON. `raw` keeps the bytes as received and does not decompress them. */
@@ -61,6 +71,8 @@
     readonly handleError?: (error: HttpError, request: IncomingMessage, response: ServerResponse) => void;
     /** Called if no route matches. */
     readonly handleNotFound?: (request: IncomingMessage, response: ServerResponse) => void;
+    /** Called if the server cannot accept a connection, such as without free file descriptors. It goes on listening. */
+    readonly onServerError?: (error: Error) => void;
     /** Builds the JSON response to bytes that the HTTP parser rejects. */
     readonly describeBadRequest?: (status: BadRequestStatus) => BadRequestResponse;
 }
@@ -97,6 +109,10 @@
         sendJson(response, error.status ?? 500, { error: error.message }),
     handleNotFound: (_request: IncomingMessage, response: ServerResponse): void =>
         sendJson(response, 404, { error: "no such path" }),
+    maxConnections: Infinity,
+    onConnectionLimit: (): void => undefined,
+    getNowMs: (): number => performance.now(),
+    onServerError: (): void => undefined,
     describeBadRequest: (status: BadRequestStatus): BadRequestResponse => ({
         headers: {},
         body: { error: badRequestReasons[status] },
@@ -144,6 +160,12 @@
         requestTimeoutMs: settings.requestTimeoutMs,
         fail: (error, socket) => sendBadRequest(error, socket, settings.describeBadRequest),
     });
+    const connectionLimit = limitConnections({
+        server,
+        maxConnections: settings.maxConnections,
+        onLimit: settings.onConnectionLimit,
+        getNowMs: settings.getNowMs,
+    });
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
     const handleRequest: BeginRequest = (request, response) => app.handler(request, response);
@@ -153,11 +175,13 @@
     const parseBody = settings.bodies === "json"
         ? await createJsonParser(getBodyLimit(settings.bodyLimitBytes))
         : createRawParser(settings.bodyLimitBytes, settings.bodyBudget);
-    app.use(parseBody, ...settings.middleware);
+    app.use(parseBody, createExcessRefusal(connectionLimit), ...settings.middleware);
     for (const route of settings.routes) {
         addRoute(app, route, reportError);
     }
     await startListening(server, settings);
+    // Without a listener, a failure to accept a connection would be an uncaught exception.
+    server.on("error", settings.onServerError);
     return {
         server,
         port: (server.address() as AddressInfo).port,
@@ -201,6 +225,16 @@
     response.end();
 }
 
+/** Runs after the body has been read, since closing a connection with unread bytes may destroy the response. */
+const createExcessRefusal = ({ isExcess }: ConnectionLimit): HttpMiddleware => (request, response, next) => {
+    if (!isExcess(request)) {
+        next();
+        return;
+    }
+    response.setHeader("connection", "close");
+    next(Object.assign(new Error("too many connections"), { status: 503, type: "connection.limit" }));
+};
+
 const badRequestStatuses: Readonly<Record<string, BadRequestStatus>> = {
     HPE_HEADER_OVERFLOW: 431,
     ERR_HTTP_REQUEST_TIMEOUT: 408,
