Do not blame endpoints for a lack of descriptors on the host

In the trial with 200 descriptors and 400 callers, a host that could not open a connection (EMFILE) marked its endpoints as unresponsive.

Cause: each failure to connect, and each probe without a reply, counted as the endpoint's.

Ruled out: EADDRNOTAVAIL in the same list: it may concern one endpoint only, and others can be reached.

Change: EMFILE, ENFILE, ENOBUFS and ENOMEM are the failure `no_resources`, which leaves the endpoint's health as it is; a probe that fails so is `not_probed`.

Conclusion: a host that lacks descriptors does not change what others think of the endpoints.

--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -7,6 +7,8 @@
 export type AttemptFailure =
     /** No connection could be established, so no byte of the request was sent. */
     | "not_connected"
+    /** This host has no descriptor or memory for a connection, which says nothing about the endpoint. */
+    | "no_resources"
     /** The connection failed after the request was sent, or carried bytes that are not a response to it. */
     | "broken"
     /** The response exceeds a limit. */
@@ -86,7 +88,8 @@
         }
         pool.discard(connection);
         const sentFailure = isOversized ? "oversized" : "broken";
-        events.onFailure(abortReason !== undefined ? "aborted" : wasSent ? sentFailure : "not_connected", error);
+        const unsentFailure = isLackOfResources(error) ? "no_resources" : "not_connected";
+        events.onFailure(abortReason !== undefined ? "aborted" : wasSent ? sentFailure : unsentFailure, error);
     };
     const closeWith = (reason: string): void => {
         const error = new Error(reason);
@@ -143,6 +146,13 @@
     };
 }
 
+/** Errors of the operating system that are about this process or machine. */
+const lackOfResourcesCodes: ReadonlySet<string> = new Set(["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"]);
+
+/** Returns whether a connection failed because this host lacks something for it. */
+export const isLackOfResources = (error: unknown): boolean =>
+    lackOfResourcesCodes.has((error as NodeJS.ErrnoException | undefined)?.code ?? "");
+
 const isDelimited = (headers: ResponseHeaders): boolean =>
     headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 
--- a/packages/forwarding/src/endpoints/commands/startProbing.ts
+++ b/packages/forwarding/src/endpoints/commands/startProbing.ts
@@ -31,6 +31,9 @@
         const wasUnresponsive = endpoint.health.isUnresponsive;
         const report = await probeEndpoint(endpoint, protocol);
         probesInFlight.delete(endpoint);
+        if (report === "not_probed") {
+            return;
+        }
         const nowMs = performance.now();
         const id = endpoint.entry.id;
         if (report === undefined) {
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -43,6 +43,7 @@
 /** Effect of a failed attempt on the endpoint's health. */
 const updateHealth: Readonly<Record<AttemptFailure, (health: EndpointHealth, nowMs: number) => EndpointHealth>> = {
     not_connected: markUnresponsive,
+    no_resources: health => health,
     broken: recordFailure,
     oversized: recordOversizedResponse,
     aborted: health => health,
