Release the memory of shards when the endpoint that uses it has gone

Cause, by reading: the host renews the reservations until the attempt ends. An attempt to a silent endpoint ends when its stall limits pass, which grow with the expected time (1.3 s and four times that), and the final attempt of a route has no stall check: it goes on until the deadline of the request.

Ruled out: aborting such attempts earlier, since an endpoint behind a short cut may still answer.

--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -1,5 +1,6 @@
 /** Serves requests whose response is a stream of server-sent events. */
 import { readClocks, type ServiceId } from "@currantrill/protocol";
+import { probeEndpoint } from "../../endpoints/commands/probeEndpoint.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { countPermitsLeft } from "../../permits/queries/countPermitsLeft.js";
@@ -12,6 +13,7 @@
 import type { PlacementRequest } from "../../placement/queries/scoreEndpoint.js";
 import { selectCandidates } from "../../placement/queries/selectCandidates.js";
 import type { Admission } from "../../quarantine/commands/startQuarantine.js";
+import { monitorPrimary } from "../../reservations/commands/monitorPrimary.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
 import type { Exchange } from "../model/exchange.js";
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
@@ -339,6 +341,7 @@
     const assignments = buildAssignedWork(exchange.service.engine, prompt, chosen.placement)
         .map(work => context.assignmentRegistry.add(work, nowMs));
     chosen.settle();
+    const stopMonitor = releaseIfUnresponsive(context, exchange, chosen);
     try {
         return await runStreamAttempt(context, exchange, progress, {
             ...options,
@@ -358,7 +361,29 @@
         });
     }
     finally {
+        stopMonitor();
         assignments.forEach(assignment => context.assignmentRegistry.remove(assignment.id));
         chosen.reservedMemory?.release();
     }
 }
+
+/** Releases the memory of the shards early if the endpoint that uses it has gone. Returns a function that stops this. */
+function releaseIfUnresponsive(
+    { protocol, log }: ForwardingContext,
+    { requestId }: Exchange,
+    { endpoint, reservedMemory }: ChosenEndpoints,
+): () => void {
+    if (reservedMemory === undefined) {
+        return () => undefined;
+    }
+    return monitorPrimary({
+        probe: () => probeEndpoint(endpoint, protocol),
+        onUnresponsive: () => {
+            log.warn(
+                { request: requestId, endpoint: endpoint.entry.id },
+                "reservations: primary endpoint unresponsive, releasing the memory of its shards",
+            );
+            reservedMemory.release();
+        },
+    });
+}
