Write the message and the stack of errors to the log

What was seen: `log.error({ err: new TypeError("...") }, "host: unexpected error")` wrote `"err":{}`, and an address that was taken `"err":{"code":"EADDRINUSE"}`.

Cause: bunyan serializes an error in a field only if a serializer is given; JSON leaves out its message and stack.

Change: createLog sets the serializer of bunyan.

--- a/packages/logging/src/createLog.ts
+++ b/packages/logging/src/createLog.ts
@@ -22,7 +22,13 @@
  * dropped.
  */
 export function createLog(options: LogOptions): bunyan {
-    return bunyan.createLogger({ ...defaultOptions, ...options, stream: createBufferedOutput(process.stdout) });
+    return bunyan.createLogger({
+        ...defaultOptions,
+        ...options,
+        // Without it, JSON leaves out the message and the stack of an error.
+        serializers: { err: bunyan.stdSerializers.err },
+        stream: createBufferedOutput(process.stdout),
+    });
 }
 
 /**
