Send the responses in progress in full when a drain starts

Cause: closeIdleConnections of Node.js, which close calls as well, closes a connection once its last response has been ended, even if its bytes have not been sent.

Ruled out: not calling closeIdleConnections alone, since close of Node.js 20 calls it.

Change: the server's closeIdleConnections closes only connections whose last response has been sent and on which no further bytes have arrived; limitConnections knows them.

A kept connection on which stray bytes have arrived is closed by its idle time limit or at the end of the drain.

--- a/packages/http/src/limitConnections.ts
+++ b/packages/http/src/limitConnections.ts
@@ -33,6 +33,8 @@
 export interface ConnectionLimit {
     /** Returns whether the request came on a connection beyond the limit. */
     readonly isExcess: (request: IncomingMessage) => boolean;
+    /** Closes the connections that clients keep for a further request and on which none is arriving. */
+    readonly closeKept: () => void;
 }
 
 interface ConnectionState {
@@ -63,25 +65,13 @@
         state.bytesWhenIdle = socket.bytesRead;
         idle.add(socket);
     };
-    /** Finds the connection to close: one that is kept, or else one that has not sent the head of a request in time. */
-    const findIdle = (): Socket | undefined => {
-        for (const socket of idle) {
-            const state = connections.get(socket);
-            if (state?.isKept === true && socket.bytesRead === state.bytesWhenIdle) {
-                return socket;
-            }
-        }
-        const [oldest] = idle;
-        const idleSinceMs = oldest === undefined ? Infinity : connections.get(oldest)?.idleSinceMs ?? Infinity;
-        return getNowMs() - idleSinceMs >= HEAD_TIME_MS ? oldest : undefined;
-    };
     const remove = (socket: Socket): void => {
         connections.delete(socket);
         idle.delete(socket);
     };
     /** Closes an idle connection. Returns whether there was one. */
     const closeIdle = (): boolean => {
-        const closed = findIdle();
+        const closed = findIdle(connections, idle, getNowMs());
         if (closed === undefined) {
             return false;
         }
@@ -129,5 +119,30 @@
             }
         });
     });
-    return { isExcess: request => excess.has(request.socket) };
+    return {
+        isExcess: request => excess.has(request.socket),
+        closeKept: () => [...idle].filter(socket => isKept(connections, socket)).forEach(socket => socket.destroy()),
+    };
+}
+
+/** Returns whether the client keeps a connection without a request in flight, and no further request is arriving. */
+function isKept(connections: ReadonlyMap<Socket, ConnectionState>, socket: Socket): boolean {
+    const state = connections.get(socket);
+    return state?.isKept === true && socket.bytesRead === state.bytesWhenIdle;
+}
+
+/** Finds the connection to close: one that is kept, or else one that has not sent the head of a request in time. */
+function findIdle(
+    connections: ReadonlyMap<Socket, ConnectionState>,
+    idle: ReadonlySet<Socket>,
+    nowMs: number,
+): Socket | undefined {
+    for (const socket of idle) {
+        if (isKept(connections, socket)) {
+            return socket;
+        }
+    }
+    const [oldest] = idle;
+    const idleSinceMs = oldest === undefined ? Infinity : connections.get(oldest)?.idleSinceMs ?? Infinity;
+    return nowMs - idleSinceMs >= HEAD_TIME_MS ? oldest : undefined;
 }
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -166,6 +166,8 @@
         onLimit: settings.onConnectionLimit,
         getNowMs: settings.getNowMs,
     });
+    // The method of Node.js, which `server.close` calls, also closes connections whose last response is still being sent.
+    server.closeIdleConnections = connectionLimit.closeKept;
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
     const handleRequest: BeginRequest = (request, response) => app.handler(request, response);
