Answer pipelined requests that wait when a shutdown begins

Cause: since requests of a connection are begun one at a time, the first one that begins after the signal gets `connection: close`, which ends the connection, and those behind it are dropped.

Change: a response gets `connection: close` during the shutdown only if no further request of its connection waits.

Evidence: the new case of startForwarding.test.ts fails without it (2 of 10), the file passes with it (16).

--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -35,7 +35,7 @@
     request: HttpRequest,
     response: ServerResponse,
 ): Promise<void> {
-    if (context.shutdown !== undefined) {
+    if (context.shutdown !== undefined && !request.isFollowed()) {
         response.setHeader("connection", "close");
     }
     const index = context.getConfiguration();
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -251,6 +251,29 @@
         expect(answers).toBeGreaterThan(answersBefore);
         expect(answers).toBe(host.logged.filter(line => line["msg"] === "requests: ended").length);
     });
+    // Guards against pipelined requests that get no answer because the answer before them ends the connection.
+    it("answers pipelined requests whose heads have arrived before the shutdown", async () => {
+        const endpoint = await startEndpoint(
+            "e0",
+            (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "a"), 20),
+        );
+        closers.push(endpoint.close);
+        const host = await startTestHost([createRoute()], [endpoint], { graceMs: 2_000 });
+        const [ip = "", port = "0"] = host.listen.callers.split(":");
+        const socket = connect(Number(port), ip);
+        let received = "";
+        socket.on("data", chunk => {
+            received += chunk.toString();
+        });
+        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        const ids = Array.from({ length: 10 }, (_item, index) => `q${index}`);
+        socket.write(ids.map(id => `GET /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: ${id}\r\n\r\n`).join(""));
+        await waitUntil(() => endpoint.received.length > 0);
+        await host.host.drain();
+        await isClosed;
+        expect(received.match(/HTTP\/1\.1 \d+/g)).toEqual(ids.map(() => "HTTP/1.1 200"));
+        expect(received.match(/connection: close/gi)).toHaveLength(1);
+    });
     it("serves its metrics", async () => {
         const host = await startHost([createRoute()], [], { graceMs: 200 });
         await getStatus(`${host.url}/r/x`);
--- a/packages/http/src/createRequestQueues.ts
+++ b/packages/http/src/createRequestQueues.ts
@@ -36,6 +36,8 @@
     readonly countReceived: (socket: Duplex) => number;
     /** Returns whether a request that has been received in full is in progress or waits. */
     readonly hasPending: (socket: Duplex) => boolean;
+    /** Returns whether a request of the connection waits. */
+    readonly hasWaiting: (socket: Duplex) => boolean;
     /** Returns the number of requests that wait or have been begun. */
     readonly countPending: () => number;
 }
@@ -91,6 +93,7 @@
         failAfterPending: (socket, fail) => failAfterPending(state, queues.get(socket), fail),
         countReceived: socket => countReceivedRequests(queues.get(socket)),
         hasPending: socket => hasPendingRequest(queues.get(socket)),
+        hasWaiting: socket => (queues.get(socket)?.waiting.length ?? 0) > 0,
         countPending: () => state.pendingCount,
     };
 }
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -20,6 +20,8 @@
     readonly search: string;
     /** When the head was received, on the monotonic clock. */
     readonly receivedAtMs: number;
+    /** Returns whether a further request of the connection waits, which `connection: close` would leave without a response. */
+    readonly isFollowed: () => boolean;
     /** Parsed JSON value, or a `Buffer` if the server was started with `bodies: "raw"`. */
     readonly body: unknown;
 }
@@ -151,7 +153,9 @@
     });
     const queues = createRequestQueues();
     server.on("request", (request, response) => {
-        Object.assign(request, { receivedAtMs: performance.now() } satisfies Partial<HttpRequest>);
+        const { socket } = request;
+        const isFollowed = (): boolean => queues.hasWaiting(socket);
+        Object.assign(request, { receivedAtMs: performance.now(), isFollowed } satisfies Partial<HttpRequest>);
         queues.enqueue(request, response, handleRequest);
     });
     server.on("checkExpectation", (request, response) => queues.enqueue(request, response, rejectExpectation));
