--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -20,6 +20,8 @@
     readonly search: string;
     /** When the head was received, on the monotonic clock. */
     readonly receivedAtMs: number;
+    /** Returns whether a further request of the connection waits, which `connection: close` would leave without a response. */
+    readonly isFollowed: () => boolean;
     /** Parsed JSON value, or a `Buffer` if the server was started with `bodies: "raw"`. */
     readonly body: unknown;
 }
@@ -151,7 +153,9 @@
     });
     const queues = createRequestQueues();
     server.on("request", (request, response) => {
-        Object.assign(request, { receivedAtMs: performance.now() } satisfies Partial<HttpRequest>);
+        const { socket } = request;
+        const isFollowed = (): boolean => queues.hasWaiting(socket);
+        Object.assign(request, { receivedAtMs: performance.now(), isFollowed } satisfies Partial<HttpRequest>);
         queues.enqueue(request, response, handleRequest);
     });
     server.on("checkExpectation", (request, response) => queues.enqueue(request, response, rejectExpectation));
@@ -166,6 +170,8 @@
         onLimit: settings.onConnectionLimit,
         getNowMs: settings.getNowMs,
     });
+    // The method of Node.js, which `server.close` calls, also closes connections whose last response is still being sent.
+    server.closeIdleConnections = connectionLimit.closeKept;
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
     const handleRequest: BeginRequest = (request, response) => app.handler(request, response);
