End a process whose shutdown fails, and a daemon that is stopped during its start

What was seen (review, by reading): a shutdown that rejects left a process that lives unready until it is killed; a currantrilld that hangs in its start ignored SIGTERM since the signals are collected first; an error between the end of the start and the listeners of the running host would have left the reactions of the start.

Evidence: handleStopSignals.test.ts, a new case (by reading it cannot pass on the former code, which never calls exit); tests of packages/lifecycle, daemonSignals, startSignals, takenAddress and awaitSettings pass.

--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -61,10 +61,10 @@
         return;
     }
     running.host = host;
-    start.complete();
+    handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(exitCodes.stopped) });
     watchSettingsFile(options.settingsPath, text, log, host);
-    handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(0) });
     options.signals.close();
+    start.complete();
 }
 
 /** Ends the process if it is stopped before it has started. Changed settings are read when the start is complete. */
--- a/packages/host/src/commands/runDaemon.ts
+++ b/packages/host/src/commands/runDaemon.ts
@@ -19,6 +19,13 @@
 }
 
 async function startDaemon(path: string, signals: CollectedSignals): Promise<void> {
+    // A start that hangs must still end on a signal; the host has taken no work then.
+    signals.setHandler(signal => {
+        if (signal !== "SIGHUP") {
+            process.stderr.write(`currantrilld: stopped by ${signal} during the start\n`);
+            process.exit(exitCodes.stopped);
+        }
+    });
     const parsed = parseHostSettings(readFileSync(path, "utf8"), path);
     if (!parsed.ok) {
         parsed.findings.forEach(finding => process.stderr.write(`${formatFinding(finding)}\n`));
@@ -29,6 +36,5 @@
     const exit = (): void => process.exit(exitCodes.stopped);
     process.on("SIGHUP", () => log.info("host: settings are read at the start only, SIGHUP changes nothing"));
     handleStopSignals({ source: process, log, drain: host.drain, exit });
-    signals.setHandler(signal => void process.emit(signal));
     signals.close();
 }
--- a/packages/lifecycle/src/handleStopSignals.ts
+++ b/packages/lifecycle/src/handleStopSignals.ts
@@ -17,7 +17,9 @@
 export function handleStopSignals({ source, log, drain, exit }: StopSignalOptions): void {
     const stop = (signal: string): void => {
         log.info({ signal }, "host: stop signal received");
-        void drain().then(exit);
+        void drain()
+            .catch((error: unknown) => log.error({ err: error }, "host: shutdown failed"))
+            .then(exit);
     };
     source.on("SIGTERM", () => stop("SIGTERM"));
     source.once("SIGINT", () => stop("SIGINT"));
--- a/packages/lifecycle/tests/handleStopSignals.test.ts
+++ b/packages/lifecycle/tests/handleStopSignals.test.ts
@@ -30,4 +30,13 @@
         await Promise.resolve();
         expect(events[0]).toBe("exit");
     });
+    // Guards against a process that lives on without serving because its shutdown has failed.
+    it("exits if the shutdown fails", async () => {
+        const source = new EventEmitter();
+        const exited = new Promise<void>(resolve => {
+            handleStopSignals({ source, log, drain: () => Promise.reject(new Error("lost")), exit: resolve });
+        });
+        source.emit("SIGTERM");
+        await exited;
+    });
 });
