--- a/packages/logging/src/createLog.ts
+++ b/packages/logging/src/createLog.ts
@@ -63,7 +63,7 @@
         isBlocked = true;
     });
     process.once("exit", () => {
-        // The last lines are written even if the consumer has not read the ones before.
+        // A last try: what a full pipe does not take is lost with the process.
         isBlocked = false;
         flush();
     });
