Count the grace time from when the stop signal may have arrived

What callers saw: on a host that handles SIGTERM late, requests in flight get their final answer after the grace time. The process is killed at its end, and these requests end without an answer. Cause: the grace time was counted from the handling of the signal. Change: the delay of the event loop is measured, and the grace time counts from that much earlier, at most an eighth of it: after a longer suspension the host cannot tell when the signal came.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -1,5 +1,6 @@
 /** Graceful shutdown of a forwarding host. */
 import type { ForwardingContext } from "../model/forwardingContext.js";
+import type { Exchange } from "../requests/model/exchange.js";
 import type { ForwardingServers } from "./serveForwarding.js";
 
 /** Fraction of the grace time after which no connection is accepted; the load balancer has noticed by then. */
@@ -8,22 +9,41 @@
 const DRAIN_END_FRACTION = 0.92;
 /** Time in which these answers are sent, before the connections are closed. */
 const FLUSH_MS = 80;
+/**
+ * Largest fraction of the grace time by which a stop signal is taken to have waited. A host that was suspended for longer
+ * cannot tell when the signal came, and its requests in flight get the rest.
+ */
+const MAX_DELAY_FRACTION = 0.125;
 /** Interval at which the number of requests in flight is checked. */
 const DRAIN_POLL_MS = 20;
 
+/** State of the host that a drain uses. */
+export interface DrainContext extends Pick<ForwardingContext, "settings" | "log" | "shutdown"> {
+    readonly exchanges: ReadonlySet<Pick<Exchange, "onStop">>;
+}
+
+/** Servers that a drain closes. */
+export interface DrainedServers extends Pick<ForwardingServers, "close"> {
+    readonly callers: Pick<ForwardingServers["callers"], "drain" | "countPending" | "close">;
+}
+
 /**
  * Drains a host: reports not ready, goes on serving until the load balancer has noticed, then stops accepting
  * connections and waits for the requests in flight. Those that have not ended by then get a final answer. Resolves when
- * all servers are closed.
+ * all servers are closed. The grace time counts from `delayMs` ago, when the stop signal may have arrived.
  */
-export async function drainForwarding(context: ForwardingContext, servers: ForwardingServers): Promise<void> {
+export async function drainForwarding(
+    context: DrainContext,
+    servers: DrainedServers,
+    delayMs: number,
+): Promise<void> {
     const graceMs = context.settings.drain.grace_ms;
-    const startedAtMs = performance.now();
+    const startedAtMs = performance.now() - Math.min(delayMs, graceMs * MAX_DELAY_FRACTION);
     const noticedAtMs = startedAtMs + graceMs * DRAIN_NOTICE_FRACTION;
     const stopsAtMs = startedAtMs + graceMs * DRAIN_END_FRACTION;
     context.shutdown = { noticedAtMs, stopsAtMs };
     context.log.info({ inFlight: context.exchanges.size, graceMs }, "host: draining");
-    await sleep(noticedAtMs - startedAtMs);
+    await sleep(noticedAtMs - performance.now());
     const closed = servers.callers.drain();
     // Requests whose body is still being received, and responses that are still being sent, count as well.
     const waitForPending = (endAtMs: number): Promise<void> =>
--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -1,6 +1,7 @@
 /** Runs a forwarding host as a process: settings file, signals and exit codes. */
 import {
     type CollectedSignals,
+    createLoopDelayMonitor,
     createStartProgress,
     endProcess,
     exitCodes,
@@ -61,7 +62,13 @@
         return;
     }
     running.host = host;
-    handleStopSignals({ source: process, log, drain: host.drain, exit: () => process.exit(exitCodes.stopped) });
+    handleStopSignals({
+        source: process,
+        log,
+        drain: host.drain,
+        exit: () => process.exit(exitCodes.stopped),
+        getDelayMs: createLoopDelayMonitor().getDelayMs,
+    });
     watchSettingsFile(options.settingsPath, text, log, host);
     options.signals.close();
     start.complete();
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -53,8 +53,11 @@
     readonly context: ForwardingContext;
     /** Applies changed settings. Changed addresses take effect at the next start. */
     readonly reload: (settings: ForwardingSettings) => void;
-    /** Shuts the host down gracefully. Resolves when the requests in flight have ended, or the grace time has. */
-    readonly drain: () => Promise<void>;
+    /**
+     * Shuts the host down gracefully. Resolves when the requests in flight have ended, or the grace time has, which counts
+     * from `delayMs` ago. Further calls return the same promise.
+     */
+    readonly drain: (delayMs?: number) => Promise<void>;
 }
 
 /** Starts a forwarding host. Rejects if an address cannot be bound within `ADDRESS_TIMEOUT_MS`. */
@@ -119,9 +122,9 @@
     const tables = trackTables({ rows, source, log, configuration, directory, peers, sharedTables, onRestored });
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
     let drained: Promise<void> | undefined;
-    const stop = async (): Promise<void> => {
+    const stop = async (delayMs: number): Promise<void> => {
         peers.announceLeaving();
-        await drainForwarding(context, servers);
+        await drainForwarding(context, servers, delayMs);
         tables.stop();
         upkeep.stop();
         quarantine.close();
@@ -132,7 +135,7 @@
     return {
         context,
         reload: changed => applySettings(context, changed),
-        drain: () => drained ??= stop(),
+        drain: (delayMs = 0) => drained ??= stop(delayMs),
     };
 }
 
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./collectSignals.js";
 export * from "./createAddressBinder.js";
+export * from "./createLoopDelayMonitor.js";
 export * from "./endProcess.js";
 export * from "./exitCodes.js";
 export * from "./handleStopSignals.js";
--- a/packages/lifecycle/tests/handleStopSignals.test.ts
+++ b/packages/lifecycle/tests/handleStopSignals.test.ts
@@ -30,6 +30,18 @@
         await Promise.resolve();
         expect(events[0]).toBe("exit");
     });
+    // Guards against a grace time that is counted from the handling of a signal that arrived earlier.
+    it("tells the shutdown how long the signal may have waited", () => {
+        const source = new EventEmitter();
+        const delays: number[] = [];
+        const drain = (delayMs: number): Promise<void> => {
+            delays.push(delayMs);
+            return Promise.resolve();
+        };
+        handleStopSignals({ source, log, drain, exit: () => undefined, getDelayMs: () => 699.6 });
+        source.emit("SIGTERM");
+        expect(delays).toEqual([700]);
+    });
     // Guards against a process that lives on without serving because its shutdown has failed.
     it("exits if the shutdown fails", async () => {
         const source = new EventEmitter();
