Load the host with code that the build has compiled

Cause: a host of 0.23 to 0.32 of a core needs about a second of its start for compiling the program, and for loading optional packages that bunyan finds in node_modules; all hosts pay it after a loss of power, and it delays the first answers then. Change: the host is bundled as CommonJS, deploy/build.sh compiles it once with the flags of the deploy file, and the entry point loads both. The runtime rejects compiled code of another version or of other flags; the program is compiled then, and the first log line says so. Packages that are not in the bundle count as not installed.

--- a/packages/forwarding/src/commands/runForwarding.ts
+++ b/packages/forwarding/src/commands/runForwarding.ts
@@ -1,5 +1,6 @@
 /** Runs a forwarding host as a process: settings file, signals and exit codes. */
 import {
+    type CodeCacheState,
     type CollectedSignals,
     createLoopDelayMonitor,
     createStartProgress,
@@ -28,6 +29,8 @@
     readonly settingsPath: string;
     /** Signals of the process since its first line. */
     readonly signals: CollectedSignals;
+    /** Whether the program was loaded with code that was compiled before. */
+    readonly codeCache: CodeCacheState;
 }
 
 /**
@@ -36,6 +39,7 @@
  */
 export async function runForwarding(options: RunForwardingOptions): Promise<void> {
     const baseLog = createLog({ name: "currantrill" });
+    baseLog.info({ codeCache: options.codeCache }, "host: program loaded");
     const progress = createStartProgress(baseLog);
     const running: { host?: RunningForwarding; } = {};
     const start = monitorStart({
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./endProcess.js";
 export * from "./exitCodes.js";
 export * from "./handleStopSignals.js";
+export * from "./loadBundle.js";
 export * from "./monitorStart.js";
 export * from "./startProcessReport.js";
 export * from "./startProgress.js";
