Count the work of a host until its shutdown has ended

What callers saw: short prompts waited for 300 to 1,300 ms, with 120 ms expected, at a few endpoints of a failure domain while others were idle. Cause: a host that announced its shutdown was forgotten with all its work, though it goes on serving for seconds, and takes new requests for three. While hosts are restarted in turn, the coordinator of a domain placed an eighth prompt on endpoints that ran ten. It sent no digests to such a host either, which then served by outdated tables. Ruled out: too little distance to the last slot (a cost for it changed nothing in the engine model and only spreads work), slow endpoints. Change: the work of a leaving host counts like any other, its digests go on, and it announces the end of its work last.

--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -4,6 +4,7 @@
 import { toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
+import { setImmediate } from "node:timers/promises";
 import { createConfigurationManager } from "../configuration/model/configurationManager.js";
 import { startProbing } from "../endpoints/commands/startProbing.js";
 import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
@@ -125,6 +126,9 @@
     const stop = async (delayMs: number): Promise<void> => {
         peers.announceLeaving();
         await drainForwarding(context, servers, delayMs);
+        // The work has ended. Without this message, peers count it until this host has been silent for some time.
+        peers.announceLeaving();
+        await setImmediate();
         tables.stop();
         upkeep.stop();
         quarantine.close();
--- a/packages/forwarding/src/peers/commands/handlePeerMessages.ts
+++ b/packages/forwarding/src/peers/commands/handlePeerMessages.ts
@@ -35,14 +35,10 @@
         }
         table.add(state.hosts, nowMs);
         peers.onState(state);
-        if (state.isLeaving) {
-            registry.removePeer(state.address);
-            subscribedAtMs.delete(state.address);
-            return;
-        }
+        // A host that is leaving serves requests until its shutdown ends. It announces the end of its work last.
         registry.setPeer(state.address, state.assignments, nowMs, state.settledQuery);
         subscribedAtMs.set(state.address, nowMs);
-        if (result === "joined") {
+        if (result === "joined" && !state.isLeaving) {
             answerJoined(state.address);
         }
     });
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -76,6 +76,37 @@
         expect(await status).toBe(200);
         await waitUntil(() => !second.host.context.assignmentRegistry.groupByEndpoint(performance.now()).has("e0"));
     });
+    // Guards against endpoints that are overrun during a shutdown, or left idle after it: peers count the work of the host
+    // until it has ended, and no longer.
+    it("announces its work during the shutdown, and its end", async () => {
+        const endpoint = await startEndpoint(
+            "e0",
+            (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "late"), 1_000),
+        );
+        closers.push(endpoint.close);
+        const first = await startHost([createRoute({ kind: "once" })], [endpoint], { graceMs: 3_000 });
+        const second = await startHost([], [endpoint], {
+            store: first.store,
+            graceMs: 200,
+            ip: "127.0.0.2",
+            peerPort: Number(first.listen.peers.split(":")[1]),
+            seeds: ["127.0.0.1:1"],
+        });
+        const isCounted = (): boolean =>
+            second.host.context.assignmentRegistry.groupByEndpoint(performance.now()).has("e0");
+        await waitUntil(() => first.logged.some(entry => entry["msg"] === "peers: peer is alive"));
+        const status = getStatus(`${first.url}/r/x`);
+        await waitUntil(isCounted);
+        const drained = first.host.drain();
+        await new Promise(resolve => setTimeout(resolve, 300));
+        expect(isCounted()).toBe(true);
+        expect(await status).toBe(200);
+        await drained;
+        const drainedAtMs = performance.now();
+        await waitUntil(() => !isCounted());
+        // The time after which the work of a silent host is ignored.
+        expect(performance.now() - drainedAtMs).toBeLessThan(3_000);
+    });
     // Guards against a graceful shutdown that aborts a request in flight.
     it("completes requests in flight before it stops, and closes connections after their answers", async () => {
         const endpoint = await startEndpoint(
