Send nothing to the endpoints of evacuated failure domains

Found on the way: a host was ready by a peer's copy of the active configuration before it had read the operator's table, so that it would have served without the evacuations. The configuration now counts only once that table has been read. A host that copies the table from peers never sees the removal of a row that was missing after a loss; hosts tell each other of removals.

Compressed copies of tables are kept for 1 s at most, because retained evacuations carry the time that is left.

Tests changed: fixtures of the directory pass only the decoder that it uses; the expectations of existing tests are the same.

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -83,7 +83,7 @@
     const { context, synchronization } = options;
     const { settings, directory, assignmentRegistry: registry, log, peerObservations: observations } = context;
     const getObservations = (): readonly EndpointObservation[] =>
-        listEndpointObservations(directory, performance.now());
+        listEndpointObservations(directory, context.evacuations.isEvacuated, performance.now());
     const mergeEvidence = ({ evidence }: PeerHeader): void => {
         if (evidence !== undefined) {
             context.quarantine.merge(evidence, performance.now());
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -9,6 +9,7 @@
 import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import { createEndpointObservationTable } from "../endpoints/model/endpointObservation.js";
 import { listMonitoredEndpoints } from "../endpoints/queries/listMonitoredEndpoints.js";
+import { createEvacuationRegistry } from "../evacuation/model/evacuationRegistry.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
 import { createForwardingMetrics, type ForwardingMetrics } from "../model/forwardingMetrics.js";
 import { publishHost } from "../peers/commands/publishHost.js";
@@ -71,10 +72,13 @@
         },
     });
     let isConnected = false;
+    const sharedTables = new Map<string, SharedTable>();
     const registry = createAssignmentRegistry(change => peers.announce(change));
+    const evacuations = createEvacuationRegistry({ rows, log, onCount: count => metrics.evacuatedDomains.set(count) });
     const directory = createEndpointDirectory({
         hostFailureDomain: toFailureDomainId(settings.failure_domain),
         rows,
+        isEvacuated: evacuations.isEvacuated,
         log,
         onConnect: () => metrics.connections.inc(),
         onNotice: source => peers.announceNotice(source),
@@ -93,6 +97,7 @@
         callers: options.callers,
         protocol: options.protocol,
         directory,
+        evacuations,
         assignmentRegistry: registry,
         peerObservations: createEndpointObservationTable(),
         isSmallFleet: () => peers.fleet.isSmallFleet(),
@@ -103,20 +108,19 @@
         ...createMemoryBudgets(() => context.settings),
         quarantine,
         retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.fleet.countHosts()),
-        getConfiguration: configuration.get,
+        getConfiguration: () => hasBeenRead(sharedTables, rows.configurationTable) ? configuration.get() : undefined,
         createReservationId: createIdGenerator(settings.host_id),
         exchanges: new Set(),
         routeDurations: createRouteDurations(),
     };
     const bindAddress = createAddressBinder({ log, timeoutMs: ADDRESS_TIMEOUT_MS });
     const servers = await serveForwarding(context, bindAddress);
-    const sharedTables = new Map<string, SharedTable>();
     const fleet = await connectFleet(context, sharedTables, () => tables.isStoreUnavailable(), bindAddress);
-    const { peers } = fleet;
     isConnected = true;
+    const { peers } = fleet;
     const upkeep = startUpkeep(context, options, source, peers);
-    const { restoreWrites: onRestored } = upkeep;
-    const tables = trackTables({ rows, source, log, configuration, directory, peers, sharedTables, onRestored });
+    const tracked = { configuration, directory, evacuations, sharedTables };
+    const tables = trackTables({ rows, source, log, peers, onRestored: upkeep.restoreWrites, ...tracked });
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
     let drained: Promise<void> | undefined;
     const stop = async (): Promise<void> => {
@@ -124,8 +128,7 @@
         await drainForwarding(context, servers);
         tables.stop();
         upkeep.stop();
-        quarantine.close();
-        directory.close();
+        [quarantine, directory, evacuations].forEach(each => each.close());
         await fleet.close();
         log.info("host: stopped");
     };
@@ -136,6 +139,10 @@
     };
 }
 
+/** Returns whether a table has been read, from the store or from a peer. */
+const hasBeenRead = (sharedTables: ReadonlyMap<string, SharedTable>, table: string): boolean =>
+    (sharedTables.get(table)?.getReplica().version ?? -1) >= 0;
+
 function applySettings(context: ForwardingContext, changed: ForwardingSettings): void {
     context.settings = changed;
     context.log.level(changed.log_level);
@@ -171,6 +178,7 @@
     });
     const stopProbing = startProbing({
         directory: context.directory,
+        isEvacuated: context.evacuations.isEvacuated,
         protocol,
         log,
         listMonitored: () => listMonitoredEndpoints(context, fleet.listLocalDomain(), settings.listen.peers),
@@ -239,6 +247,7 @@
     context.metrics.endpoints.set({ state: "silent" }, all.filter(endpoint => endpoint.health.isUnresponsive).length);
     context.metrics.endpoints.set({ state: "draining" }, all.filter(endpoint => endpoint.entry.isDraining).length);
     context.metrics.endpoints.set({ state: "known" }, all.length);
+    context.evacuations.checkDomains(new Set(all.map(({ entry }) => entry.failureDomain)));
 }
 
 function updateProcessGauges({ memory, loopDelaySeconds }: ForwardingMetrics, report: ProcessReport): void {
--- a/packages/forwarding/src/commands/trackTables.ts
+++ b/packages/forwarding/src/commands/trackTables.ts
@@ -3,8 +3,10 @@
 import { ACTIVE_CONFIGURATION, shareActiveConfiguration } from "../configuration/commands/shareActiveConfiguration.js";
 import type { ConfigurationManager } from "../configuration/model/configurationManager.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
+import { RETAINED_EVACUATIONS, shareRetainedEvacuations } from "../evacuation/commands/shareRetainedEvacuations.js";
+import type { EvacuationRegistry } from "../evacuation/model/evacuationRegistry.js";
 import type { Peers } from "../peers/commands/startPeers.js";
-import type { PlatformRows, TableSource } from "../ports/index.js";
+import type { PlatformRows, TableRow, TableSource } from "../ports/index.js";
 import { trackTable } from "../replicas/commands/trackTable.js";
 import type { SharedTable } from "../replicas/model/sharedTable.js";
 
@@ -33,6 +35,7 @@
     readonly log: Logger;
     readonly configuration: ConfigurationManager;
     readonly directory: EndpointDirectory;
+    readonly evacuations: EvacuationRegistry;
     readonly peers: Peers;
     /** Filled with the tables that hosts copy from each other, by table name. */
     readonly sharedTables: Map<string, SharedTable>;
@@ -49,9 +52,13 @@
 
 /** Starts to follow the tables of the configuration, the endpoints and the hosts. */
 export function trackTables(options: TrackTablesOptions): TrackedTables {
-    const { rows, source, log, configuration, directory, peers, sharedTables } = options;
+    const { rows, source, log, configuration, directory, evacuations, peers, sharedTables } = options;
     const handlers = [
-        [rows.configurationTable, configuration.applyRows],
+        [rows.configurationTable, (changed: readonly TableRow[]) => {
+            // First, because the host serves as soon as it has a configuration.
+            evacuations.applyRows(changed);
+            configuration.applyRows(changed);
+        }],
         [rows.endpointTable, directory.applyRows],
     ] as const;
     const getFeedWaitMs = (): number =>
@@ -60,6 +67,7 @@
     const onRestored = (era: number): void => {
         if (era > lastEra) {
             lastEra = era;
+            evacuations.renewRetained();
             options.onRestored();
         }
     };
@@ -82,6 +90,7 @@
         return tracked;
     });
     sharedTables.set(ACTIVE_CONFIGURATION, shareActiveConfiguration(configuration));
+    sharedTables.set(RETAINED_EVACUATIONS, shareRetainedEvacuations(evacuations));
     const hosts = trackTable({
         table: rows.hostTable,
         source,
--- a/packages/forwarding/src/coordination/commands/createPlacementDecider.ts
+++ b/packages/forwarding/src/coordination/commands/createPlacementDecider.ts
@@ -25,6 +25,7 @@
                     .filter(load => context.permits.hasRoom(load.endpoint, permitsLeft)),
             otherDomains: [...new Set(directory.listReady(query.service).map(({ entry }) => entry.failureDomain))]
                 .filter(domain => domain !== localDomain && fleet.listCoordinators(domain).length > 0),
+            random: Math.random(),
         });
     };
     return query => {
--- a/packages/forwarding/src/coordination/queries/decidePlacement.ts
+++ b/packages/forwarding/src/coordination/queries/decidePlacement.ts
@@ -20,6 +20,8 @@
     readonly listLoads: (domain: FailureDomainId) => readonly EndpointLoad[];
     /** Other failure domains that have a coordinator. */
     readonly otherDomains: readonly FailureDomainId[];
+    /** Number from 0 to 1 that decides among other domains if the local one has no endpoint for the prompt. */
+    readonly random: number;
 }
 
 /** Decides on a query by the loads that the host knows. */
@@ -28,9 +30,12 @@
     const local = chooseIn(query, options, context.hostDomain);
     const localCost = local?.cost ?? Infinity;
     if (query.mayRedirect && localCost >= MIN_REDIRECT_COST) {
-        const best = options.otherDomains
-            .map(domain => ({ domain, cost: chooseIn(query, options, domain)?.cost ?? Infinity }))
-            .reduce((a, b) => b.cost < a.cost ? b : a, { domain: context.hostDomain, cost: Infinity });
+        const others = options.otherDomains
+            .map(domain => ({ domain, cost: chooseIn(query, options, domain)?.cost ?? Infinity }));
+        const idle = local === undefined ? others.filter(({ cost }) => cost < MIN_REDIRECT_COST) : [];
+        // All prompts of an evacuated domain move, and would go to the same domain until its next digest.
+        const best = idle[Math.floor(options.random * idle.length)]
+            ?? others.reduce((a, b) => b.cost < a.cost ? b : a, { domain: context.hostDomain, cost: Infinity });
         if (best.cost < MAX_REDIRECT_FRACTION * localCost) {
             return { kind: "redirected", domain: best.domain, localCost };
         }
--- a/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
@@ -18,6 +18,8 @@
     readonly protocol: EndpointProtocol;
     /** See `AttemptRequest`. Defaults to `false`. */
     readonly usesNewConnection?: boolean;
+    /** See `AttemptEvents`. The request rejects if it may not be sent. */
+    readonly canSend?: () => boolean;
     /** Called with what the endpoint states about itself in its reply. */
     readonly onNotice?: (notice: EndpointNotice) => void;
 }
@@ -31,7 +33,7 @@
     call: EndpointCall,
     options: EndpointRequestOptions,
 ): Promise<EndpointReply> {
-    const { timeoutMs, protocol, usesNewConnection = false, onNotice } = options;
+    const { timeoutMs, protocol, usesNewConnection = false, canSend = () => true, onNotice } = options;
     return new Promise((resolve, reject) => {
         const reply = createByteBuffer({ maxBytes: MAX_REPLY_BYTES });
         let status = 0;
@@ -43,6 +45,7 @@
             body: Buffer.from(call.body ?? ""),
             usesNewConnection,
         }, {
+            canSend,
             onSent: () => undefined,
             onResponse: (responseStatus, headers) => {
                 status = responseStatus;
--- a/packages/forwarding/src/endpoints/commands/startProbing.ts
+++ b/packages/forwarding/src/endpoints/commands/startProbing.ts
@@ -1,5 +1,5 @@
 /** Probes unresponsive endpoints until they respond again, and the endpoints that this host monitors. */
-import { readClocks } from "@currantrill/protocol";
+import { type FailureDomainId, readClocks } from "@currantrill/protocol";
 import type Logger from "bunyan";
 import type { EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { Endpoint, EndpointDirectory } from "../model/endpointDirectory.js";
@@ -15,6 +15,8 @@
 
 export interface ProbingOptions {
     readonly directory: EndpointDirectory;
+    /** Returns whether a failure domain is evacuated: its endpoints get no requests, and are not probed. */
+    readonly isEvacuated: (domain: FailureDomainId) => boolean;
     readonly protocol: EndpointProtocol;
     readonly log: Logger;
     /** Lists the endpoints that this host monitors on behalf of its failure domain. */
@@ -23,7 +25,7 @@
 
 /** Starts periodic probing. Returns a function that stops it. */
 export function startProbing(options: ProbingOptions): () => void {
-    const { directory, protocol, log } = options;
+    const { directory, isEvacuated, protocol, log } = options;
     const probesInFlight = new Set<Endpoint>();
     let ticks = 0;
     const probe = async (endpoint: Endpoint): Promise<void> => {
@@ -61,7 +63,8 @@
         unresponsive.filter(endpoint => !probesInFlight.has(endpoint)).forEach(endpoint => endpoint.pool.discardIdle());
         const monitored = ticks % TICKS_PER_MONITOR_PROBE === 0 ? options.listMonitored() : [];
         for (const endpoint of new Set([...unresponsive, ...monitored])) {
-            if (!probesInFlight.has(endpoint) && endpoint.notices.getPauseMs(readClocks()) === 0) {
+            const isPaused = endpoint.notices.getPauseMs(readClocks()) > 0 || isEvacuated(endpoint.entry.failureDomain);
+            if (!probesInFlight.has(endpoint) && !isPaused) {
                 void probe(endpoint);
             }
         }
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -24,7 +24,10 @@
     readonly localFailureDomain: FailureDomainId;
     readonly get: (id: string) => Endpoint | undefined;
     readonly findByAddress: (address: string) => Endpoint | undefined;
-    /** Lists the endpoints of a service that are not draining, by their entries or their responses. */
+    /**
+     * Lists the endpoints of a service that may get requests: they are not draining, by their entries or their responses,
+     * and their failure domain is not evacuated.
+     */
     readonly listReady: (service: ServiceId) => readonly Endpoint[];
     readonly listAll: () => readonly Endpoint[];
     /**
@@ -40,7 +43,8 @@
 
 export interface EndpointDirectoryOptions {
     readonly hostFailureDomain: FailureDomainId;
-    readonly rows: PlatformRows;
+    readonly rows: Pick<PlatformRows, "decodeEndpoint">;
+    readonly isEvacuated: (domain: FailureDomainId) => boolean;
     readonly log: Logger;
     /** Called for each connection established to an endpoint. */
     readonly onConnect: () => void;
@@ -49,7 +53,7 @@
 }
 
 export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
-    const { rows, log, onConnect, onNotice } = options;
+    const { rows, log, isEvacuated, onConnect, onNotice } = options;
     const endpoints = new Map<string, Endpoint>();
     const formerEndpoints = createFormerEndpoints();
 
@@ -113,7 +117,7 @@
         localFailureDomain: options.hostFailureDomain,
         get: id => endpoints.get(id),
         findByAddress: address => [...endpoints.values()].find(({ entry }) => entry.address === address),
-        listReady: service => [...endpoints.values()].filter(createReadyFilter(service)),
+        listReady: service => [...endpoints.values()].filter(createReadyFilter(service, isEvacuated)),
         listAll: () => [...endpoints.values()],
         applyRows: (changed, afterOutage) => changed.forEach(row => applyRow(row, afterOutage)),
         markMisdirected: endpoint => {
@@ -128,8 +132,12 @@
     };
 }
 
-/** Creates a filter of the endpoints of a service that are not draining now. */
-function createReadyFilter(service: ServiceId): (endpoint: Endpoint) => boolean {
+/** Creates a filter of the endpoints of a service that may get requests now. */
+function createReadyFilter(
+    service: ServiceId,
+    isEvacuated: (domain: FailureDomainId) => boolean,
+): (endpoint: Endpoint) => boolean {
     const now = readClocks();
-    return ({ entry, notices }) => entry.service === service && !entry.isDraining && !notices.isLeaving(now);
+    return ({ entry, notices }) =>
+        entry.service === service && !entry.isDraining && !notices.isLeaving(now) && !isEvacuated(entry.failureDomain);
 }
--- a/packages/forwarding/src/endpoints/queries/listEndpointObservations.ts
+++ b/packages/forwarding/src/endpoints/queries/listEndpointObservations.ts
@@ -1,3 +1,4 @@
+import type { FailureDomainId } from "@currantrill/protocol";
 import type { EndpointDirectory } from "../model/endpointDirectory.js";
 import { getFailures, getSlowdown } from "../model/endpointHealth.js";
 import type { EndpointObservation } from "../model/endpointObservation.js";
@@ -10,8 +11,13 @@
 const MAX_UNRESPONSIVE_FRACTION = 0.4;
 
 /** Lists the observations to send to peers: unresponsive, failing and slow endpoints. */
-export function listEndpointObservations(directory: EndpointDirectory, nowMs: number): readonly EndpointObservation[] {
-    const all = directory.listAll();
+export function listEndpointObservations(
+    directory: EndpointDirectory,
+    isEvacuated: (domain: FailureDomainId) => boolean,
+    nowMs: number,
+): readonly EndpointObservation[] {
+    // Endpoints of evacuated domains are not probed, so that what is known of them is outdated.
+    const all = directory.listAll().filter(({ entry }) => !isEvacuated(entry.failureDomain));
     const unresponsiveCount = all.filter(endpoint => endpoint.health.isUnresponsive).length;
     if (unresponsiveCount > MAX_UNRESPONSIVE_FRACTION * all.length) {
         return [];
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -6,6 +6,7 @@
 import type { Coordination } from "../coordination/commands/startCoordination.js";
 import type { EndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import type { EndpointObservationTable } from "../endpoints/model/endpointObservation.js";
+import type { EvacuationRegistry } from "../evacuation/model/evacuationRegistry.js";
 import type { Permits } from "../permits/commands/startPermits.js";
 import type { AssignmentRegistry } from "../placement/model/assignmentRegistry.js";
 import type { CallerProtocol } from "../ports/callerProtocol.js";
@@ -25,6 +26,7 @@
     readonly callers: CallerProtocol;
     readonly protocol: EndpointProtocol;
     readonly directory: EndpointDirectory;
+    readonly evacuations: EvacuationRegistry;
     readonly assignmentRegistry: AssignmentRegistry;
     /** Endpoint observations that peers have announced. */
     readonly peerObservations: EndpointObservationTable;
@@ -42,7 +44,10 @@
     readonly quarantine: Quarantine;
     /** Limits the retries of all hosts together. */
     readonly retryBudget: SharedRetryBudget;
-    /** Returns the active configuration, `undefined` until the first one is known. */
+    /**
+     * Returns the active configuration, `undefined` until the first one and the evacuations are known: a peer may send the
+     * configuration before this host has read the operator's table.
+     */
     readonly getConfiguration: () => ConfigurationIndex | undefined;
     /** Creates an id that is unique among all hosts and all runs of their processes. */
     readonly createReservationId: () => string;
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -24,6 +24,8 @@
     readonly memory: Gauge<"kind">;
     readonly loopDelaySeconds: Gauge;
     readonly configurationVersion: Gauge;
+    readonly evacuatedDomains: Gauge;
+    readonly evacuationRequests: Counter<"outcome">;
     readonly endpoints: Gauge<"state">;
     readonly peers: Gauge;
 }
@@ -100,11 +102,31 @@
             labelNames: ["state"],
             registers,
         }),
+        ...createEvacuationMetrics(registers),
         ...createProcessMetrics(registers),
         ...createPeerMetrics(registers),
     };
 }
 
+/** Creates the metrics of evacuations. */
+const createEvacuationMetrics = (
+    registers: Registry[],
+): Pick<ForwardingMetrics, "evacuatedDomains" | "evacuationRequests"> => ({
+    evacuatedDomains: new Gauge({
+        name: "currantrill_evacuated_domains",
+        help: "Failure domains to whose endpoints nothing is sent.",
+        registers,
+    }),
+    evacuationRequests: new Counter({
+        name: "currantrill_evacuation_requests_total",
+        help:
+            "Attempts that went to another domain because the host's own is evacuated (moved), and attempts that were "
+            + "not sent because the domain of an endpoint had been evacuated since the decision (stopped).",
+        labelNames: ["outcome"],
+        registers,
+    }),
+});
+
 /** Creates the metrics of the process. */
 function createProcessMetrics(
     registers: Registry[],
--- a/packages/forwarding/src/peers/commands/synchronizeTables.ts
+++ b/packages/forwarding/src/peers/commands/synchronizeTables.ts
@@ -22,6 +22,9 @@
 /** The fastest level: a copy of a large configuration then takes a few milliseconds. */
 const COMPRESSION_LEVEL = 1;
 
+/** Time for which a compressed copy is sent again. Retained evacuations carry the time that is left. */
+const COPY_VALID_MS = 1_000;
+
 /** Body of the response to a fetch. */
 interface TableCopy {
     /** Version of the sender's replica. */
@@ -147,15 +150,16 @@
  * same one. Copies are compressed because many hosts have slow links.
  */
 function createCompressedExport(): (table: SharedTable, after: number) => Buffer {
-    const last = new Map<SharedTable, { readonly key: string; readonly data: Buffer; }>();
+    const last = new Map<SharedTable, { readonly key: string; readonly data: Buffer; readonly untilMs: number; }>();
     return (table, after) => {
         const key = `${after} ${table.getReplica().version} ${table.isAfterOutage()}`;
         const known = last.get(table);
-        if (known?.key === key) {
+        const nowMs = performance.now();
+        if (known?.key === key && nowMs < known.untilMs) {
             return known.data;
         }
         const data = gzipSync(JSON.stringify(exportTable(table, after)), { level: COMPRESSION_LEVEL });
-        last.set(table, { key, data });
+        last.set(table, { key, data, untilMs: nowMs + COPY_VALID_MS });
         return data;
     };
 }
--- a/packages/forwarding/src/ports/platformRows.ts
+++ b/packages/forwarding/src/ports/platformRows.ts
@@ -1,3 +1,4 @@
+import type { FailureDomainId } from "@currantrill/protocol";
 import type { EndpointEntry, ServingConfiguration } from "../configuration/model/servingConfiguration.js";
 
 /** Reason why a row could not be decoded. */
@@ -13,8 +14,16 @@
     | { readonly ok: true; readonly value: T; }
     | { readonly ok: false; readonly finding: RowFinding; };
 
+/** An evacuation that a row of the operator's table names. */
+export interface DecodedEvacuation {
+    readonly domain: FailureDomainId;
+    /** Set if the row's content could not be read; the domain is evacuated nevertheless. */
+    readonly finding?: RowFinding;
+}
+
 /** Names of the platform's tables, and decoders of their rows. */
 export interface PlatformRows {
+    /** The operator's table: the configuration and evacuations. */
     readonly configurationTable: string;
     /** Key of the row that holds the serving configuration. */
     readonly configurationKey: string;
@@ -25,4 +34,9 @@
     readonly quarantineTable: string;
     decodeConfiguration(value: Buffer): Decoded<ServingConfiguration>;
     decodeEndpoint(key: string, value: Buffer): Decoded<EndpointEntry>;
+    /**
+     * Decodes a row of the operator's table, which has no value if it was removed. Returns `undefined` if its key names
+     * no evacuation.
+     */
+    decodeEvacuation(key: string, value: Buffer | undefined): DecodedEvacuation | undefined;
 }
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -1,5 +1,5 @@
 /** One attempt of an exchange at an endpoint, including the checks on the response. */
-import { measureElapsed, readClocks } from "@currantrill/protocol";
+import { type FailureDomainId, measureElapsed, readClocks } from "@currantrill/protocol";
 import {
     type AttemptFailure,
     type ResponseHeaders,
@@ -26,6 +26,8 @@
     readonly record: AttemptRecord;
     /** Endpoints that prefill further shards of the prompt. */
     readonly shardTargets?: readonly PrefillShard[];
+    /** Failure domains of the endpoint and of those of the shards. */
+    readonly domains: readonly FailureDomainId[];
     /** Id of the last event that the caller has received, if the stream is resumed. */
     readonly lastEventId?: number;
     /** See `AttemptRequest`. */
@@ -100,7 +102,8 @@
     };
     const decidedAt = readClocks();
     const canSend = (): boolean =>
-        measureElapsed(decidedAt, readClocks()) <= MAX_SEND_DELAY_MS && performance.now() < exchange.deadlineAtMs;
+        measureElapsed(decidedAt, readClocks()) <= MAX_SEND_DELAY_MS && performance.now() < exchange.deadlineAtMs
+        && checkEvacuations(context, plan.domains);
     let attempt: RunningAttempt;
     try {
         attempt = sendAttempt(endpoint.pool, {
@@ -113,6 +116,7 @@
             canSend,
             onSent: isReused => {
                 record.wasSent = true;
+                recordMove(context, endpoint);
                 isReusedConnection = isReused;
             },
             onResponse: handleResponse,
@@ -137,6 +141,23 @@
     }
 }
 
+/** Returns whether none of the domains is evacuated. That may have changed since the endpoints were chosen. */
+function checkEvacuations({ evacuations, metrics }: ForwardingContext, domains: readonly FailureDomainId[]): boolean {
+    const isEvacuated = domains.some(evacuations.isEvacuated);
+    if (isEvacuated) {
+        metrics.evacuationRequests.inc({ outcome: "stopped" });
+    }
+    return !isEvacuated;
+}
+
+/** Counts a request that is sent to another domain while the local one is evacuated. */
+function recordMove({ directory, evacuations, metrics }: ForwardingContext, { entry }: Endpoint): void {
+    const { localFailureDomain } = directory;
+    if (entry.failureDomain !== localFailureDomain && evacuations.isEvacuated(localFailureDomain)) {
+        metrics.evacuationRequests.inc({ outcome: "moved" });
+    }
+}
+
 /** Records the arrival of a response that belongs to the request. */
 function recordArrival(exchange: Exchange, { endpoint, record }: AttemptPlan, metadata: ResponseMetadata): void {
     const nowMs = performance.now();
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -105,6 +105,7 @@
             endpoint: plan.endpoint,
             record: run.record,
             shardTargets: plan.shardTargets,
+            domains: plan.domains,
             ...(progress.lastEventId === undefined ? {} : { lastEventId: progress.lastEventId }),
             usesNewConnection: !exchange.route.canResume,
             onResponse: (status, headers) => beginResponse(run, status, headers),
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -8,6 +8,8 @@
 export type RefusalReason =
     | "no_configuration"
     | "no_endpoint"
+    /** All endpoints of the service are in evacuated failure domains. */
+    | "evacuated"
     | "not_run"
     /** The prompt has a part that crashes endpoints. */
     | "part_isolated"
@@ -38,6 +40,11 @@
 const refusals: Readonly<Record<RefusalReason, Refusal>> = {
     no_configuration: { status: 503, message: "this host has no configuration yet", retryAfterSeconds: 0.5 },
     no_endpoint: { status: 503, message: "no endpoint can take the request now", retryAfterSeconds: 0.4 },
+    evacuated: {
+        status: 503,
+        message: "all endpoints are in evacuated failure domains; the request was not run",
+        retryAfterSeconds: 1,
+    },
     not_run: { status: 503, message: "the request was not run", retryAfterSeconds: 0.15 },
     part_isolated: {
         status: 503,
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -3,6 +3,7 @@
 import type { ResponseHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { recordFailure } from "../../endpoints/model/endpointHealth.js";
+import { isServiceEvacuated } from "../../evacuation/queries/isServiceEvacuated.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { chooseLeastLoaded } from "../../placement/queries/chooseLeastLoaded.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
@@ -179,6 +180,7 @@
     const attempt: RunningAttempt = runAttempt(context, exchange, {
         endpoint,
         record,
+        domains: [endpoint.entry.failureDomain],
         // On a reused connection, a late response to an earlier request could be mistaken for the response to this one.
         usesNewConnection: !isRepeatable(exchange),
         onResponse: (responseStatus, responseHeaders) => {
@@ -273,6 +275,8 @@
         ? "outcome_unknown"
         : retrySeconds !== undefined
         ? "rate_limited"
+        : isServiceEvacuated(context, exchange.service.name)
+        ? "evacuated"
         : state.tried.size === 0
         ? "no_endpoint"
         : "not_run";
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -2,6 +2,7 @@
 import { readClocks, type ServiceId } from "@currantrill/protocol";
 import { probeEndpoint } from "../../endpoints/commands/probeEndpoint.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
+import { isServiceEvacuated } from "../../evacuation/queries/isServiceEvacuated.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { countPermitsLeft } from "../../permits/queries/countPermitsLeft.js";
 import { defaultPlacementWeights } from "../../placement/model/placementWeights.js";
@@ -180,7 +181,8 @@
 function refuseUnplaced(context: ForwardingContext, exchange: Exchange, wasTried: boolean): string {
     const retrySeconds = getRetrySeconds(context, exchange.service.name, countLeft(exchange));
     if (retrySeconds === undefined) {
-        return finishWithRefusal(context, exchange, wasTried ? "not_run" : "no_endpoint");
+        const isEvacuated = isServiceEvacuated(context, exchange.service.name);
+        return finishWithRefusal(context, exchange, isEvacuated ? "evacuated" : wasTried ? "not_run" : "no_endpoint");
     }
     const headers = context.callers.buildResponseHeaders(exchange.requestId);
     sendRefusal(exchange.response, "rate_limited", headers, retrySeconds);
@@ -273,13 +275,20 @@
         .map(endpoint => endpoint.entry.id);
 }
 
-/** Finds the endpoints of a placement. Returns `undefined` if this host does not know one of them. */
+/**
+ * Finds the endpoints of a placement. Returns `undefined` if this host does not know one of them, or if one is in an
+ * evacuated domain, which a coordinator may not know yet.
+ */
 function findEndpoints(
-    { directory }: ForwardingContext,
+    { directory, evacuations }: ForwardingContext,
     { primaryId, helperShards }: PromptPlacement,
 ): Pick<ChosenEndpoints, "endpoint" | "helpers"> | undefined {
-    const endpoint = directory.get(primaryId);
-    const helpers = helperShards.flatMap(shard => directory.get(shard.endpointId) ?? []);
+    const find = (id: string): Endpoint | undefined => {
+        const found = directory.get(id);
+        return found === undefined || evacuations.isEvacuated(found.entry.failureDomain) ? undefined : found;
+    };
+    const endpoint = find(primaryId);
+    const helpers = helperShards.flatMap(shard => find(shard.endpointId) ?? []);
     return endpoint === undefined || helpers.length < helperShards.length ? undefined : { endpoint, helpers };
 }
 
@@ -346,6 +355,7 @@
         return await runStreamAttempt(context, exchange, progress, {
             ...options,
             endpoint: chosen.endpoint,
+            domains: [chosen.endpoint, ...chosen.helpers].map(({ entry }) => entry.failureDomain),
             placement: chosen.placement,
             shardTargets: chosen.helpers.map(helper => {
                 const reservation = chosen.reservedMemory?.reservations.find(each => each.endpoint === helper);
--- a/packages/forwarding/src/requests/model/streamAttempt.ts
+++ b/packages/forwarding/src/requests/model/streamAttempt.ts
@@ -1,4 +1,5 @@
 /** Plan, progress and result of one attempt of a stream. */
+import type { FailureDomainId } from "@currantrill/protocol";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import type { PrefillShard } from "../../ports/endpointProtocol.js";
@@ -32,6 +33,8 @@
     /** No other endpoint may be tried, so the attempt continues until the deadline, without stall checks. */
     readonly isFinalAttempt: boolean;
     readonly placement: PromptPlacement;
+    /** See `AttemptPlan`. */
+    readonly domains: readonly FailureDomainId[];
     /** Endpoints that prefill further shards of the prompt. */
     readonly shardTargets: readonly PrefillShard[];
     readonly onFirstEvent: () => void;
--- a/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
+++ b/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
@@ -32,7 +32,8 @@
     readonly release: () => void;
 }
 
-type OrderResult = "held" | "refused" | "unanswered";
+/** `not_sent`: the domain of the endpoint is evacuated, so that nothing was sent. */
+type OrderResult = "held" | "refused" | "unanswered" | "not_sent";
 
 /**
  * Reserves memory for all shards. If an endpoint refuses or does not reply, releases what was granted and resolves with
@@ -45,9 +46,25 @@
     const holdMs = Math.floor(context.settings.reservations.free_ms * HOLD_FRACTION);
     const reservations = needs.map(need => ({ ...need, id: context.createReservationId() }));
     const unconfirmedIds = new Set<string>();
+    /** Reservations that were granted: they are renewed and released also in a domain that is evacuated since. */
+    const grantedIds = new Set<string>();
+    /** Reservations of which an order may have reached the endpoint. */
+    const orderedIds = new Set<string>();
     const sendReservation = async (reservation: ShardNeed & HeldReservation): Promise<OrderResult> => {
         const { id, tokens, endpoint } = reservation;
-        const result = await sendOrder(context, endpoint, context.protocol.buildReservation({ id, tokens, holdMs }));
+        const call = context.protocol.buildReservation({ id, tokens, holdMs });
+        const result = await sendOrder(
+            context,
+            endpoint,
+            call,
+            () => grantedIds.has(id) || mayOrder(context, endpoint),
+        );
+        if (result === "held") {
+            grantedIds.add(id);
+        }
+        if (result !== "not_sent") {
+            orderedIds.add(id);
+        }
         if (result === "unanswered") {
             unconfirmedIds.add(id);
         }
@@ -65,7 +82,8 @@
         }
         isReleased = true;
         clearInterval(renewals);
-        reservations.forEach(each => void releaseReservation(context, each, unconfirmedIds.has(each.id)));
+        reservations.filter(each => orderedIds.has(each.id))
+            .forEach(each => void releaseReservation(context, each, unconfirmedIds.has(each.id)));
     };
     if (results.every(result => result === "held")) {
         context.metrics.reservations.inc({ outcome: "held" }, reservations.length);
@@ -95,13 +113,31 @@
     }
 }
 
-async function sendOrder(context: ForwardingContext, endpoint: Endpoint, call: EndpointCall): Promise<OrderResult> {
+/** Returns whether memory may be reserved at an endpoint. */
+const mayOrder = ({ evacuations }: ForwardingContext, { entry }: Endpoint): boolean =>
+    !evacuations.isEvacuated(entry.failureDomain);
+
+/** Sends an order. `maySend` is checked before the first byte. */
+async function sendOrder(
+    context: ForwardingContext,
+    endpoint: Endpoint,
+    call: EndpointCall,
+    maySend: () => boolean = () => true,
+): Promise<OrderResult> {
+    if (!maySend()) {
+        return "not_sent";
+    }
+    const order = { wasSent: false };
     try {
         const reply = await requestEndpoint(endpoint.pool, call, {
             timeoutMs: ORDER_TIMEOUT_MS,
             protocol: context.protocol,
             // On a reused connection, a late copy of the reply to an earlier order could be taken for a grant.
             usesNewConnection: true,
+            canSend: () => {
+                order.wasSent = maySend();
+                return order.wasSent;
+            },
             onNotice: notice => endpoint.notices.record(notice, "order", readClocks()),
         });
         if (reply.status === 200) {
@@ -114,6 +150,9 @@
         return "refused";
     }
     catch (error) {
+        if (!order.wasSent && !maySend()) {
+            return "not_sent";
+        }
         context.log.warn(
             { endpoint: endpoint.entry.id, order: call.body, err: error },
             "reservations: no reply to order, it may still be carried out",
--- a/packages/forwarding/tests/coordination/queries/decidePlacement.test.ts
+++ b/packages/forwarding/tests/coordination/queries/decidePlacement.test.ts
@@ -40,11 +40,13 @@
     remote: readonly EndpointLoad[],
     changes: Partial<PlacementQuery> = {},
     otherDomains: readonly FailureDomainId[] = [south],
+    random = 0,
 ): PlacementAnswer {
     return decidePlacement({ ...shortPrompt, ...changes }, {
         context: { engine, hostDomain: testDomain, nowMs: NOW_MS, weights: defaultPlacementWeights },
-        listLoads: domain => domain === testDomain ? local : remote,
+        listLoads: domain => domain === testDomain ? local : remote.filter(load => load.failureDomain === domain),
         otherDomains,
+        random,
     });
 }
 
@@ -86,4 +88,20 @@
         expect(decide([createLoad("1")], idleSouth, { excludedIds: ["1"] }).kind).toBe("redirected");
         expect(decide([], [])).toEqual({ kind: "none" });
     });
+    // Guards against an evacuated domain whose prompts all go to one other domain until its load becomes known.
+    it("spreads the prompts of a domain without endpoints over those that serve them in time", () => {
+        const [east, west] = ["east", "west"].map(toFailureDomainId);
+        const remote = [
+            createLoad("8", { failureDomain: east! }),
+            createBusyLoad("9", { failureDomain: west! }),
+            ...idleSouth,
+        ];
+        const choose = (random: number, loads = remote): unknown =>
+            decide([], loads, {}, [east!, west!, south], random);
+        expect([0, 0.49, 0.5, 0.99].map(random => choose(random))).toMatchObject(
+            [east, east, south, south].map(domain => ({ kind: "redirected", domain })),
+        );
+        const busyEast = createBusyLoad("8", { failureDomain: east!, slowdown: 2 });
+        expect(choose(0, [busyEast, remote[1]!])).toMatchObject({ kind: "redirected", domain: west });
+    });
 });
--- a/packages/forwarding/tests/directoryFixture.ts
+++ b/packages/forwarding/tests/directoryFixture.ts
@@ -1,5 +1,5 @@
 /** A directory with the endpoints `e1` to `e4` of one service. */
-import { toFailureDomainId, toServiceId } from "@currantrill/protocol";
+import { type FailureDomainId, toFailureDomainId, toServiceId } from "@currantrill/protocol";
 import bunyan from "bunyan";
 import { createEndpointDirectory, type EndpointDirectory } from "../src/endpoints/model/endpointDirectory.js";
 import { testDomain } from "./engineFixture.js";
@@ -8,16 +8,13 @@
 export const directoryService = toServiceId("s");
 
 /** Creates the directory. Each letter of `domains` is the failure domain of one endpoint, in order. */
-export function createDirectory(domains = "aaaa"): EndpointDirectory {
+export function createDirectory(
+    domains = "aaaa",
+    isEvacuated: (domain: FailureDomainId) => boolean = () => false,
+): EndpointDirectory {
     const directory = createEndpointDirectory({
         hostFailureDomain: testDomain,
         rows: {
-            configurationTable: "",
-            configurationKey: "",
-            endpointTable: "",
-            hostTable: "",
-            quarantineTable: "",
-            decodeConfiguration: () => ({ ok: false, finding: { path: "", found: "" } }),
             decodeEndpoint: (id, value) => ({
                 ok: true,
                 value: {
@@ -31,6 +28,7 @@
                 },
             }),
         },
+        isEvacuated,
         log: bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 }),
         onConnect: () => undefined,
         onNotice: () => undefined,
--- a/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
+++ b/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
@@ -76,6 +76,7 @@
         expect(await probeEndpoint(endpoint, testProtocol)).toBe(case_.probed);
         vi.useFakeTimers({ toFake: ["setInterval", "clearInterval"] });
         const stop = startProbing({
+            isEvacuated: () => false,
             directory: { listAll: () => [] } as unknown as EndpointDirectory,
             protocol: testProtocol,
             log: bunyan.createLogger({ name: "test", streams: [] }),
--- a/packages/forwarding/tests/endpoints/model/endpointDirectory.test.ts
+++ b/packages/forwarding/tests/endpoints/model/endpointDirectory.test.ts
@@ -38,6 +38,7 @@
     return createEndpointDirectory({
         hostFailureDomain: toFailureDomainId("a"),
         rows,
+        isEvacuated: () => false,
         log,
         onConnect: () => undefined,
         onNotice: () => undefined,
--- a/packages/forwarding/tests/endpoints/queries/listEndpointObservations.test.ts
+++ b/packages/forwarding/tests/endpoints/queries/listEndpointObservations.test.ts
@@ -11,12 +11,13 @@
         first!.health = markUnresponsive(first!.health, 0);
         second!.health = recordFailure(second!.health, 0);
         third!.health = recordSlowdown(third!.health, 4, 0);
-        expect(listEndpointObservations(directory, 0)).toEqual<readonly EndpointObservation[]>([
+        expect(listEndpointObservations(directory, () => false, 0)).toEqual<readonly EndpointObservation[]>([
             { endpointId: "e1", unresponsiveReports: 1, failures: 1 },
             { endpointId: "e2", unresponsiveReports: 0, failures: 1 },
             { endpointId: "e3", unresponsiveReports: 0, failures: 0, slowdown: 4 },
         ]);
-        expect(listEndpointObservations(directory, 60_000).map(observation => observation.endpointId)).toEqual(["e1"]);
+        expect(listEndpointObservations(directory, () => false, 60_000).map(observation => observation.endpointId))
+            .toEqual(["e1"]);
         directory.close();
     });
     // Guards against an isolated host that makes its peers avoid all endpoints.
@@ -26,7 +27,7 @@
             const endpoint = directory.get(id)!;
             endpoint.health = markUnresponsive(endpoint.health, 0);
         }
-        expect(listEndpointObservations(directory, 0)).toEqual([]);
+        expect(listEndpointObservations(directory, () => false, 0)).toEqual([]);
         directory.close();
     });
 });
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -7,7 +7,14 @@
 import type { AddressInfo } from "node:net";
 import { type RunningForwarding, startForwarding } from "../src/commands/startForwarding.js";
 import type { EndpointEntry, Route, ServingConfiguration } from "../src/configuration/model/servingConfiguration.js";
-import type { EndpointProtocol, EndpointReport, TableChanges, TableRow, TableSource } from "../src/ports/index.js";
+import type {
+    DecodedEvacuation,
+    EndpointProtocol,
+    EndpointReport,
+    TableChanges,
+    TableRow,
+    TableSource,
+} from "../src/ports/index.js";
 
 const service = toServiceId("desk");
 
@@ -55,6 +62,16 @@
     parseReport: body => JSON.parse(body.toString()) as EndpointReport,
 };
 
+/** Decodes a row of the operator's table with the key `evacuate/DOMAIN` and the content `{}`. */
+export function decodeTestEvacuation(key: string, value: Buffer | undefined): DecodedEvacuation | undefined {
+    const domain = toFailureDomainId(key.replace("evacuate/", ""));
+    if (domain === key) {
+        return undefined;
+    }
+    const found = value?.toString() ?? "{}";
+    return found === "{}" ? { domain } : { domain, finding: { path: "", found } };
+}
+
 export interface TestStore extends TableSource {
     readonly put: (table: string, key: string, value: unknown) => void;
     readonly drop: (table: string, key: string) => void;
@@ -370,6 +387,7 @@
                     ? { ok: false, finding: { path: "", found: "null" } }
                     : { ok: true, value: entry };
             },
+            decodeEvacuation: decodeTestEvacuation,
         },
         createSource: () => store,
     });
--- a/packages/forwarding/tests/peers/commands/synchronizeTables.test.ts
+++ b/packages/forwarding/tests/peers/commands/synchronizeTables.test.ts
@@ -69,6 +69,30 @@
         expect(behind.adopted).toEqual([]);
         await vi.waitFor(() => expect(behind.adopted).toHaveLength(1));
     });
+    // Guards against retained evacuations that are copied with the time that was left when the first host asked.
+    it("does not send a copy again that is a second old", async () => {
+        let value = "first";
+        const ahead: FakeTable = {
+            ...createTable(known),
+            getReplica: () =>
+                adoptSnapshot(createTableReplica("t"), {
+                    version: 9,
+                    rows: [{ key: "a", version: 9, value: Buffer.from(value) }],
+                })!.replica,
+        };
+        const followers = [createTable(known), createTable(known)];
+        const started = await startSynchronizations([ahead, ...followers]);
+        const copy = async (index: number): Promise<string | undefined> => {
+            started.synchronizations[index]?.synchronizeWith(started.addresses[0] ?? "", { t: 9 });
+            await vi.waitFor(() => expect(followers[index - 1]?.adopted).toHaveLength(1));
+            return followers[index - 1]?.getReplica().rows.get("a")?.value?.toString();
+        };
+        expect(await copy(1)).toBe("first");
+        value = "second";
+        const laterMs = performance.now() + 1_000;
+        const now = vi.spyOn(performance, "now").mockReturnValue(laterMs);
+        expect(await copy(2).finally(() => now.mockRestore())).toBe("second");
+    });
     it("does not query a peer without a newer table", async () => {
         const table = createTable(known);
         const started = await startSynchronizations([table, createTable(known)]);
