Send no new work to the endpoints of an evacuated failure domain

Until now an operator could only reclaim single endpoints, which also ends work in flight. Change: tickets hold objects of the kind `domain`. decideLending has the reason `evacuated`, after the owner's reasons; trackReclaims starts no grace period for it. A domain object that cannot be read counts as evacuated. planTicket returns warnings, for a domain that no endpoint is in and for the last one in service. Queued prompts and gangs that the remaining domains can never hold are refused at once with no_endpoint instead of overloaded at their deadline, and a gang asks for no memory on an endpoint that has become unusable since its plan. Model placement treats evacuated endpoints like reclaimed ones. GET /admin/domains, log lines with the prefix `evacuation:`, metric currantrill_evacuated_domains.

--- a/packages/core/src/configuration/commands/advanceTicket.ts
+++ b/packages/core/src/configuration/commands/advanceTicket.ts
@@ -84,15 +84,16 @@
     if (plan.appliedAs !== undefined) {
         const alreadyApplied = platform.ticketRow?.attempt !== attempt;
         const changes = alreadyApplied ? [] : state.planned?.changes ?? [];
+        const warnings = alreadyApplied ? [] : state.planned?.warnings ?? [];
         return endTicket(
             state,
-            { outcome: "applied", revision: plan.appliedAs, changes, alreadyApplied },
+            { outcome: "applied", revision: plan.appliedAs, changes, warnings, alreadyApplied },
             [{ type: "adopt", configuration: platform.configuration }],
         );
     }
     const { headVersion } = platform;
     const lostWriteVersion = state.lostWriteVersion === headVersion ? headVersion : undefined;
-    const planned = { headVersion, next: plan.next, changes: plan.changes };
+    const planned = { headVersion, next: plan.next, changes: plan.changes, warnings: plan.warnings };
     const row = { ticket, revision: plan.next.revision, attempt, appliedAtMs: now.wallMs };
     return beginOperation(
         { ...state, phase: "writing", planned, lostWriteVersion },
@@ -128,10 +129,10 @@
     if (state.planned === undefined) {
         return endTicket(state, { outcome: "outcome_unknown" });
     }
-    const { next, changes } = state.planned;
+    const { next, changes, warnings } = state.planned;
     return endTicket(
         state,
-        { outcome: "applied", revision: next.revision, changes, alreadyApplied: false },
+        { outcome: "applied", revision: next.revision, changes, warnings, alreadyApplied: false },
         [{ type: "adopt", configuration: next }],
     );
 }
--- a/packages/core/src/configuration/model/ticketMachine.ts
+++ b/packages/core/src/configuration/model/ticketMachine.ts
@@ -24,6 +24,8 @@
         readonly outcome: "applied";
         readonly revision: Revision;
         readonly changes: readonly TicketChange[];
+        /** Findings of `planTicket` that did not refuse the ticket; none if it had been applied before. */
+        readonly warnings: readonly Finding[];
         /** Whether the ticket had been applied before, by this or an earlier request. */
         readonly alreadyApplied: boolean;
     }
@@ -72,6 +74,7 @@
     readonly headVersion: number;
     readonly next: Configuration;
     readonly changes: readonly TicketChange[];
+    readonly warnings: readonly Finding[];
 }
 
 export interface TicketState {
--- a/packages/core/src/configuration/queries/checkReferences.ts
+++ b/packages/core/src/configuration/queries/checkReferences.ts
@@ -35,6 +35,8 @@
             serves: "engine",
         })),
     service: body => [{ field: "pool", kind: "pool", name: body.pool, serves: "service" }],
+    // A domain may be evacuated before its endpoints are configured; `checkEvacuations` warns of it.
+    domain: () => [],
 };
 
 /** Checks the references between all objects of a configuration. `source` names the ticket that leads to it. */
@@ -44,7 +46,11 @@
     );
 }
 
-function listReferences(body: ConfigurationObject): Reference[] {
+function listReferences(body: ConfigurationObject | undefined): Reference[] {
+    // An object that another build has written may have another kind or no readable body.
+    if (body === undefined || !Object.hasOwn(references, body.kind)) {
+        return [];
+    }
     // The table entry matches the kind of the body; the types cannot express that for a union.
     const list = references[body.kind] as (body: ConfigurationObject) => Reference[];
     return list(body);
--- a/packages/core/src/configuration/queries/planTicket.ts
+++ b/packages/core/src/configuration/queries/planTicket.ts
@@ -1,6 +1,7 @@
 /** Checks a ticket against the active configuration and computes the next one. */
 import type { Revision, TicketNumber } from "@currantrill/protocol";
 import { toRevision } from "@currantrill/protocol";
+import { checkEvacuations, listNewFindings } from "../../evacuation/queries/checkEvacuations.js";
 import type { Configuration, ObjectKey, StoredObject, Ticket, TicketObject } from "../../model/configuration.js";
 import type { Finding } from "../../model/finding.js";
 import type { TicketRow } from "../model/ticketRows.js";
@@ -21,6 +22,8 @@
         readonly next: Configuration;
         /** Revision that the ticket created when it was applied earlier; then no change is needed. */
         readonly appliedAs: Revision | undefined;
+        /** What the ticket leads to that may not be intended. It does not refuse the ticket. */
+        readonly warnings: readonly Finding[];
     }
     | {
         readonly ok: false;
@@ -45,7 +48,11 @@
         const code = conflicts.length > 0 ? "conflict" : "invalid";
         return { ok: false, code, findings: [...conflicts, ...invalid] };
     }
-    return { ok: true, changes: listChanges(configuration, ticket), next, appliedAs: undefined };
+    const warnings = listNewFindings(
+        checkEvacuations(configuration, formatSource(ticket)),
+        checkEvacuations(next, formatSource(ticket)),
+    );
+    return { ok: true, changes: listChanges(configuration, ticket), next, appliedAs: undefined, warnings };
 }
 
 const formatSource = (ticket: Ticket): string => `ticket ${ticket.number}`;
@@ -62,7 +69,7 @@
 /** Plans a ticket whose number is already applied: the same contents change nothing, different ones conflict. */
 function planRepeatedTicket(configuration: Configuration, ticket: Ticket, applied: TicketRow): TicketPlan {
     if (formatCanonical(sortEntries(ticket)) === formatCanonical(sortEntries(applied.ticket))) {
-        return { ok: true, changes: [], next: configuration, appliedAs: applied.revision };
+        return { ok: true, changes: [], next: configuration, appliedAs: applied.revision, warnings: [] };
     }
     const finding = {
         source: formatSource(ticket),
--- a/packages/core/src/lending/commands/trackReclaims.ts
+++ b/packages/core/src/lending/commands/trackReclaims.ts
@@ -1,10 +1,14 @@
 import type { EndpointId } from "@currantrill/protocol";
 import type { Clocks } from "@currantrill/protocol";
-import type { LendingDecision, ReclaimTimes } from "../model/lending.js";
+import type { LendingDecision, LendingReason, ReclaimTimes } from "../model/lending.js";
+
+/** Reasons that leave work in flight alone: the owner has requested nothing. */
+const REASONS_WITHOUT_GRACE_PERIOD: ReadonlySet<LendingReason> = new Set(["evacuated", "silent"]);
 
 /**
- * Records since when each endpoint has been unusable. An endpoint that becomes usable again is removed. A missing
- * confirmation from the platform does not count: the owner has requested nothing, so work in flight is not interrupted.
+ * Records since when each endpoint has been unusable because of its owner or a local stop. An endpoint that becomes
+ * usable again is removed. Work in flight on an evacuated domain, or while the configuration is not confirmed, is not
+ * interrupted.
  */
 export function trackReclaims(
     times: ReclaimTimes,
@@ -13,7 +17,7 @@
 ): ReclaimTimes {
     const next: Record<EndpointId, Clocks> = {};
     for (const [endpoint, decision] of decisions) {
-        if (!decision.usable && decision.reason !== "silent") {
+        if (!decision.usable && !REASONS_WITHOUT_GRACE_PERIOD.has(decision.reason)) {
             next[endpoint] = times[endpoint] ?? now;
         }
     }
--- a/packages/core/src/lending/model/lending.ts
+++ b/packages/core/src/lending/model/lending.ts
@@ -1,6 +1,7 @@
 /**
  * Lending state: whether this host may use an endpoint, and since when it may not. An endpoint is taken out of use by a
- * ticket (reclaim), by a local stop that an operator sets on a host, or at the endpoint itself (withdraw).
+ * ticket (reclaim), by a local stop that an operator sets on a host, at the endpoint itself (withdraw), or by the
+ * evacuation of its failure domain.
  */
 import type { EndpointId, StopFact } from "@currantrill/protocol";
 import type { Clocks } from "@currantrill/protocol";
@@ -25,8 +26,11 @@
     | { readonly usable: true; }
     | { readonly usable: false; readonly reason: LendingReason; };
 
-/** Cause of an unusable endpoint. `silent`: no confirmation of the configuration for longer than `maxSilenceMs`. */
-export type LendingReason = "reclaimed" | "stopped" | "withdrawn" | "silent";
+/**
+ * Cause of an unusable endpoint. `evacuated`: its failure domain takes no new work. `silent`: no confirmation of the
+ * configuration for longer than `maxSilenceMs`.
+ */
+export type LendingReason = "reclaimed" | "stopped" | "withdrawn" | "evacuated" | "silent";
 
 /** Start of the current unusable period of each endpoint, from which the grace period counts. */
 export type ReclaimTimes = Readonly<Record<EndpointId, Clocks>>;
@@ -39,6 +43,7 @@
     readonly obeyReclaim: boolean;
     readonly obeyStops: boolean;
     readonly obeyWithdrawal: boolean;
+    readonly obeyEvacuation: boolean;
     readonly obeyMaxSilence: boolean;
 }
 
@@ -46,5 +51,6 @@
     obeyReclaim: true,
     obeyStops: true,
     obeyWithdrawal: true,
+    obeyEvacuation: true,
     obeyMaxSilence: true,
 };
--- a/packages/core/src/lending/queries/decideLending.ts
+++ b/packages/core/src/lending/queries/decideLending.ts
@@ -1,6 +1,7 @@
 /** Decides whether an endpoint takes new work from this host. */
 import type { Clocks } from "@currantrill/protocol";
 import { measureElapsed } from "@currantrill/protocol";
+import type { FailureDomainId } from "@currantrill/protocol";
 import type { EndpointObject } from "../../model/configuration.js";
 import {
     allLendingSafeguards,
@@ -14,13 +15,17 @@
 
 interface LendingInput {
     readonly endpoint: EndpointObject;
+    readonly evacuatedDomains: ReadonlySet<FailureDomainId>;
     readonly stops: LocalStops;
     readonly freshness: Freshness;
     readonly report: OwnerReport | undefined;
     readonly now: Clocks;
 }
 
-/** Checks in order of precedence; the first that applies is the reason. */
+/**
+ * Checks in order of precedence; the first that applies is the reason. An evacuation comes after the owner's reasons,
+ * because those end work in flight and an evacuation does not.
+ */
 const checks: readonly {
     readonly reason: LendingReason;
     readonly safeguard: keyof LendingSafeguards;
@@ -36,6 +41,11 @@
         },
     },
     { reason: "withdrawn", safeguard: "obeyWithdrawal", applies: ({ report }) => report?.withdrawn === true },
+    {
+        reason: "evacuated",
+        safeguard: "obeyEvacuation",
+        applies: ({ endpoint, evacuatedDomains }) => evacuatedDomains.has(endpoint.failureDomain),
+    },
     {
         reason: "silent",
         safeguard: "obeyMaxSilence",
@@ -43,15 +53,17 @@
     },
 ];
 
+/** `evacuatedDomains` comes from `listEvacuatedDomains` on the active configuration. */
 export function decideLending(
     endpoint: EndpointObject,
+    evacuatedDomains: ReadonlySet<FailureDomainId>,
     stops: LocalStops,
     freshness: Freshness,
     report: OwnerReport | undefined,
     now: Clocks,
     safeguards: LendingSafeguards = allLendingSafeguards,
 ): LendingDecision {
-    const input = { endpoint, stops, freshness, report, now };
+    const input = { endpoint, evacuatedDomains, stops, freshness, report, now };
     const failed = checks.find(check => safeguards[check.safeguard] && check.applies(input));
     return failed === undefined ? { usable: true } : { usable: false, reason: failed.reason };
 }
--- a/packages/core/src/model/configuration.ts
+++ b/packages/core/src/model/configuration.ts
@@ -106,13 +106,24 @@
     readonly operations: readonly ServiceOperation[];
 }
 
+/** Whether a failure domain takes new work. A domain without an object is in service. */
+export interface DomainObject {
+    readonly kind: "domain";
+    readonly name: FailureDomainId;
+    /** `evacuated`: no host sends new work to the endpoints of the domain. */
+    readonly state: DomainState;
+}
+
+export type DomainState = "evacuated" | "in_service";
+
 export type ConfigurationObject =
     | PoolObject
     | EndpointObject
     | WorkspaceObject
     | RuleObject
     | ModelObject
-    | ServiceObject;
+    | ServiceObject
+    | DomainObject;
 export type ObjectKind = ConfigurationObject["kind"];
 /** Key of an object in the configuration: `<kind>/<name>`. */
 export type ObjectKey = `${ObjectKind}/${string}`;
--- a/packages/core/src/placement/model/placement.ts
+++ b/packages/core/src/placement/model/placement.ts
@@ -6,7 +6,7 @@
     readonly endpoint: EndpointId;
     readonly pool: PoolId;
     readonly failureDomain: FailureDomainId;
-    /** Whether orders can be sent to it: it is lent, and reachable or unresponsive only for a short time. */
+    /** Whether orders can be sent to it: it is lent, not evacuated, and reachable or unresponsive only for a short time. */
     readonly isUsable: boolean;
     /** Loaded models as `<name>@<version>`. */
     readonly models: readonly string[];
--- a/packages/core/src/queries/listObjects.ts
+++ b/packages/core/src/queries/listObjects.ts
@@ -5,8 +5,9 @@
 /** Lists the objects of one kind, sorted by name. */
 export function listObjects<K extends ObjectKind>(configuration: Configuration, kind: K): ObjectOfKind<K>[] {
     return Object.values(configuration.objects)
-        .map(stored => stored.body)
-        .filter((body): body is ObjectOfKind<K> => body.kind === kind)
+        .map(stored => stored.body as ConfigurationObject | undefined)
+        // A configuration that another build has written may hold objects without a readable body.
+        .filter((body): body is ObjectOfKind<K> => body?.kind === kind)
         .sort((a, b) => a.name < b.name ? -1 : 1);
 }
 
--- a/packages/core/tests/guarantees.test.ts
+++ b/packages/core/tests/guarantees.test.ts
@@ -51,7 +51,7 @@
         },
     ];
     it.each(cases)("$name", ({ freshness, now, usable }) => {
-        expect(decideLending(endpoint, {}, freshness, undefined, now).usable).toBe(usable);
+        expect(decideLending(endpoint, new Set(), {}, freshness, undefined, now).usable).toBe(usable);
     });
 });
 
--- a/packages/host/src/lending/model/lendingManager.ts
+++ b/packages/host/src/lending/model/lendingManager.ts
@@ -15,20 +15,22 @@
     trackReclaims,
 } from "@currantrill/core";
 import { readClocks } from "@currantrill/protocol";
-import type { EndpointId, StopFact } from "@currantrill/protocol";
+import type { EndpointId, FailureDomainId, StopFact } from "@currantrill/protocol";
 import type { EndpointStateTable } from "../../endpoints/model/endpointStateTable.js";
 
 /** What the lending decisions depend on. */
 export interface LendingSources {
     /** Lists the endpoints of the active configuration. */
     getEndpoints(): readonly EndpointObject[];
+    /** Returns the failure domains that the active configuration evacuates. */
+    getEvacuatedDomains(): ReadonlySet<FailureDomainId>;
     findEndpoint(endpoint: EndpointId): EndpointObject | undefined;
     /** Returns when the configuration was last confirmed. */
     getFreshness(): Freshness;
     readonly stateTable: EndpointStateTable;
 }
 
-/** Decides on lending from tickets, local stops, the age of the configuration and the reports of the owners. */
+/** Decides on lending from tickets, evacuations, local stops, the age of the configuration and the reports of the owners. */
 export interface LendingManager {
     /** Whether the endpoint accepts new work now. Checked immediately before each attempt is sent. */
     isUsable(endpoint: EndpointId): boolean;
@@ -50,7 +52,7 @@
     let stops: LocalStops = {};
     const decide = (endpoint: EndpointObject, now: Clocks): LendingDecision => {
         const report: OwnerReport | undefined = sources.stateTable.getDigest(endpoint.name);
-        return decideLending(endpoint, stops, sources.getFreshness(), report, now);
+        return decideLending(endpoint, sources.getEvacuatedDomains(), stops, sources.getFreshness(), report, now);
     };
     return {
         isUsable: id => {
--- a/packages/host/src/model/dataPath.ts
+++ b/packages/host/src/model/dataPath.ts
@@ -12,8 +12,10 @@
 import type { RunningAttempts } from "../endpoints/model/runningAttempt.js";
 import { createLendingManager, type LendingManager } from "../lending/model/lendingManager.js";
 import { routePrompt } from "../prompts/commands/routePrompt.js";
+import type { PromptJob } from "../prompts/model/promptJob.js";
 import { createPromptQueue, type PromptQueue } from "../prompts/model/promptQueue.js";
 import { createPromptState, type PromptState } from "../prompts/model/promptState.js";
+import { isRefusedByEvacuation } from "../prompts/queries/isRefusedByEvacuation.js";
 import { getConfigurationIndex } from "../queries/getConfigurationIndex.js";
 import type { HostContext } from "./hostContext.js";
 
@@ -47,6 +49,12 @@
     readonly getContext: () => HostContext;
 }
 
+/** Whether a pending prompt leaves the queue: to an engine or a gang, or to be refused because of an evacuation. */
+function canStartPrompt(context: HostContext, job: PromptJob): boolean {
+    const { kind } = routePrompt(context, job).outcome;
+    return STARTING_OUTCOMES.has(kind) || (kind === "refuse" && isRefusedByEvacuation(context, job));
+}
+
 /** Creates the data path. It is inactive until `startDataPath`. */
 export function createDataPath(sources: DataPathSources): DataPath {
     const { settings, incarnation, getContext } = sources;
@@ -60,6 +68,7 @@
         endpointStates: states,
         lending: createLendingManager({
             getEndpoints: () => getConfigurationIndex(getConfiguration()).endpoints,
+            getEvacuatedDomains: () => getConfigurationIndex(getConfiguration()).evacuatedDomains,
             findEndpoint: endpoint => findObject(getConfiguration(), "endpoint", endpoint),
             getFreshness: () => getContext().configuration.freshness,
             stateTable: states,
@@ -67,7 +76,7 @@
         attempts,
         prompts: createPromptState(),
         queue: createPromptQueue({
-            canStart: job => STARTING_OUTCOMES.has(routePrompt(getContext(), job).outcome.kind),
+            canStart: job => canStartPrompt(getContext(), job),
             getRoutingKey: ({ scope, request }) => `${scope.workspace.name}/${request.model}/${request.lengthClass}`,
         }),
         allocations: createAllocationManager({
--- a/packages/host/src/model/hostMetrics.ts
+++ b/packages/host/src/model/hostMetrics.ts
@@ -17,6 +17,7 @@
     readonly requests: Counter<"outcome" | "code">;
     readonly inFlight: Gauge;
     readonly configurationRevision: Gauge;
+    readonly evacuatedDomains: Gauge;
     readonly confirmationAgeSeconds: Gauge;
     readonly controlMessages: Counter<"direction" | "type">;
     readonly controlBytes: Counter<"direction" | "type">;
@@ -72,6 +73,11 @@
             help: "Revision of the configuration in force on this host.",
             registers,
         }),
+        evacuatedDomains: new Gauge({
+            name: "currantrill_evacuated_domains",
+            help: "Failure domains that this host sends no new work to.",
+            registers,
+        }),
         confirmationAgeSeconds: new Gauge({
             name: "currantrill_configuration_confirmation_age_seconds",
             help: "Time since the platform read that last confirmed the configuration.",
--- a/packages/host/src/operators/commands/applyTicket.ts
+++ b/packages/host/src/operators/commands/applyTicket.ts
@@ -87,19 +87,27 @@
  * the ticket last, as the state machine requires. Rejects with `StoreUnavailable`.
  */
 export async function readPlatformConfiguration(context: HostContext, ticket: Ticket): Promise<PlatformConfiguration> {
-    const head = await readConfigurationRow(context, HEAD_ROW_KEY);
-    const headRevision = (head?.value as HeadRow | undefined)?.revision;
-    const configuration = headRevision === undefined
-        ? emptyConfiguration
-        : await findConfiguration(context, headRevision);
+    const { headVersion, configuration } = await readNewestConfiguration(context);
     const ticketRow = await readConfigurationRow(context, formatTicketKey(ticket.number));
     return {
-        headVersion: head?.version ?? 0,
+        headVersion,
         configuration,
         ticketRow: ticketRow?.value as unknown as TicketRow | undefined,
     };
 }
 
+/** Reads the newest configuration of the platform. Rejects with `StoreUnavailable`. */
+export async function readNewestConfiguration(
+    context: HostContext,
+): Promise<Pick<PlatformConfiguration, "headVersion" | "configuration">> {
+    const head = await readConfigurationRow(context, HEAD_ROW_KEY);
+    const headRevision = (head?.value as HeadRow | undefined)?.revision;
+    const configuration = headRevision === undefined
+        ? emptyConfiguration
+        : await findConfiguration(context, headRevision);
+    return { headVersion: head?.version ?? 0, configuration };
+}
+
 /** Returns the active configuration of this host if it has the revision, and reads it from the platform otherwise. */
 async function findConfiguration(context: HostContext, revision: Revision): Promise<Configuration> {
     const { current } = context.configuration;
--- a/packages/host/src/operators/commands/handleTickets.ts
+++ b/packages/host/src/operators/commands/handleTickets.ts
@@ -36,6 +36,7 @@
         base: platform.configuration.revision,
         appliedAs: plan.appliedAs,
         changes: describeChanges(platform.configuration, plan.next, plan.changes),
+        warnings: plan.warnings,
     };
 }
 
@@ -51,6 +52,7 @@
                 revision: result.revision,
                 alreadyApplied: result.alreadyApplied,
                 changes: result.changes,
+                warnings: result.warnings,
             };
         case "refused":
             throw new OperatorFailure(result.code, result.findings);
--- a/packages/host/src/operators/commands/serveOperators.ts
+++ b/packages/host/src/operators/commands/serveOperators.ts
@@ -16,6 +16,7 @@
 import type { HostContext } from "../../model/hostContext.js";
 import { OperatorFailure } from "../model/operatorFailure.js";
 import { listHostStatuses } from "../queries/listHostStatuses.js";
+import { handleDomains } from "./handleDomains.js";
 import { handleStop } from "./handleStop.js";
 import { handleApply, handleHistory, handlePlan, handleStatus } from "./handleTickets.js";
 
@@ -26,6 +27,7 @@
     { method: "POST", path: "/admin/tickets", handle: handleApply },
     { method: "GET", path: "/admin/tickets/:number", handle: handleStatus },
     { method: "GET", path: "/admin/tickets", handle: handleHistory },
+    { method: "GET", path: "/admin/domains", handle: handleDomains },
     { method: "POST", path: "/admin/stops", handle: handleStop },
     { method: "GET", path: "/admin/hosts", handle: handleHosts },
     { method: "GET", path: "/admin/configuration", handle: context => context.configuration.current },
--- a/packages/host/src/placement/queries/listPlacementEndpoints.ts
+++ b/packages/host/src/placement/queries/listPlacementEndpoints.ts
@@ -1,6 +1,7 @@
 import { type EndpointObject, listObjects, listReportedNames, type PlacementEndpoint } from "@currantrill/core";
 import type { HostContext } from "../../model/hostContext.js";
 import { computeDigestAge } from "../../monitoring/model/endpointMonitorState.js";
+import { getConfigurationIndex } from "../../queries/getConfigurationIndex.js";
 import type { PlacementState } from "../model/placementState.js";
 
 /** Time after which the models of an unreachable endpoint are loaded elsewhere. Most endpoints recover sooner. */
@@ -17,6 +18,7 @@
  */
 export function listPlacementEndpoints(context: HostContext, state: PlacementState): PlacementEndpoint[] {
     const models = listObjects(context.configuration.current, "model");
+    const { evacuatedDomains } = getConfigurationIndex(context.configuration.current);
     const pools = new Set(models.flatMap(model => model.pools));
     return listObjects(context.configuration.current, "endpoint")
         .filter(endpoint => pools.has(endpoint.pool))
@@ -27,7 +29,9 @@
                 endpoint: endpoint.name,
                 pool: endpoint.pool,
                 failureDomain: endpoint.failureDomain,
-                isUsable: endpoint.lending === "lent" && isConsideredPresent(context, state, endpoint),
+                // A model whose copies are all in an evacuated domain is loaded elsewhere, as for reclaimed endpoints.
+                isUsable: endpoint.lending === "lent" && !evacuatedDomains.has(endpoint.failureDomain)
+                    && isConsideredPresent(context, state, endpoint),
                 models: received?.digest.models ?? declared,
             };
         });
--- a/packages/host/src/prompts/commands/runGang.ts
+++ b/packages/host/src/prompts/commands/runGang.ts
@@ -19,6 +19,7 @@
 import { createAttemptId, type HostContext } from "../../model/hostContext.js";
 import type { PromptJob } from "../model/promptJob.js";
 import { buildGenerateRequest } from "../queries/buildGenerateRequest.js";
+import { isRefusedByEvacuation } from "../queries/isRefusedByEvacuation.js";
 import { planPromptGang } from "./planPromptGang.js";
 import { runPromptAttempt } from "./runPromptAttempt.js";
 
@@ -66,6 +67,9 @@
 
 function planMembers(context: HostContext, job: PromptJob): GangEvent {
     const plan = planPromptGang(context, job);
+    if (plan.kind !== "members" && isRefusedByEvacuation(context, job)) {
+        throw new CallerError("no_endpoint");
+    }
     return { kind: "planned", members: plan.kind === "members" ? plan.members : undefined };
 }
 
@@ -91,6 +95,11 @@
 
 const actionHandlers: ActionHandlers = {
     allocate: async (run, { member }) => {
+        // A reclaim or an evacuation may have arrived since the plan.
+        if (!run.context.lending.isUsable(member.endpoint)) {
+            run.pendingEvents.push({ kind: "refused", endpoint: member.endpoint });
+            return;
+        }
         const allocationId = await run.context.allocations.request({
             attempt: run.attemptId,
             requestId: run.job.scope.requestId,
--- a/packages/host/src/queries/getConfigurationIndex.ts
+++ b/packages/host/src/queries/getConfigurationIndex.ts
@@ -2,12 +2,13 @@
 import {
     type Configuration,
     type EndpointObject,
+    listEvacuatedDomains,
     listObjects,
     type PoolObject,
     type RuleObject,
     type WorkspaceObject,
 } from "@currantrill/core";
-import type { PoolId, WorkspaceId } from "@currantrill/protocol";
+import type { FailureDomainId, PoolId, WorkspaceId } from "@currantrill/protocol";
 
 /** Objects of a configuration by the keys that requests look them up with. */
 export interface ConfigurationIndex {
@@ -16,6 +17,7 @@
     readonly rulesByWorkspace: ReadonlyMap<WorkspaceId, readonly RuleObject[]>;
     readonly endpointsByPool: ReadonlyMap<PoolId, readonly EndpointObject[]>;
     readonly endpoints: readonly EndpointObject[];
+    readonly evacuatedDomains: ReadonlySet<FailureDomainId>;
     readonly pools: ReadonlyMap<PoolId, PoolObject>;
 }
 
@@ -39,6 +41,7 @@
         rulesByWorkspace: collectByKey(listObjects(configuration, "rule"), entry => entry.workspace),
         endpointsByPool: collectByKey(endpoints, entry => entry.pool),
         endpoints,
+        evacuatedDomains: listEvacuatedDomains(configuration),
         pools: new Map(listObjects(configuration, "pool").map(entry => [entry.name, entry])),
     };
 }
--- a/packages/host/src/startHost.ts
+++ b/packages/host/src/startHost.ts
@@ -8,6 +8,7 @@
 import { broadcastConfiguration } from "./configuration/commands/broadcastConfiguration.js";
 import { readHead, startConfigurationPoll } from "./configuration/commands/pollConfiguration.js";
 import { createConfigurationState } from "./configuration/model/configurationState.js";
+import { startEvacuationLog } from "./evacuation/commands/logEvacuations.js";
 import { startDemandExchange } from "./limits/commands/updateDemand.js";
 import { createWorkspaceLimits } from "./limits/model/workspaceLimits.js";
 import { createDataPath } from "./model/dataPath.js";
@@ -53,6 +54,7 @@
         inFlight: new Set(),
         draining: false,
     };
+    startEvacuationLog(context);
     const stopDataPath = startDataPath(context);
     const monitorTimers = startMonitoring(context);
     const peers = await startPeers(context);
--- a/packages/proofs/src/cluster/clusterNode.ts
+++ b/packages/proofs/src/cluster/clusterNode.ts
@@ -15,6 +15,7 @@
     type Freshness,
     type GossipState,
     isStartComplete,
+    listEvacuatedDomains,
     type LocalStops,
     mergeFacts,
     openQueue,
@@ -217,6 +218,7 @@
     }
     const decision = decideLending(
         object,
+        listEvacuatedDomains(node.configuration),
         node.stops,
         node.freshness,
         { withdrawn: node.withdrawn.get(endpoint) ?? false },
--- a/packages/protocol/src/operatorApi.ts
+++ b/packages/protocol/src/operatorApi.ts
@@ -54,6 +54,8 @@
     /** Revision that the ticket created, if it has been applied already. */
     readonly appliedAs: number | undefined;
     readonly changes: readonly PlannedChange[];
+    /** What the ticket leads to that may not be intended; it is applied all the same. */
+    readonly warnings: readonly OperatorFinding[];
 }
 
 /** Response of `POST /admin/tickets`. */
@@ -62,6 +64,8 @@
     readonly revision: number;
     readonly alreadyApplied: boolean;
     readonly changes: readonly { readonly key: string; readonly action: string; }[];
+    /** As in `PlanAnswer`; none if the ticket had been applied before. */
+    readonly warnings: readonly OperatorFinding[];
 }
 
 /** State of a host as known to the responding host. */
@@ -106,6 +110,39 @@
     }[];
 }
 
+/** Host on which the state of a failure domain is in force or not. */
+export interface DomainHostStatus {
+    readonly host: string;
+    readonly failureDomain: string;
+    readonly state: HostStatus["state"];
+    /** `undefined` if the responding host does not know. */
+    readonly inForce: boolean | undefined;
+}
+
+/** State of a failure domain that has endpoints, or that a ticket has named. */
+export interface DomainStatus {
+    readonly domain: string;
+    readonly state: "evacuated" | "in_service";
+    /** Ticket that last set the state; 0 if none did. */
+    readonly ticket: number;
+    /** Number of configured endpoints in the domain. */
+    readonly endpoints: number;
+    /** Empty if no ticket has named the domain. */
+    readonly hosts: readonly DomainHostStatus[];
+}
+
+/** Response of `GET /admin/domains`. */
+export interface DomainsAnswer {
+    /** `platform`: the newest state. `host`: what is in force on the responding host, as the platform does not respond. */
+    readonly source: "platform" | "host";
+    readonly revision: number;
+    /** Ticket number that is believed to be free; `undefined` if the platform does not respond. */
+    readonly nextTicket: number | undefined;
+    readonly domains: readonly DomainStatus[];
+    /** What may not be intended, such as an evacuated domain without endpoints. */
+    readonly warnings: readonly OperatorFinding[];
+}
+
 /** Response of `POST /admin/stops`. */
 export interface StopAnswer {
     readonly endpoint: string;
--- a/packages/settings/src/model/ticketSchema.ts
+++ b/packages/settings/src/model/ticketSchema.ts
@@ -79,6 +79,9 @@
     })).default([]),
 });
 
+/** Whether a failure domain takes new work. `in_service` returns an evacuated domain. */
+const domainSchema = z.strictObject({ name, replaces, state: z.enum(["evacuated", "in_service"]) });
+
 /**
  * TOML document of a change ticket: a set of configuration objects to create, replace or remove together. Each object
  * names the ticket that last changed it in `replaces`, so that concurrent changes are detected.
@@ -92,8 +95,9 @@
     rules: z.array(ruleSchema).default([]),
     models: z.array(modelSchema).default([]),
     services: z.array(serviceSchema).default([]),
+    domains: z.array(domainSchema).default([]),
     remove: z.array(z.strictObject({
-        kind: z.enum(["pool", "endpoint", "workspace", "rule", "model", "service"]),
+        kind: z.enum(["pool", "endpoint", "workspace", "rule", "model", "service", "domain"]),
         name,
         replaces: z.number().int().min(1),
     })).default([]),
--- a/packages/settings/src/queries/formatTicket.ts
+++ b/packages/settings/src/queries/formatTicket.ts
@@ -8,6 +8,7 @@
     rule: "rules",
     model: "models",
     service: "services",
+    domain: "domains",
 };
 
 /** Formats a ticket as TOML. `parseTicket` restores an equal ticket from it. */
--- a/packages/settings/src/queries/parseTicket.ts
+++ b/packages/settings/src/queries/parseTicket.ts
@@ -12,7 +12,7 @@
     return parsed.ok ? { ok: true, value: buildTicket(parsed.value) } : parsed;
 }
 
-type Section = "pools" | "endpoints" | "workspaces" | "rules" | "models" | "services";
+type Section = "pools" | "endpoints" | "workspaces" | "rules" | "models" | "services" | "domains";
 
 const objectKinds: Record<Section, ConfigurationObject["kind"]> = {
     pools: "pool",
@@ -21,6 +21,7 @@
     rules: "rule",
     models: "model",
     services: "service",
+    domains: "domain",
 };
 
 function buildTicket(document: TicketDocument): Ticket {
--- a/packages/settings/tests/findings.test.ts
+++ b/packages/settings/tests/findings.test.ts
@@ -87,6 +87,11 @@
                 + "  { name = \"b\", replaces = 0, owner = \"o\", serves = \"x\" },\n]",
             expectedPosition: ["pools[1].serves", 5],
         },
+        {
+            name: "failure domain with an unknown state",
+            text: "ticket = 1\nsummary = \"s\"\n[[domains]]\nname = \"a\"\nreplaces = 0\nstate = \"closed\"",
+            expectedPosition: ["domains[0].state", 6],
+        },
     ])("reports the line number in an $name", ({ text, expectedPosition }) => {
         const parsed = parseTicket(text, "t");
         expect(parsed.ok ? [] : parsed.findings.map(({ path, line }) => [path, line])).toEqual([expectedPosition]);
