Add the commands domain evacuate, return and status

Ruled out: a route that evacuates on the host, because a request delayed in a paused host would undo a later return; the host's own configuration as the state to start from, because a lagging host would report a domain as evacuated that has been returned. Change: `domain evacuate` and `domain return` read the newest state (GET /admin/domains), build a ticket that replaces it and apply it as `ticket apply` does; they report accepted, refused or unknown. `domain status` lists the domains and the hosts on which their state is not in force. `ticket plan` and `ticket apply` print warnings. sendToHost reports an unknown outcome, exit code 4, if a host that was sent the ticket did not respond and the next one cannot reach the platform; it was 3, "nothing was applied", which need not be true.

--- a/packages/cli/src/commands/runApplication.ts
+++ b/packages/cli/src/commands/runApplication.ts
@@ -1,11 +1,21 @@
 /** Command line definition: commands, arguments and help texts. */
 import { command, option, positional, restPositionals, runSafely, string, subcommands } from "cmd-ts";
-import { hosts, json, key, nonNegativeInteger, optionalNumber, settingsKind } from "../model/arguments.js";
+import {
+    hosts,
+    json,
+    key,
+    nonNegativeInteger,
+    optionalNumber,
+    optionalText,
+    settingsKind,
+} from "../model/arguments.js";
 import { exitCodes, type Report } from "../model/report.js";
 import { checkFiles } from "./checkFiles.js";
+import { describeDomains } from "./describeDomains.js";
 import { listHosts } from "./listHosts.js";
 import { reclaimEndpoint } from "./reclaimEndpoint.js";
 import { applyTicketFile, describeTicketStatus, listTickets, planTicketFile } from "./runTicketCommands.js";
+import { type SetDomainOptions, setDomainState } from "./setDomainState.js";
 import { traceFiles } from "./traceFiles.js";
 
 const DEFAULT_WAIT_SECONDS = 16;
@@ -14,6 +24,12 @@
 
 const hostOptions = { hosts, key, json };
 const file = positional({ type: string, displayName: "file", description: "ticket in TOML" });
+const waitSeconds = option({
+    long: "wait-seconds",
+    type: nonNegativeInteger,
+    defaultValue: () => DEFAULT_WAIT_SECONDS,
+    description: "longest wait until the ticket is in force on all live hosts; 0 does not wait",
+});
 const files = restPositionals({ type: string, displayName: "file", description: "files in TOML" });
 
 /** Prints a report and sets the exit code of the process. */
@@ -42,12 +58,7 @@
         args: {
             ...hostOptions,
             file,
-            waitSeconds: option({
-                long: "wait-seconds",
-                type: nonNegativeInteger,
-                defaultValue: () => DEFAULT_WAIT_SECONDS,
-                description: "longest wait until the ticket is in force on all live hosts; 0 does not wait",
-            }),
+            waitSeconds,
         },
         handler: async args => printReport(await applyTicketFile(args, args.file), args),
     }),
@@ -89,6 +100,40 @@
     handler: async args => printReport(await reclaimEndpoint(args), args),
 });
 
+/** Creates the command that sets the state of a failure domain. */
+const createDomainCommand = (name: string, state: SetDomainOptions["state"], description: string) =>
+    command({
+        name,
+        description: `${description} Reports accepted, refused or unknown; repeating it is harmless. ${EXIT_CODES}`,
+        args: {
+            ...hostOptions,
+            domain: positional({ type: string, displayName: "name" }),
+            reason: option({ long: "reason", type: optionalText, description: "kept in the ticket's summary" }),
+            ticket: option({
+                long: "ticket",
+                type: optionalNumber,
+                description: "number for the ticket; the next free one by default",
+            }),
+            waitSeconds,
+        },
+        handler: async args => printReport(await setDomainState({ ...args, state }), args),
+    });
+
+const domainCommands = {
+    evacuate: createDomainCommand(
+        "evacuate",
+        "evacuated",
+        "Send no new work to the endpoints of a failure domain, by a ticket. Work in progress finishes there.",
+    ),
+    return: createDomainCommand("return", "in_service", "Return an evacuated failure domain to service, by a ticket."),
+    status: command({
+        name: "status",
+        description: "Show the state of the failure domains, and the hosts on which it is not in force.",
+        args: hostOptions,
+        handler: async args => printReport(await describeDomains(args), args),
+    }),
+};
+
 const application = subcommands({
     name: "currantrill",
     description: `Operate a currantrill deployment. ${EXIT_CODES}`,
@@ -120,6 +165,11 @@
             },
             handler: args => printReport(traceFiles(args.request, args.files), args),
         }),
+        domain: subcommands({
+            name: "domain",
+            description: "Evacuate failure domains and return them to service.",
+            cmds: domainCommands,
+        }),
         endpoint: subcommands({ name: "endpoint", description: "Borrowed endpoints.", cmds: { reclaim } }),
         hosts: command({
             name: "hosts",
--- a/packages/cli/src/commands/runTicketCommands.ts
+++ b/packages/cli/src/commands/runTicketCommands.ts
@@ -1,4 +1,5 @@
 /** Commands that apply tickets through a host or query their state. */
+import { type Finding, formatFinding } from "@currantrill/core";
 import type { ApplyAnswer, PlanAnswer, TicketHistory, TicketStatus } from "@currantrill/protocol";
 import { exitCodes, type Report } from "../model/report.js";
 import { formatTable } from "../queries/formatTable.js";
@@ -24,7 +25,7 @@
     return result.ok ? createReport(result.answer, formatPlan(result.answer)) : result.report;
 }
 
-function formatPlan({ ticket, base, appliedAs, changes }: PlanAnswer): string {
+function formatPlan({ ticket, base, appliedAs, changes, warnings }: PlanAnswer): string {
     if (appliedAs !== undefined) {
         return `ticket ${ticket} has been applied as revision ${appliedAs}; applying it again changes nothing`;
     }
@@ -34,9 +35,14 @@
     return [
         `ticket ${ticket} on revision ${base}: ${changes.length} objects change`,
         formatTable(["ACTION", "OBJECT", "FIELD", "IN FORCE", "AFTER"], rows),
+        ...formatWarnings(warnings),
     ].join("\n");
 }
 
+/** Formats findings that refuse nothing. Hosts of earlier builds send none. */
+export const formatWarnings = (warnings: readonly Finding[] = []): string[] =>
+    warnings.map(finding => `warning: ${formatFinding(finding)}`);
+
 export interface ApplyOptions extends HostOptions {
     /** Maximum time to wait until the ticket is active on all live hosts; 0 does not wait. */
     readonly waitSeconds: number;
@@ -54,16 +60,18 @@
     if (!result.ok) {
         return result.report;
     }
-    const { ticket, revision, alreadyApplied } = result.answer;
+    const { ticket, revision, alreadyApplied, warnings } = result.answer;
     const status = options.waitSeconds > 0 ? await waitUntilInForce(options, ticket) : undefined;
     const lines = [
         `ticket ${ticket} ${alreadyApplied ? "was already applied" : "applied"} as revision ${revision}`,
         ...(status === undefined ? [] : [formatInForce(status)]),
+        ...formatWarnings(warnings),
     ];
     return createReport({ ...result.answer, ...(status === undefined ? {} : { status }) }, lines.join("\n"));
 }
 
-async function waitUntilInForce(options: ApplyOptions, ticket: number): Promise<TicketStatus | undefined> {
+/** Waits until a ticket is active on all live hosts. Resolves with its last status; `undefined` if none was received. */
+export async function waitUntilInForce(options: ApplyOptions, ticket: number): Promise<TicketStatus | undefined> {
     const deadlineMs = performance.now() + options.waitSeconds * MS_PER_SECOND;
     let status: TicketStatus | undefined;
     do {
@@ -78,7 +86,7 @@
     return status;
 }
 
-function formatInForce({ hosts }: TicketStatus): string {
+export function formatInForce({ hosts }: TicketStatus): string {
     const live = hosts.filter(host => host.state === "live");
     return `in force on ${live.filter(host => host.inForce).length} of ${live.length} live hosts`;
 }
--- a/packages/cli/src/commands/sendToHost.ts
+++ b/packages/cli/src/commands/sendToHost.ts
@@ -41,7 +41,12 @@
     let mayHaveTakenEffect = false;
     for (const host of options.hosts) {
         try {
-            return parseResponse<T>(await sendOnce(host, options.key, request));
+            const result = parseResponse<T>(await sendOnce(host, options.key, request));
+            if (result.ok || !mayHaveTakenEffect || result.report.exitCode !== exitCodes.unreachable) {
+                return result;
+            }
+            // This host could not find out whether the request to an earlier one has taken effect.
+            failures.push(`${host}: ${result.report.text}`);
         }
         catch (error) {
             failures.push(`${host}: ${describeError(error)}`);
--- a/packages/cli/src/model/arguments.ts
+++ b/packages/cli/src/model/arguments.ts
@@ -53,3 +53,4 @@
 };
 
 export const optionalNumber = optional(nonNegativeInteger);
+export const optionalText = optional(string);
--- a/packages/cli/tests/commands.test.ts
+++ b/packages/cli/tests/commands.test.ts
@@ -1,5 +1,5 @@
 import { type RunningServer, sendJson, serveHttp } from "@currantrill/http";
-import { toTicketNumber } from "@currantrill/protocol";
+import { toFailureDomainId, toTicketNumber } from "@currantrill/protocol";
 import { formatTicket, parseTicket } from "@currantrill/settings";
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
@@ -85,6 +85,10 @@
         const ticket = parsed.ok ? parsed.value : undefined;
         expect(parseTicket(formatTicket(ticket!), name)).toEqual({ ok: true, value: ticket });
     }
+    const domain = { kind: "domain", name: toFailureDomainId("a"), state: "evacuated" } as const;
+    const objects = [{ replaces: toTicketNumber(1), body: domain }];
+    const evacuation = { number: toTicketNumber(2), summary: "s", objects, removals: [] };
+    expect(parseTicket(formatTicket(evacuation), "t")).toEqual({ ok: true, value: evacuation });
     const removal = { kind: "pool", name: "p", replaces: toTicketNumber(1) } as const;
     const ticket = { number: toTicketNumber(2), summary: "s", objects: [], removals: [removal] };
     expect(parseTicket(formatTicket(ticket), "t")).toEqual({ ok: true, value: ticket });
