--- a/features/steps/systemWorld.ts
+++ b/features/steps/systemWorld.ts
@@ -9,6 +9,12 @@
 const STEP_TIMEOUT_MS = 60_000;
 const POLL_MS = 50;
 
+/** Result of a run of `currantrill`. */
+export interface CommandResult {
+    readonly exitCode: number | null;
+    readonly output: string;
+}
+
 /** State of one scenario. */
 export class SystemWorld extends World {
     system: RunningSystem | undefined;
@@ -18,6 +24,8 @@
     readonly calls = new Map<string, Promise<JsonResponse>>();
     /** Responses to the tickets that the scenario sent. */
     tickets: TicketResponse[] = [];
+    /** Exit code and output of the last command of an operator. */
+    command: CommandResult | undefined;
     /** Exits of the hosts that the scenario stopped gracefully. */
     exits: HostExit[] = [];
     /** Starts of prompts at the time that the scenario recorded them. */
