State how a recorded call is refused when no domain is left

Cause: docs/operators.md said no_endpoint for every request; a new assertion showed that a call that must not be repeated gets endpoint_unreachable, as docs/api.md says for services without a usable endpoint. Ruled out: another code for this case: the outcome not_run is accurate, and the code is the documented one for every cause.

--- a/packages/host/tests/system/evacuation.test.ts
+++ b/packages/host/tests/system/evacuation.test.ts
@@ -76,6 +76,12 @@
         await start({ decodeTokensPerSecond: 100 });
         await setDomain("a", 0, "evacuated");
         expect((await callService()).body).toMatchObject({ error: { code: "no_endpoint", outcome: "not_run" } });
+        const recorded = await requestJson(`${system.hosts[0]!.url}/services/orders/dispatch`, {
+            method: "POST",
+            headers: { ...callerHeaders, "idempotency-key": "k" },
+            body: {},
+        });
+        expect(recorded.body).toMatchObject({ error: { code: "endpoint_unreachable", outcome: "not_run" } });
         // The gang fits in both domains together only.
         const gang = await complete({ prompt_tokens: PROMPT_LARGER_THAN_AN_ENGINE });
         expect(gang.body).toMatchObject({ error: { code: "no_endpoint", outcome: "not_run" } });
