Keep requests to cold endpoints within their rate, over all hosts

Cause: an endpoint that has just started crashes at a rate well above the one that its service names. Nothing in a host read `cold_start_s`, `cold_per_s`, `cold_remaining_ms` or `Cold-Milliseconds`, so that all hosts sent at full rate.

Change: `packages/forwarding/src/warmup` knows which endpoints are cold (row, response, process start, return of a failure domain). Permits take the lower of the named limit and the cold rate. A host grants for a cold endpoint only after 2.5 s as the first of its domain, the part of the rate that its visible hosts are of the known ones, and nothing below a quarter. Otherwise each host sends in time slots of its own. Permits of cold endpoints expire before the first byte. After a refused permit, warm endpoints are preferred. An empty first copy of a table is reported, since what appears after it is new.

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -13,6 +13,7 @@
 import type { PeerHeader } from "../peers/model/peerState.js";
 import { type Permits, startPermits } from "../permits/commands/startPermits.js";
 import type { SharedTable } from "../replicas/model/sharedTable.js";
+import { adoptNotice } from "../warmup/commands/recordNotice.js";
 import { createServerGuard } from "./createServerGuard.js";
 
 export interface FleetConnection {
@@ -53,7 +54,8 @@
         getSettledQuery: () => coordination.getSettledQuery(),
     });
     const { directory } = context;
-    const permits = startPermits({ directory, socket, fleet: peers.fleet, metrics, address });
+    const hasSeeds = context.settings.seeds.some(seed => seed !== address);
+    const permits = startPermits({ directory, socket, fleet: peers.fleet, metrics, address, hasSeeds });
     const coordination = startCoordination({ context, socket, fleet: peers.fleet, address });
     return {
         peers,
@@ -62,6 +64,7 @@
         close: async () => {
             peers.close();
             coordination.close();
+            permits.close();
             socket.close();
             await synchronization.close();
         },
@@ -94,7 +97,7 @@
         for (const notice of notices) {
             const endpoint = directory.get(notice.endpointId);
             if (endpoint?.entry.processStartedAtMs === notice.processStartedAtMs) {
-                endpoint.notices.adopt(notice, now);
+                adoptNotice(endpoint, notice, now);
             }
         }
     };
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -1,7 +1,7 @@
 /** Composes and starts a forwarding host. */
 import { createByteBudget } from "@currantrill/http";
 import { createAddressBinder, type ProcessReport, startProcessReport } from "@currantrill/lifecycle";
-import { toFailureDomainId } from "@currantrill/protocol";
+import { readClocks, toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { createConfigurationManager } from "../configuration/model/configurationManager.js";
@@ -20,6 +20,7 @@
 import type { SharedTable } from "../replicas/model/sharedTable.js";
 import { createRouteDurations } from "../requests/model/routeDurations.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
+import { createWarmup } from "../warmup/commands/createWarmup.js";
 import { connectFleet } from "./connectFleet.js";
 import { drainForwarding } from "./drainForwarding.js";
 import { serveForwarding } from "./serveForwarding.js";
@@ -68,6 +69,7 @@
         onChange: index => {
             metrics.configurationVersion.set(index.configuration.version);
             servers.applyLimits(index.configuration.limits);
+            context.warmup.reportInvalid(index.configuration);
         },
     });
     let isConnected = false;
@@ -78,6 +80,7 @@
         log,
         onConnect: () => metrics.connections.inc(),
         onNotice: source => peers.announceNotice(source),
+        getColdPolicy: service => configuration.get()?.services.get(service)?.cold,
     });
     const quarantine = startHostQuarantine(options, {
         metrics,
@@ -93,6 +96,7 @@
         callers: options.callers,
         protocol: options.protocol,
         directory,
+        warmup: createWarmup({ log, listEndpoints: directory.listAll }),
         assignmentRegistry: registry,
         peerObservations: createEndpointObservationTable(),
         isSmallFleet: () => peers.fleet.isSmallFleet(),
@@ -238,6 +242,7 @@
     context.metrics.peers.set(hostCount - 1);
     context.metrics.endpoints.set({ state: "silent" }, all.filter(endpoint => endpoint.health.isUnresponsive).length);
     context.metrics.endpoints.set({ state: "draining" }, all.filter(endpoint => endpoint.entry.isDraining).length);
+    context.metrics.endpoints.set({ state: "cold" }, context.warmup.countCold(readClocks()));
     context.metrics.endpoints.set({ state: "known" }, all.length);
 }
 
--- a/packages/forwarding/src/configuration/model/servingConfiguration.ts
+++ b/packages/forwarding/src/configuration/model/servingConfiguration.ts
@@ -66,11 +66,23 @@
     readonly meanAnswerTokens: number;
 }
 
+/** Rate that an endpoint tolerates while it is cold. */
+export interface ColdPolicy {
+    /** Time for which an endpoint is cold after its process has started, in milliseconds. */
+    readonly durationMs: number;
+    /** Requests a second from all hosts together. */
+    readonly requestsPerSecond: number;
+}
+
 /** A service, and the engine that its endpoints run. */
 export interface ServiceDefinition {
     readonly name: ServiceId;
     /** Absent for a service whose endpoints are not model engines. */
     readonly engine?: EngineProfile;
+    /** Absent for a service whose endpoints are never cold. */
+    readonly cold?: ColdPolicy;
+    /** Names and values of cold settings that are not valid, and are ignored. */
+    readonly invalidCold?: readonly string[];
 }
 
 /** Limits on the connections and requests of callers. */
@@ -113,4 +125,8 @@
     readonly slots: number;
     /** Start of the endpoint's process, in Unix milliseconds. A restarted endpoint has lost all earlier state. */
     readonly processStartedAtMs: number;
+    /** Time for which the endpoint is still cold, in milliseconds; absent if the row does not say so. */
+    readonly coldRemainingMs?: number;
+    /** Value of a cold time that is not valid. */
+    readonly invalidCold?: string;
 }
--- a/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/probeEndpoint.ts
@@ -1,5 +1,6 @@
 import { readClocks } from "@currantrill/protocol";
 import type { EndpointProtocol, EndpointReport } from "../../ports/endpointProtocol.js";
+import { recordNotice } from "../../warmup/commands/recordNotice.js";
 import type { Endpoint } from "../model/endpointDirectory.js";
 import { requestEndpoint } from "./requestEndpoint.js";
 import { isLackOfResources } from "./sendAttempt.js";
@@ -20,7 +21,7 @@
         const reply = await requestEndpoint(endpoint.pool, protocol.buildReport(), {
             timeoutMs: PROBE_TIMEOUT_MS,
             protocol,
-            onNotice: notice => endpoint.notices.record(notice, "report", readClocks()),
+            onNotice: notice => recordNotice(endpoint, notice, "report", readClocks()),
         });
         return protocol.parseReport(reply.body);
     }
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -1,14 +1,16 @@
 /** Directory of the endpoints known from the platform's endpoint table, with their connection pools and health. */
 import { type FailureDomainId, readClocks, type ServiceId } from "@currantrill/protocol";
 import type Logger from "bunyan";
-import type { EndpointEntry } from "../../configuration/model/servingConfiguration.js";
+import type { ColdPolicy, EndpointEntry } from "../../configuration/model/servingConfiguration.js";
 import { createEndpointNotices, type EndpointNotices, type NoticeSource } from "../../notices/model/endpointNotices.js";
 import type { PlatformRows } from "../../ports/platformRows.js";
 import type { TableRow } from "../../ports/tableSource.js";
+import { createEndpointWarmth, type EndpointWarmth } from "../../warmup/model/endpointWarmth.js";
+import { createWarmupLog, type WarmupLog } from "../../warmup/model/warmupLog.js";
 import { type ConnectionPool, createConnectionPool } from "./connectionPool.js";
 import { createEndpointHealth, type EndpointHealth } from "./endpointHealth.js";
 import { createExpirations } from "./expirations.js";
-import { createFormerEndpoints, isSameProcess } from "./formerEndpoints.js";
+import { createFormerEndpoints, type FormerEndpoint, isSameProcess } from "./formerEndpoints.js";
 
 /** One endpoint process. A restart under the same id is a new `Endpoint`. */
 export interface Endpoint {
@@ -18,6 +20,7 @@
     readonly bias: number;
     health: EndpointHealth;
     readonly notices: EndpointNotices;
+    readonly warmth: EndpointWarmth;
 }
 
 export interface EndpointDirectory {
@@ -46,12 +49,17 @@
     readonly onConnect: () => void;
     /** Called when a notice of an endpoint changes. */
     readonly onNotice: (source: NoticeSource) => void;
+    /** Returns how cold endpoints of a service are treated; without it none is cold. */
+    readonly getColdPolicy?: (service: ServiceId) => ColdPolicy | undefined;
 }
 
 export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
-    const { rows, log, onConnect, onNotice } = options;
+    const { rows, log } = options;
     const endpoints = new Map<string, Endpoint>();
     const formerEndpoints = createFormerEndpoints();
+    const warmupLog = createWarmupLog(log);
+    /** To a host that has just started every process is new. */
+    let hasFirstSnapshot = false;
 
     const removeEndpoint = (id: string, reason: string): void => {
         const endpoint = endpoints.get(id);
@@ -76,17 +84,14 @@
                 log.info({ endpoint: entry.id, isDraining }, "endpoints: state changed");
             }
             existing.entry = { ...entry, isDraining };
+            existing.warmth.recordRow(entry, performance.now());
             return;
         }
         existing?.pool.close();
         const former = formerEndpoints.take(entry);
-        endpoints.set(entry.id, {
-            entry: { ...entry, isDraining: former?.entry.isDraining === true || entry.isDraining },
-            pool: createConnectionPool(entry.address, onConnect),
-            bias: Math.random(),
-            health: createEndpointHealth(performance.now()),
-            notices: former?.notices ?? createEndpointNotices({ endpointId: entry.id, log, onChange: onNotice }),
-        });
+        const endpoint = createEndpoint(options, entry, former, { hasJustStarted: hasFirstSnapshot, warmupLog });
+        endpoint.warmth.recordRow(entry, performance.now());
+        endpoints.set(entry.id, endpoint);
         const isKnown = former !== undefined;
         log.info({ endpoint: entry.id, service: entry.service, address: entry.address, isKnown }, "endpoints: added");
     };
@@ -115,7 +120,10 @@
         findByAddress: address => [...endpoints.values()].find(({ entry }) => entry.address === address),
         listReady: service => [...endpoints.values()].filter(createReadyFilter(service)),
         listAll: () => [...endpoints.values()],
-        applyRows: (changed, afterOutage) => changed.forEach(row => applyRow(row, afterOutage)),
+        applyRows: (changed, afterOutage) => {
+            changed.forEach(row => applyRow(row, afterOutage));
+            hasFirstSnapshot = true;
+        },
         markMisdirected: endpoint => {
             if (endpoints.get(endpoint.entry.id) === endpoint) {
                 removeEndpoint(endpoint.entry.id, "address belongs to another endpoint");
@@ -128,6 +136,37 @@
     };
 }
 
+interface NewProcess {
+    /** Whether the process has started while this host followed the table. */
+    readonly hasJustStarted: boolean;
+    readonly warmupLog: WarmupLog;
+}
+
+/** Creates the endpoint of an entry. If its process was known before, what it has said still holds. */
+function createEndpoint(
+    { log, onConnect, onNotice, getColdPolicy }: EndpointDirectoryOptions,
+    entry: EndpointEntry,
+    former: FormerEndpoint | undefined,
+    { hasJustStarted, warmupLog }: NewProcess,
+): Endpoint {
+    const nowMs = performance.now();
+    return {
+        entry: { ...entry, isDraining: former?.entry.isDraining === true || entry.isDraining },
+        pool: createConnectionPool(entry.address, onConnect),
+        bias: Math.random(),
+        health: createEndpointHealth(nowMs),
+        notices: former?.notices ?? createEndpointNotices({ endpointId: entry.id, log, onChange: onNotice }),
+        warmth: former?.warmth ?? createEndpointWarmth({
+            endpointId: entry.id,
+            hasJustStarted: hasJustStarted && entry.coldRemainingMs !== 0,
+            nowMs,
+            getPolicy: () => getColdPolicy?.(entry.service),
+            log: warmupLog,
+            onChange: onNotice,
+        }),
+    };
+}
+
 /** Creates a filter of the endpoints of a service that are not draining now. */
 function createReadyFilter(service: ServiceId): (endpoint: Endpoint) => boolean {
     const now = readClocks();
--- a/packages/forwarding/src/endpoints/model/formerEndpoints.ts
+++ b/packages/forwarding/src/endpoints/model/formerEndpoints.ts
@@ -1,11 +1,13 @@
 import { type Clocks, measureElapsed, readClocks } from "@currantrill/protocol";
 import type { EndpointEntry } from "../../configuration/model/servingConfiguration.js";
 import { type EndpointNotices, LEAVING_VALID_MS } from "../../notices/model/endpointNotices.js";
+import type { EndpointWarmth } from "../../warmup/model/endpointWarmth.js";
 
 /** What this host knows of an endpoint whose entry has been removed. */
 export interface FormerEndpoint {
     readonly entry: EndpointEntry;
     readonly notices: EndpointNotices;
+    readonly warmth: EndpointWarmth;
 }
 
 /** Endpoints without an entry. A store that is restored from an older copy has the entries of such endpoints again. */
@@ -23,9 +25,9 @@
 export function createFormerEndpoints(): FormerEndpoints {
     const former = new Map<string, FormerEndpoint & { readonly removedAt: Clocks; }>();
     return {
-        add: ({ entry, notices }) => {
+        add: ({ entry, notices, warmth }) => {
             former.delete(entry.id);
-            former.set(entry.id, { entry, notices, removedAt: readClocks() });
+            former.set(entry.id, { entry, notices, warmth, removedAt: readClocks() });
             const [oldest] = former.keys();
             if (former.size > MAX_FORMER_ENDPOINTS && oldest !== undefined) {
                 former.delete(oldest);
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -14,6 +14,7 @@
 import type { Exchange } from "../requests/model/exchange.js";
 import type { RouteDurations } from "../requests/model/routeDurations.js";
 import type { SharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
+import type { Warmup } from "../warmup/commands/createWarmup.js";
 import type { ForwardingMetrics } from "./forwardingMetrics.js";
 import type { Shutdown } from "./shutdown.js";
 
@@ -25,6 +26,8 @@
     readonly callers: CallerProtocol;
     readonly protocol: EndpointProtocol;
     readonly directory: EndpointDirectory;
+    /** Endpoints that are cold. */
+    readonly warmup: Warmup;
     readonly assignmentRegistry: AssignmentRegistry;
     /** Endpoint observations that peers have announced. */
     readonly peerObservations: EndpointObservationTable;
--- a/packages/forwarding/src/permits/commands/startPermits.ts
+++ b/packages/forwarding/src/permits/commands/startPermits.ts
@@ -1,19 +1,20 @@
 /**
- * Permits for requests to endpoints that name a rate limit. For each endpoint one host grants them: the first
+ * Permits for requests to endpoints that name a rate limit or are cold. For each endpoint one host grants them: the first
  * coordinator of its failure domain, which all hosts that know of the same peers agree on.
  */
-import { type FailureDomainId, readClocks, type ServiceId } from "@currantrill/protocol";
-import type { Endpoint, EndpointDirectory } from "../../endpoints/model/endpointDirectory.js";
+import { type Clocks, readClocks, type ServiceId } from "@currantrill/protocol";
+import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingMetrics } from "../../model/forwardingMetrics.js";
 import type { PeerSocket } from "../../peers/commands/openPeerSocket.js";
 import type { FleetView } from "../../peers/model/fleetView.js";
-import { createPermitLedger } from "../model/permitLedger.js";
+import { COLD_CHECK_MS } from "../../warmup/commands/createColdGranting.js";
+import { getEffectiveLimit } from "../../warmup/queries/getEffectiveLimit.js";
 import { createTokenBucket, estimateWaitMs, type TokenBucket } from "../model/tokenBucket.js";
 import { decodePermitQuery, encodePermitAnswer, type PermitNeed } from "../queries/permitCodec.js";
+import { createGranting, type GrantingOptions } from "./createGranting.js";
 import { createPermitClient } from "./createPermitClient.js";
 
-/** Validity of the known host that grants permits: ranking the hosts of a domain takes a time that grows with it. */
-const GRANTER_VALID_MS = 50;
+const MS_PER_SECOND = 1_000;
 
 /** What a request needs permits for. */
 export interface PermitRequest {
@@ -40,37 +41,26 @@
      * have no permit or want none; otherwise `undefined`.
      */
     readonly getWaitMs: (service: ServiceId, permitsLeft: number) => number | undefined;
+    readonly close: () => void;
 }
 
-export interface PermitsOptions {
-    readonly directory: EndpointDirectory;
+export interface PermitsOptions extends GrantingOptions {
     readonly socket: PeerSocket;
-    readonly fleet: FleetView;
+    readonly fleet: GrantingOptions["fleet"] & Pick<FleetView, "countHosts">;
     readonly metrics: Pick<ForwardingMetrics, "permits">;
-    /** Address of this host. */
-    readonly address: string;
 }
 
 /** Starts to grant permits to peers. */
-export function startPermits({ directory, socket, fleet, metrics, address }: PermitsOptions): Permits {
-    const ledger = createPermitLedger();
+export function startPermits(options: PermitsOptions): Permits {
+    const { directory, socket, fleet, metrics, address } = options;
     /** What the hosts that grant permits have answered last. */
     const knownLevels = new WeakMap<Endpoint, TokenBucket>();
+    const granting = createGranting(options);
+    const { findGranter, isGranter, cold } = granting;
+    const client = createPermitClient({ socket, fleet, metrics, address, grant: granting.grant, cold });
 
-    const listNeeds = ({ endpoints, permitsLeft }: PermitRequest): readonly LimitedEndpoint[] => {
-        const now = readClocks();
-        return endpoints.flatMap(endpoint => {
-            const requestsPerSecond = endpoint.notices.getRateLimit(now);
-            return requestsPerSecond === undefined
-                ? []
-                : [{ endpoint, need: { endpointId: endpoint.entry.id, requestsPerSecond, permitsLeft } }];
-        });
-    };
-    const findGranter = createGranterFinder(fleet, address, directory.localFailureDomain);
-    const isGranter = (endpoint: Endpoint): boolean => findGranter(endpoint) === address;
-    const askGranter = createPermitClient({ socket, fleet, metrics, address, ledger });
     const acquireFrom = async (granter: string, limited: readonly LimitedEndpoint[]): Promise<boolean> => {
-        const { isGranted, levels } = await askGranter(granter, limited.map(({ need }) => need));
+        const { isGranted, levels } = await client.ask(granter, limited.map(({ need }) => need));
         metrics.permits.inc({ outcome: isGranted ? "granted" : "denied" }, limited.length);
         const nowMs = performance.now();
         for (const [id, level] of levels) {
@@ -81,17 +71,19 @@
         }
         return isGranted;
     };
+    const getNeedWaitMs = (endpoint: Endpoint, need: PermitNeed): number => {
+        const { requestsPerSecond, permitsLeft } = need;
+        const mayAsk = !need.isCold || !client.usesColdShares(findGranter(endpoint));
+        const level = knownLevels.get(endpoint)?.getLevel(requestsPerSecond, performance.now()) ?? Infinity;
+        return (isGranter(endpoint)
+            ? granting.getWaitMs(need)
+            : mayAsk
+            ? estimateWaitMs(level, requestsPerSecond, permitsLeft)
+            : undefined) ?? (cold.canTakeShares([need]) ? 0 : MS_PER_SECOND / requestsPerSecond);
+    };
     const getEndpointWaitMs = (endpoint: Endpoint, permitsLeft: number): number => {
         const [limited] = listNeeds({ endpoints: [endpoint], permitsLeft });
-        if (limited === undefined) {
-            return 0;
-        }
-        const nowMs = performance.now();
-        const { need, need: { requestsPerSecond } } = limited;
-        const level = isGranter(endpoint)
-            ? ledger.getLevel(need, nowMs)
-            : knownLevels.get(endpoint)?.getLevel(requestsPerSecond, nowMs) ?? Infinity;
-        return estimateWaitMs(level, requestsPerSecond, permitsLeft);
+        return limited === undefined ? 0 : getNeedWaitMs(endpoint, limited.need);
     };
 
     socket.setHandler("permitQuery", fields => {
@@ -99,13 +91,11 @@
         const endpoints = needs.map(({ endpointId }) => directory.get(endpointId));
         const isOwn = endpoints.every(endpoint => endpoint !== undefined && isGranter(endpoint));
         const now = readClocks();
-        const currentNeeds = needs.map((need, index) => ({
-            ...need,
-            requestsPerSecond: endpoints[index]?.notices.getRateLimit(now) ?? need.requestsPerSecond,
-        }));
-        const answer = isOwn ? ledger.grant(currentNeeds, performance.now()) : undefined;
-        socket.send(encodePermitAnswer(id, answer), [from]);
+        const currentNeeds = needs.map((need, index) => mergeNeed(need, endpoints[index], now));
+        socket.send(encodePermitAnswer(id, isOwn ? granting.grant(currentNeeds) : undefined), [from]);
     });
+    cold.check();
+    const checkTimer = setInterval(cold.check, COLD_CHECK_MS);
     return {
         hasRoom: (endpoint, permitsLeft) => getEndpointWaitMs(endpoint, permitsLeft) === 0,
         acquire: async request => {
@@ -121,7 +111,7 @@
         grant: request => {
             const limited = listNeeds(request);
             return limited.every(({ endpoint }) => isGranter(endpoint))
-                && ledger.grant(limited.map(({ need }) => need), performance.now()).isGranted;
+                && granting.grant(limited.map(({ need }) => need))?.isGranted === true;
         },
         getWaitMs: (service, permitsLeft) => {
             const now = readClocks();
@@ -130,6 +120,7 @@
             );
             return waitsMs.length > 0 && waitsMs.every(waitMs => waitMs > 0) ? Math.min(...waitsMs) : undefined;
         },
+        close: () => clearInterval(checkTimer),
     };
 }
 
@@ -139,23 +130,28 @@
     readonly need: PermitNeed;
 }
 
-/** Creates the function that finds the host which grants the permits of an endpoint. Its results are kept for a time. */
-function createGranterFinder(
-    fleet: FleetView,
-    address: string,
-    localDomain: FailureDomainId,
-): (endpoint: Endpoint) => string {
-    const granters = new Map<FailureDomainId, { readonly granter: string; readonly untilMs: number; }>();
-    return ({ entry: { failureDomain } }) => {
-        const nowMs = performance.now();
-        const known = granters.get(failureDomain);
-        if (known !== undefined && known.untilMs > nowMs) {
-            return known.granter;
+function listNeeds({ endpoints, permitsLeft }: PermitRequest): readonly LimitedEndpoint[] {
+    const now = readClocks();
+    return endpoints.flatMap(endpoint => {
+        const limit = getEffectiveLimit(endpoint, now);
+        if (limit === undefined) {
+            return [];
         }
-        // For a domain without a live host, the coordinator with the lowest address grants them.
-        const others = [...fleet.listRemoteCoordinators(), ...fleet.listCoordinators(localDomain)];
-        const granter = fleet.listCoordinators(failureDomain)[0] ?? others.sort()[0] ?? address;
-        granters.set(failureDomain, { granter, untilMs: nowMs + GRANTER_VALID_MS });
-        return granter;
-    };
+        // The bucket of a cold endpoint is too small to leave a permit.
+        const need = { endpointId: endpoint.entry.id, ...limit, permitsLeft: limit.isCold ? 0 : permitsLeft };
+        return [{ endpoint, need }];
+    });
+}
+
+/** Merges a need with what this host knows. If either of the two holds the endpoint for cold, the lower rate counts. */
+function mergeNeed(need: PermitNeed, endpoint: Endpoint | undefined, now: Clocks): PermitNeed {
+    const known = endpoint === undefined ? undefined : getEffectiveLimit(endpoint, now);
+    if (known === undefined) {
+        return need;
+    }
+    const isCold = need.isCold || known.isCold;
+    const requestsPerSecond = isCold
+        ? Math.min(need.requestsPerSecond, known.requestsPerSecond)
+        : known.requestsPerSecond;
+    return { ...need, requestsPerSecond, isCold, permitsLeft: isCold ? 0 : need.permitsLeft };
 }
--- a/packages/forwarding/src/permits/model/tokenBucket.ts
+++ b/packages/forwarding/src/permits/model/tokenBucket.ts
@@ -1,9 +1,9 @@
 /** Token bucket that spreads requests evenly at a rate which may change. Times are those of the monotonic clock. */
 export interface TokenBucket {
     /** Takes a token. The caller has checked that there is one. */
-    readonly take: (requestsPerSecond: number, nowMs: number) => void;
-    /** Returns the number of tokens, which can be a fraction. */
-    readonly getLevel: (requestsPerSecond: number, nowMs: number) => number;
+    readonly take: (requestsPerSecond: number, nowMs: number, capacity?: number) => void;
+    /** Returns the number of tokens, which can be a fraction. `capacity` defaults to that of a limit that lasts. */
+    readonly getLevel: (requestsPerSecond: number, nowMs: number, capacity?: number) => number;
 }
 
 /** Tokens that are kept at least, so that one can be left for a request that needs it more than others. */
@@ -19,16 +19,20 @@
 export function createTokenBucket(nowMs: number, initialTokens = 1): TokenBucket {
     let tokens = initialTokens;
     let updatedAtMs = nowMs;
-    const getLevel = (requestsPerSecond: number, atMs: number): number => {
+    const getLevel = (
+        requestsPerSecond: number,
+        atMs: number,
+        capacity = Math.max(MIN_CAPACITY, requestsPerSecond * BURST_SECONDS),
+    ): number => {
         const accrued = requestsPerSecond * Math.max(0, atMs - updatedAtMs) / MS_PER_SECOND;
-        tokens = Math.min(Math.max(MIN_CAPACITY, requestsPerSecond * BURST_SECONDS), tokens + accrued);
+        tokens = Math.min(capacity, tokens + accrued);
         updatedAtMs = Math.max(updatedAtMs, atMs);
         return tokens;
     };
     return {
         getLevel,
-        take: (requestsPerSecond, atMs) => {
-            tokens = getLevel(requestsPerSecond, atMs) - 1;
+        take: (requestsPerSecond, atMs, capacity) => {
+            tokens = getLevel(requestsPerSecond, atMs, capacity) - 1;
         },
     };
 }
--- a/packages/forwarding/src/permits/queries/permitCodec.ts
+++ b/packages/forwarding/src/permits/queries/permitCodec.ts
@@ -7,6 +7,8 @@
     readonly requestsPerSecond: number;
     /** Number of permits that have to be left for others. */
     readonly permitsLeft: number;
+    /** Whether the endpoint is cold, as far as the host knows. */
+    readonly isCold: boolean;
 }
 
 export interface PermitQuery {
@@ -29,14 +31,14 @@
     readonly levels: readonly EndpointLevel[];
 }
 
-type NeedRow = readonly [endpointId: string, requestsPerSecond: number, permitsLeft: number];
+type NeedRow = readonly [endpointId: string, requestsPerSecond: number, permitsLeft: number, isCold?: boolean];
 type QueryFields = readonly [from: string, id: number, needs: readonly NeedRow[]];
 
 export const encodePermitQuery = ({ from, id, needs }: PermitQuery): Buffer =>
     encodeMessage("permitQuery", [
         from,
         id,
-        needs.map(need => [need.endpointId, need.requestsPerSecond, need.permitsLeft]),
+        needs.map(need => [need.endpointId, need.requestsPerSecond, need.permitsLeft, need.isCold]),
     ]);
 
 export function decodePermitQuery(fields: readonly unknown[]): PermitQuery {
@@ -44,10 +46,11 @@
     return {
         from,
         id,
-        needs: needs.map(([endpointId, requestsPerSecond, permitsLeft]) => ({
+        needs: needs.map(([endpointId, requestsPerSecond, permitsLeft, isCold = false]) => ({
             endpointId,
             requestsPerSecond,
             permitsLeft,
+            isCold,
         })),
     };
 }
--- a/packages/forwarding/src/ports/endpointProtocol.ts
+++ b/packages/forwarding/src/ports/endpointProtocol.ts
@@ -33,6 +33,10 @@
     readonly isLeaving: boolean;
     /** Time in which the endpoint wants no further request of this host, in milliseconds. */
     readonly pauseMs?: number;
+    /** Time for which the endpoint is still cold, in milliseconds; 0 if it is warm, absent if it does not say. */
+    readonly coldRemainingMs?: number;
+    /** Value of a cold time that is not valid. */
+    readonly invalidCold?: string;
 }
 
 /** Metadata of an endpoint's response, from its status and headers. */
--- a/packages/forwarding/src/replicas/commands/trackTable.ts
+++ b/packages/forwarding/src/replicas/commands/trackTable.ts
@@ -73,7 +73,8 @@
         if (afterOutage) {
             expiredRowsGraceEndsAtMs = performance.now() + EXPIRED_ROWS_GRACE_MS;
         }
-        if (update.changed.length > 0) {
+        // An empty first copy counts too: what appears after it is new.
+        if (update.changed.length > 0 || previous < 0) {
             onChange(update.changed, afterOutage);
         }
         if (isRestored) {
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -16,6 +16,8 @@
 } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { PrefillShard, ResponseMetadata } from "../../ports/endpointProtocol.js";
+import { recordNotice } from "../../warmup/commands/recordNotice.js";
+import { isPermitCurrent, type PermittedEndpoints } from "../../warmup/queries/isPermitCurrent.js";
 import type { AttemptOutcome, AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import { createRefusedResponse, type RefusedResponse } from "../model/refusedResponse.js";
@@ -24,6 +26,8 @@
 export interface AttemptPlan {
     readonly endpoint: Endpoint;
     readonly record: AttemptRecord;
+    /** Endpoints of the attempt; permits of cold ones expire before the first byte is sent. */
+    readonly permitted: PermittedEndpoints;
     /** Endpoints that prefill further shards of the prompt. */
     readonly shardTargets?: readonly PrefillShard[];
     /** Id of the last event that the caller has received, if the stream is resumed. */
@@ -100,7 +104,8 @@
     };
     const decidedAt = readClocks();
     const canSend = (): boolean =>
-        measureElapsed(decidedAt, readClocks()) <= MAX_SEND_DELAY_MS && performance.now() < exchange.deadlineAtMs;
+        measureElapsed(decidedAt, readClocks()) <= MAX_SEND_DELAY_MS && performance.now() < exchange.deadlineAtMs
+        && isPermitCurrent(plan.permitted, readClocks());
     let attempt: RunningAttempt;
     try {
         attempt = sendAttempt(endpoint.pool, {
@@ -144,7 +149,7 @@
     endpoint.health = recordResponse(endpoint.health, nowMs);
     if (!metadata.isMisdirected) {
         record.requestsPerSecond = metadata.notice.requestsPerSecond;
-        endpoint.notices.record(metadata.notice, "request", readClocks());
+        recordNotice(endpoint, metadata.notice, "request", readClocks());
     }
 }
 
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -104,6 +104,7 @@
         run.attempt = runAttempt(context, exchange, {
             endpoint: plan.endpoint,
             record: run.record,
+            permitted: plan.permitted,
             shardTargets: plan.shardTargets,
             ...(progress.lastEventId === undefined ? {} : { lastEventId: progress.lastEventId }),
             usesNewConnection: !exchange.route.canResume,
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -1,10 +1,12 @@
 /** Serves requests whose response is a single body. */
 import { createByteBuffer } from "@currantrill/http";
+import { readClocks } from "@currantrill/protocol";
 import type { ResponseHeaders, RunningAttempt } from "../../endpoints/commands/sendAttempt.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { recordFailure } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { chooseLeastLoaded } from "../../placement/queries/chooseLeastLoaded.js";
+import { selectWarm } from "../../warmup/queries/selectWarm.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
@@ -129,10 +131,13 @@
     tried: ReadonlySet<Endpoint>,
 ): Promise<Endpoint | undefined> {
     for (let attempt = 1;; attempt += 1) {
-        const loads = listLoads(context, exchange.service.name, performance.now()).filter(load =>
-            !tried.has(load.endpoint)
-            && isAvailable(context, load, 0)
-            && (attempt <= MAX_PERMIT_ATTEMPTS || !load.isRateLimited)
+        const loads = selectWarm(
+            listLoads(context, exchange.service.name, performance.now()).filter(load =>
+                !tried.has(load.endpoint)
+                && isAvailable(context, load, 0)
+                && (attempt <= MAX_PERMIT_ATTEMPTS || !load.isRateLimited)
+            ),
+            attempt,
         );
         const chosen = chooseLeastLoaded(loads, context.directory.localFailureDomain, Math.random());
         const endpoint = loads.find(load => load === chosen)?.endpoint;
@@ -179,6 +184,7 @@
     const attempt: RunningAttempt = runAttempt(context, exchange, {
         endpoint,
         record,
+        permitted: { endpoints: [endpoint], at: readClocks() },
         // On a reused connection, a late response to an earlier request could be mistaken for the response to this one.
         usesNewConnection: !isRepeatable(exchange),
         onResponse: (responseStatus, responseHeaders) => {
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -1,5 +1,5 @@
 /** Serves requests whose response is a stream of server-sent events. */
-import { readClocks, type ServiceId } from "@currantrill/protocol";
+import { type Clocks, readClocks, type ServiceId } from "@currantrill/protocol";
 import { probeEndpoint } from "../../endpoints/commands/probeEndpoint.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
@@ -15,6 +15,7 @@
 import type { Admission } from "../../quarantine/commands/startQuarantine.js";
 import { monitorPrimary } from "../../reservations/commands/monitorPrimary.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
+import { selectWarm } from "../../warmup/queries/selectWarm.js";
 import type { Exchange } from "../model/exchange.js";
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
@@ -43,6 +44,8 @@
     readonly helpers: readonly Endpoint[];
     /** Set if the shards need memory at other endpoints. */
     readonly reservedMemory?: ShardReservations;
+    /** When the permits of the endpoints were granted. */
+    readonly permittedAt: Clocks;
     /** To be called once the assignments have been added, or will not be. */
     readonly settle: () => void;
 }
@@ -240,7 +243,12 @@
         : undefined;
     const found = coordinated === undefined ? undefined : findEndpoints(context, coordinated.placement);
     if (coordinated !== undefined && found !== undefined) {
-        return { ...found, placement: coordinated.placement, settle: coordinated.settle };
+        return {
+            ...found,
+            placement: coordinated.placement,
+            settle: coordinated.settle,
+            permittedAt: readClocks(),
+        };
     }
     coordinated?.settle();
     return planPermitted(context, exchange, excludedIds);
@@ -254,13 +262,13 @@
 ): Promise<ChosenEndpoints | undefined> {
     const permitsLeft = countLeft(exchange);
     for (let attempt = 1;; attempt += 1) {
-        const placement = planStream(context, exchange, excludedIds, attempt <= MAX_PERMIT_ATTEMPTS);
+        const placement = planStream(context, exchange, excludedIds, attempt);
         const planned = placement === undefined ? undefined : findEndpoints(context, placement);
         if (placement === undefined || planned === undefined) {
             return undefined;
         }
         if (await context.permits.acquire({ endpoints: [planned.endpoint, ...planned.helpers], permitsLeft })) {
-            return { ...planned, placement, settle: () => undefined };
+            return { ...planned, placement, settle: () => undefined, permittedAt: readClocks() };
         }
     }
 }
@@ -297,17 +305,20 @@
     context: ForwardingContext,
     exchange: Exchange,
     excludedIds: readonly string[],
-    mayBeRateLimited: boolean,
+    permitAttempt: number,
 ): PromptPlacement | undefined {
     const nowMs = performance.now();
     const { engine } = exchange.service;
     const { localFailureDomain: localDomain } = context.directory;
     const permitsLeft = countLeft(exchange);
     const allLoads = listLoads(context, exchange.service.name, nowMs);
-    const loads = allLoads.filter(load =>
-        !excludedIds.includes(load.id)
-        && isAvailable(context, load, permitsLeft)
-        && (mayBeRateLimited || !load.isRateLimited)
+    const loads = selectWarm(
+        allLoads.filter(load =>
+            !excludedIds.includes(load.id)
+            && isAvailable(context, load, permitsLeft)
+            && (permitAttempt <= MAX_PERMIT_ATTEMPTS || !load.isRateLimited)
+        ),
+        permitAttempt,
     );
     if (engine === undefined) {
         const first = chooseLeastLoaded(loads, localDomain, Math.random());
@@ -346,6 +357,7 @@
         return await runStreamAttempt(context, exchange, progress, {
             ...options,
             endpoint: chosen.endpoint,
+            permitted: { endpoints: [chosen.endpoint, ...chosen.helpers], at: chosen.permittedAt },
             placement: chosen.placement,
             shardTargets: chosen.helpers.map(helper => {
                 const reservation = chosen.reservedMemory?.reservations.find(each => each.endpoint === helper);
--- a/packages/forwarding/src/requests/model/streamAttempt.ts
+++ b/packages/forwarding/src/requests/model/streamAttempt.ts
@@ -3,6 +3,7 @@
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import type { PrefillShard } from "../../ports/endpointProtocol.js";
 import type { QuarantineEntry } from "../../quarantine/model/quarantineEntry.js";
+import type { PermittedEndpoints } from "../../warmup/queries/isPermitCurrent.js";
 
 /** What the caller has received so far, over all attempts. */
 export interface StreamProgress {
@@ -29,6 +30,8 @@
 /** Endpoints of an attempt and the estimate of the placement that chose them. */
 export interface StreamAttemptPlan {
     readonly endpoint: Endpoint;
+    /** See `AttemptPlan`. */
+    readonly permitted: PermittedEndpoints;
     /** No other endpoint may be tried, so the attempt continues until the deadline, without stall checks. */
     readonly isFinalAttempt: boolean;
     readonly placement: PromptPlacement;
--- a/packages/forwarding/src/requests/queries/listLoads.ts
+++ b/packages/forwarding/src/requests/queries/listLoads.ts
@@ -1,13 +1,16 @@
-import { type FailureDomainId, readClocks, type ServiceId } from "@currantrill/protocol";
+import { type Clocks, type FailureDomainId, readClocks, type ServiceId } from "@currantrill/protocol";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { type EndpointHealth, getFailures, getSlowdown } from "../../endpoints/model/endpointHealth.js";
 import { emptyObservationSummary, type ObservationSummary } from "../../endpoints/model/endpointObservation.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { EndpointLoad } from "../../placement/model/endpointLoad.js";
+import { getEffectiveLimit } from "../../warmup/queries/getEffectiveLimit.js";
 
 /** Load of an endpoint together with its directory entry. */
 export interface CandidateLoad extends EndpointLoad {
     readonly endpoint: Endpoint;
+    /** Whether the endpoint is cold, and takes requests only at its rate while cold. */
+    readonly isCold: boolean;
 }
 
 /**
@@ -43,10 +46,15 @@
         assignments: groups.get(endpoint.entry.failureDomain)?.get(endpoint.entry.id) ?? [],
         domainUnresponsiveFraction: unresponsiveFractions.get(endpoint.entry.failureDomain) ?? 0,
         bias: endpoint.bias,
-        isRateLimited: endpoint.notices.getRateLimit(now) !== undefined,
+        ...describeLimit(endpoint, now),
     }));
 }
 
+function describeLimit(endpoint: Endpoint, now: Clocks): Pick<CandidateLoad, "isCold" | "isRateLimited"> {
+    const limit = getEffectiveLimit(endpoint, now);
+    return { isRateLimited: limit !== undefined, isCold: limit?.isCold === true };
+}
+
 /** Weight of a failure that a peer reports relative to a local one, since its cause may lie with the peer. */
 const PEER_FAILURE_WEIGHT = 0.4;
 /** Limit on the failures counted from peers, so that one host with many requests cannot exclude an endpoint alone. */
--- a/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
+++ b/packages/forwarding/src/reservations/commands/reserveShardMemory.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { EndpointCall } from "../../ports/endpointProtocol.js";
+import { recordNotice } from "../../warmup/commands/recordNotice.js";
 
 /** Endpoints reply to orders within milliseconds. An order without a reply may still be carried out seconds later. */
 const ORDER_TIMEOUT_MS = 400;
@@ -102,7 +103,7 @@
             protocol: context.protocol,
             // On a reused connection, a late copy of the reply to an earlier order could be taken for a grant.
             usesNewConnection: true,
-            onNotice: notice => endpoint.notices.record(notice, "order", readClocks()),
+            onNotice: notice => recordNotice(endpoint, notice, "order", readClocks()),
         });
         if (reply.status === 200) {
             return "held";
