Show which safeguards of cold endpoints the tests need

Cause: with two of six safeguards disabled (the check for a suspension, and the small bucket) all tests of the sum passed: in the simulation, peers saw a resumed host at once, and no bucket was full. Without a named need, a host that had seen no peer also refused its share of limits that endpoints name.

Ruled out: a fault in the two safeguards; with the cases below they are needed.

`canTakeShares` is true for no needs.

--- a/packages/forwarding/src/warmup/commands/createColdGranting.ts
+++ b/packages/forwarding/src/warmup/commands/createColdGranting.ts
@@ -28,7 +28,7 @@
     readonly check: () => void;
     /** Returns what this host grants of a rate as the one that does so for a failure domain; `undefined` for nothing. */
     readonly getAllowance: (domain: FailureDomainId, requestsPerSecond: number) => Allowance | undefined;
-    /** Returns whether this host may send by its own shares of all rates now, without a permit. */
+    /** Returns whether this host may send by its own shares of all rates now, without a permit; true for no rates. */
     readonly canTakeShares: (needs: readonly ColdNeed[]) => boolean;
     /** Records that it does. */
     readonly takeShares: (needs: readonly ColdNeed[]) => void;
@@ -69,7 +69,7 @@
             const now = readClocks();
             const hosts = memory.countHosts();
             const rank = memory.getRank();
-            return knowsFleet() && needs.every(need => slots.canTake({ ...need, hosts, rank }, now));
+            return needs.every(need => knowsFleet() && slots.canTake({ ...need, hosts, rank }, now));
         },
         takeShares: needs => needs.forEach(({ endpointId }) => slots.take(endpointId, readClocks())),
     };
--- a/packages/forwarding/tests/warmup/commands/coldGranting.test.ts
+++ b/packages/forwarding/tests/warmup/commands/coldGranting.test.ts
@@ -1,6 +1,7 @@
 import { readClocks, toFailureDomainId } from "@currantrill/protocol";
 import bunyan from "bunyan";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createColdGranting } from "../../../src/warmup/commands/createColdGranting.js";
 import { createWarmup } from "../../../src/warmup/commands/createWarmup.js";
 import { countMostPerSecond, type Simulation, startSimulation } from "../fleetSimulation.js";
 
@@ -30,6 +31,14 @@
     { name: "while another host takes over", act: ({ stop, findGranter }) => stop(findGranter()) },
     // Guards against a host that goes on to grant the whole rate to itself after its peers let another one grant.
     { name: "while the granting host is disconnected", act: ({ isolate, findGranter }) => isolate([findGranter()], 1) },
+    // Guards against a bucket that is full after an idle time, on top of what the others send meanwhile.
+    {
+        name: "when the granting host is disconnected after an idle time",
+        act: async ({ isolate, findGranter }) => {
+            await vi.advanceTimersByTimeAsync(2_000);
+            isolate([findGranter()], 1);
+        },
+    },
     // Guards against a host that resumes with the view that it still grants, and with permits from before.
     {
         name: "when the granting host was frozen and resumes",
@@ -160,3 +169,29 @@
         }
     });
 });
+
+describe("createColdGranting", () => {
+    // Guards against a new host that sends in every slot because it knows of no other one.
+    it.each([
+        { name: "has seen no peer", hasSeeds: true, cold: 0, none: true },
+        { name: "is the only one by its settings", hasSeeds: false, cold: 1, none: true },
+    ])("lets a host that $name send to cold endpoints only if it knows its fleet", ({ hasSeeds, cold, none }) => {
+        const domain = toFailureDomainId("a");
+        const granting = createColdGranting({
+            fleet: { countByDomain: () => ({ a: 1 }), listCoordinators: () => ["h"], listLocalDomain: () => ["h"] },
+            localDomain: domain,
+            address: "h",
+            hasSeeds,
+            listGrantedDomains: () => new Set([domain]),
+        });
+        granting.check();
+        const need = { endpointId: "e", requestsPerSecond: 26 };
+        expect(granting.canTakeShares([need])).toBe(cold === 1);
+        expect(granting.canTakeShares([])).toBe(none);
+        for (let ms = 0; ms < 3_000; ms += 400) {
+            vi.advanceTimersByTime(400);
+            granting.check();
+        }
+        expect(granting.getAllowance(domain, 26) !== undefined).toBe(!hasSeeds);
+    });
+});
