Merge the limits of cold endpoints, and connect them with evacuations

A failure domain whose evacuation ends is marked as returned. The last check before the first byte takes the endpoints of the attempt from one field (permitted) in place of two.

--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -1,7 +1,7 @@
 /** Composes and starts a forwarding host. */
 import { createByteBudget } from "@currantrill/http";
 import { createAddressBinder, type ProcessReport, startProcessReport } from "@currantrill/lifecycle";
-import { toFailureDomainId } from "@currantrill/protocol";
+import { readClocks, toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import { setImmediate } from "node:timers/promises";
@@ -10,7 +10,7 @@
 import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
 import { createEndpointObservationTable } from "../endpoints/model/endpointObservation.js";
 import { listMonitoredEndpoints } from "../endpoints/queries/listMonitoredEndpoints.js";
-import { createEvacuationRegistry } from "../evacuation/model/evacuationRegistry.js";
+import { createEvacuationRegistry, type EvacuationRegistry } from "../evacuation/model/evacuationRegistry.js";
 import type { ForwardingContext } from "../model/forwardingContext.js";
 import { createForwardingMetrics, type ForwardingMetrics } from "../model/forwardingMetrics.js";
 import { publishHost } from "../peers/commands/publishHost.js";
@@ -22,9 +22,10 @@
 import type { SharedTable } from "../replicas/model/sharedTable.js";
 import { createRouteDurations } from "../requests/model/routeDurations.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
+import { createWarmup, type Warmup } from "../warmup/commands/createWarmup.js";
 import { connectFleet } from "./connectFleet.js";
 import { drainForwarding } from "./drainForwarding.js";
-import { serveForwarding } from "./serveForwarding.js";
+import { type ForwardingServers, serveForwarding } from "./serveForwarding.js";
 import { trackTables } from "./trackTables.js";
 
 /** Timeout of a call to the store, which answers within tens of milliseconds. */
@@ -73,12 +74,13 @@
         onChange: index => {
             metrics.configurationVersion.set(index.configuration.version);
             servers.applyLimits(index.configuration.limits);
+            context.warmup.reportInvalid(index.configuration);
         },
     });
     let isConnected = false;
     const sharedTables = new Map<string, SharedTable>();
     const registry = createAssignmentRegistry(change => peers.announce(change));
-    const evacuations = createEvacuationRegistry({ rows, log, onCount: count => metrics.evacuatedDomains.set(count) });
+    const evacuations = startEvacuations(options, metrics, () => context.warmup);
     const directory = createEndpointDirectory({
         hostFailureDomain: toFailureDomainId(settings.failure_domain),
         rows,
@@ -86,6 +88,7 @@
         log,
         onConnect: () => metrics.connections.inc(),
         onNotice: source => peers.announceNotice(source),
+        getColdPolicy: service => configuration.get()?.services.get(service)?.cold,
     });
     const quarantine = startHostQuarantine(options, {
         metrics,
@@ -102,6 +105,7 @@
         protocol: options.protocol,
         directory,
         evacuations,
+        warmup: createWarmup({ log, listEndpoints: directory.listAll }),
         assignmentRegistry: registry,
         peerObservations: createEndpointObservationTable(),
         isSmallFleet: () => peers.fleet.isSmallFleet(),
@@ -128,13 +132,8 @@
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
     let drained: Promise<void> | undefined;
     const stop = async (delayMs: number): Promise<void> => {
-        peers.announceLeaving();
-        await drainForwarding(context, servers, delayMs);
-        // The work has ended. Without this message, peers count it until this host has been silent for some time.
-        peers.announceLeaving();
-        await setImmediate();
-        tables.stop();
-        upkeep.stop();
+        await drainAmongPeers(context, servers, peers, delayMs);
+        [tables, upkeep].forEach(each => each.stop());
         [quarantine, directory, evacuations].forEach(each => each.close());
         await fleet.close();
         log.info("host: stopped");
@@ -146,6 +145,20 @@
     };
 }
 
+/** Drains the host, and announces the drain and its end to peers. */
+async function drainAmongPeers(
+    context: ForwardingContext,
+    servers: ForwardingServers,
+    peers: Peers,
+    delayMs: number,
+): Promise<void> {
+    peers.announceLeaving();
+    await drainForwarding(context, servers, delayMs);
+    // The work has ended. Without this message, peers count it until this host has been silent for some time.
+    peers.announceLeaving();
+    await setImmediate();
+}
+
 /** Returns whether a table has been read, from the store or from a peer. */
 const hasBeenRead = (sharedTables: ReadonlyMap<string, SharedTable>, table: string): boolean =>
     (sharedTables.get(table)?.getReplica().version ?? -1) >= 0;
@@ -210,6 +223,18 @@
     };
 }
 
+const startEvacuations = (
+    { log, rows }: ForwardingOptions,
+    metrics: ForwardingMetrics,
+    getWarmup: () => Warmup,
+): EvacuationRegistry =>
+    createEvacuationRegistry({
+        rows,
+        log,
+        onCount: count => metrics.evacuatedDomains.set(count),
+        onReturn: domain => getWarmup().markReturned(domain, readClocks()),
+    });
+
 const startHostQuarantine = (
     { log, protocol, rows }: ForwardingOptions,
     more: Omit<QuarantineOptions, "log" | "protocol" | "table">,
@@ -253,6 +278,7 @@
     context.metrics.peers.set(hostCount - 1);
     context.metrics.endpoints.set({ state: "silent" }, all.filter(endpoint => endpoint.health.isUnresponsive).length);
     context.metrics.endpoints.set({ state: "draining" }, all.filter(endpoint => endpoint.entry.isDraining).length);
+    context.metrics.endpoints.set({ state: "cold" }, context.warmup.countCold(readClocks()));
     context.metrics.endpoints.set({ state: "known" }, all.length);
     context.evacuations.checkDomains(new Set(all.map(({ entry }) => entry.failureDomain)));
 }
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -15,6 +15,7 @@
 import type { Exchange } from "../requests/model/exchange.js";
 import type { RouteDurations } from "../requests/model/routeDurations.js";
 import type { SharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
+import type { Warmup } from "../warmup/commands/createWarmup.js";
 import type { ForwardingMetrics } from "./forwardingMetrics.js";
 import type { Shutdown } from "./shutdown.js";
 
@@ -27,6 +28,8 @@
     readonly protocol: EndpointProtocol;
     readonly directory: EndpointDirectory;
     readonly evacuations: EvacuationRegistry;
+    /** Endpoints that are cold. */
+    readonly warmup: Warmup;
     readonly assignmentRegistry: AssignmentRegistry;
     /** Endpoint observations that peers have announced. */
     readonly peerObservations: EndpointObservationTable;
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -1,5 +1,5 @@
 /** One attempt of an exchange at an endpoint, including the checks on the response. */
-import { type FailureDomainId, measureElapsed, readClocks } from "@currantrill/protocol";
+import { measureElapsed, readClocks } from "@currantrill/protocol";
 import {
     type AttemptFailure,
     type ResponseHeaders,
@@ -16,6 +16,8 @@
 } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { PrefillShard, ResponseMetadata } from "../../ports/endpointProtocol.js";
+import { recordNotice } from "../../warmup/commands/recordNotice.js";
+import { isPermitCurrent, type PermittedEndpoints } from "../../warmup/queries/isPermitCurrent.js";
 import type { AttemptOutcome, AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import { createRefusedResponse, type RefusedResponse } from "../model/refusedResponse.js";
@@ -24,10 +26,10 @@
 export interface AttemptPlan {
     readonly endpoint: Endpoint;
     readonly record: AttemptRecord;
+    /** Endpoints of the attempt and its shards. They are checked again before the first byte is sent. */
+    readonly permitted: PermittedEndpoints;
     /** Endpoints that prefill further shards of the prompt. */
     readonly shardTargets?: readonly PrefillShard[];
-    /** Failure domains of the endpoint and of those of the shards. */
-    readonly domains: readonly FailureDomainId[];
     /** Id of the last event that the caller has received, if the stream is resumed. */
     readonly lastEventId?: number;
     /** See `AttemptRequest`. */
@@ -100,10 +102,6 @@
         end(outcome, reason);
         plan.onFailure(outcome, failure);
     };
-    const decidedAt = readClocks();
-    const canSend = (): boolean =>
-        measureElapsed(decidedAt, readClocks()) <= MAX_SEND_DELAY_MS && performance.now() < exchange.deadlineAtMs
-        && checkEvacuations(context, plan.domains);
     let attempt: RunningAttempt;
     try {
         attempt = sendAttempt(endpoint.pool, {
@@ -113,7 +111,7 @@
             body: exchange.body,
             usesNewConnection: plan.usesNewConnection,
         }, {
-            canSend,
+            canSend: createSendCheck(context, exchange, plan),
             onSent: isReused => {
                 record.wasSent = true;
                 recordMove(context, endpoint);
@@ -141,9 +139,25 @@
     }
 }
 
-/** Returns whether none of the domains is evacuated. That may have changed since the endpoints were chosen. */
-function checkEvacuations({ evacuations, metrics }: ForwardingContext, domains: readonly FailureDomainId[]): boolean {
-    const isEvacuated = domains.some(evacuations.isEvacuated);
+/** Creates the last check before the first byte: what the choice of the endpoints was based on may have changed since. */
+function createSendCheck(
+    context: ForwardingContext,
+    { deadlineAtMs }: Exchange,
+    { permitted }: AttemptPlan,
+): () => boolean {
+    const decidedAt = readClocks();
+    return () =>
+        measureElapsed(decidedAt, readClocks()) <= MAX_SEND_DELAY_MS && performance.now() < deadlineAtMs
+        && checkEvacuations(context, permitted.endpoints)
+        && isPermitCurrent(permitted, readClocks());
+}
+
+/** Returns whether no endpoint is in an evacuated domain. */
+function checkEvacuations(
+    { evacuations, metrics }: ForwardingContext,
+    endpoints: PermittedEndpoints["endpoints"],
+): boolean {
+    const isEvacuated = endpoints.some(({ entry }) => evacuations.isEvacuated(entry.failureDomain));
     if (isEvacuated) {
         metrics.evacuationRequests.inc({ outcome: "stopped" });
     }
@@ -165,7 +179,7 @@
     endpoint.health = recordResponse(endpoint.health, nowMs);
     if (!metadata.isMisdirected) {
         record.requestsPerSecond = metadata.notice.requestsPerSecond;
-        endpoint.notices.record(metadata.notice, "request", readClocks());
+        recordNotice(endpoint, metadata.notice, "request", readClocks());
     }
 }
 
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -104,8 +104,8 @@
         run.attempt = runAttempt(context, exchange, {
             endpoint: plan.endpoint,
             record: run.record,
+            permitted: plan.permitted,
             shardTargets: plan.shardTargets,
-            domains: plan.domains,
             ...(progress.lastEventId === undefined ? {} : { lastEventId: progress.lastEventId }),
             usesNewConnection: !exchange.route.canResume,
             onResponse: (status, headers) => beginResponse(run, status, headers),
