Expect an iteration before the first event of a prompt behind others

What callers saw: in bursts, short prompts came late behind each other while the estimate was below their target. Cause: the estimate of the first event added an iteration of the engine only if it decodes now. Prompts whose prefill is pending are decoding by then, and the next one waits for an iteration of all. Test: scoreEndpoint.test.ts; 'behind a prompt whose prefill is pending' failed before, the other three passed.

--- a/packages/forwarding/src/placement/queries/scoreEndpoint.ts
+++ b/packages/forwarding/src/placement/queries/scoreEndpoint.ts
@@ -89,8 +89,10 @@
     const iterationMs = estimateIterationMs(engine, load, decoding);
     const pendingInIterationMs = Math.min(pendingMs, estimateLongestPrefillMs(engine));
     const waitMs = backlogMs + (decoding.length > 0 ? (iterationMs + (isSharded ? pendingInIterationMs : 0)) / 2 : 0);
-    // An engine without decoding requests returns the first token as soon as the prefill is complete.
-    const firstDecodeMs = isHelper || decoding.length === 0
+    // An engine without decoding requests returns the first token as soon as the prefill is complete. Prompts whose prefill
+    // is pending are decoding by then.
+    const isDecodingThen = decoding.length > 0 || pending.length > 0 && !isSharded;
+    const firstDecodeMs = isHelper || !isDecodingThen
         ? 0
         : iterationMs + engine.stepsPerIteration * engine.stepPerDecodeMs;
     const firstEventMs = waitMs + prefillMs + firstDecodeMs;
