Count 408, 429 and 503 of an endpoint as unknown unless it states that the request was not run

Cause: the host passed on an answer with 408, 429 or 503 that does not carry the endpoint's statement "not run", as any other failure. These statuses guarantee callers that the request has not run. A second endpoint that answered 503 after the first had run a repeatable request, or a stateless 429 that an endpoint sent once more on a kept connection, turned into that guarantee. docs/platform.md already said that a 503 is only sent if each endpoint stated that it did not run the request. Ruled out: copies with the statement, of 421, with another id or none, before, within and after the next response, on a kept connection: no false guarantee before this change; these rows passed on the code before. Change: such an answer is a refusal that is not certain. The attempt ends with an unknown outcome, its connection is closed and a failure of the endpoint is recorded; a request that may be repeated goes on to the next endpoint, others get 502.

--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -55,6 +55,12 @@
  */
 const MAX_SEND_DELAY_MS = 600;
 
+/**
+ * Statuses that guarantee the caller that its request has not run. An endpoint may answer with one of them although it
+ * has run the request, or after another endpoint has, so they count only together with its statement.
+ */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Starts an attempt. Exactly one of `onEnd` and `onFailure` is called. */
 export function runAttempt(context: ForwardingContext, exchange: Exchange, plan: AttemptPlan): RunningAttempt {
     const { endpoint, record } = plan;
@@ -76,10 +82,11 @@
             return false;
         }
         recordArrival(exchange, plan, metadata);
-        if (metadata.isNotExecuted || metadata.isMisdirected) {
+        const isStated = metadata.isNotExecuted || metadata.isMisdirected;
+        if (isStated || notRunStatuses.has(status)) {
             // On a reused connection, a refusal without an id may be a copy of an earlier one.
-            const isCertain = metadata.requestId !== undefined || !isReusedConnection;
-            refused = acceptRefusal(context, endpoint, { status, metadata, isCertain, abort: attempt.abort });
+            const isCertain = isStated && (metadata.requestId !== undefined || !isReusedConnection);
+            refused = acceptRefusal(context, endpoint, { status, metadata, isStated, isCertain, abort: attempt.abort });
             if (!isCertain) {
                 attempt.abort(refused.reason);
             }
@@ -151,20 +158,30 @@
 interface Refusal {
     readonly status: number;
     readonly metadata: ResponseMetadata;
+    /** Whether the endpoint states that it did not run the request. */
+    readonly isStated: boolean;
+    /** Whether it states this, and certainly about this request. */
     readonly isCertain: boolean;
     readonly abort: RunningAttempt["abort"];
 }
 
-/** Begins to receive a refusal. Health is only changed if it is certainly about this request. */
+/** Begins to receive a refusal. A statement only changes health if it is certainly about this request. */
 function acceptRefusal(
     context: ForwardingContext,
     endpoint: Endpoint,
-    { status, metadata, isCertain, abort }: Refusal,
+    { status, metadata, isStated, isCertain, abort }: Refusal,
 ): RefusedResponse {
-    const reason = metadata.isMisdirected ? "address belongs to another endpoint" : `not executed, status ${status}`;
+    const reason = !isStated
+        ? `status ${status} without a statement that the request was not run`
+        : metadata.isMisdirected
+        ? "address belongs to another endpoint"
+        : `not executed, status ${status}`;
     if (isCertain) {
         recordRefusalFault(context, endpoint, metadata);
     }
+    else if (!isStated) {
+        endpoint.health = recordFailure(endpoint.health, performance.now());
+    }
     return createRefusedResponse({ reason, isCertain, onTimeout: () => abort(reason) });
 }
 
--- a/packages/forwarding/src/requests/model/refusedResponse.ts
+++ b/packages/forwarding/src/requests/model/refusedResponse.ts
@@ -12,7 +12,7 @@
 export interface RefusedResponse {
     /** What the endpoint stated. */
     readonly reason: string;
-    /** Whether the statement is about this request. */
+    /** Whether the endpoint certainly states that it did not run this request. */
     readonly isCertain: boolean;
     /** Counts a part of the body, which is dropped. Returns `false` if the body is too long. */
     readonly add: (chunk: Buffer) => boolean;
