Count a refusal as a possible copy if its connection has carried one for the same id

Cause: on a kept connection a refusal counted as certain if it named the request. A caller that sends a refused request again under its id, or that uses no id at endpoints which return an empty one, got "not run" from a copy of the earlier refusal while the endpoint ran the second request. Ruled out: closing the connection after each refusal. An endpoint without free slots refuses often, and each refusal would cost a connection then. Change: a connection keeps the ids of the requests that were refused on it. A refusal on a reused connection is certain if it names a request whose id is not among them. After 64 refusals the connection is closed, so that the list stays short.

--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -21,8 +21,8 @@
 export interface AttemptEvents {
     /** Returns whether the request may still be sent, when the connection is ready for its first byte. */
     readonly canSend?: () => boolean;
-    /** Called before the first byte is written. `isReused`: the connection carried another request before. */
-    readonly onSent: (isReused: boolean) => void;
+    /** Called before the first byte is written. */
+    readonly onSent: (connection: Connection) => void;
     /** Receives the response status and headers. Returns `false` if they cannot belong to this request. */
     readonly onResponse: (status: number, headers: ResponseHeaders) => boolean;
     /** Receives a part of the body. Returns `false` if the body exceeds a limit, which ends the attempt as oversized. */
@@ -120,7 +120,7 @@
                 return;
             }
             wasSent = true;
-            events.onSent(connection.requestCount > 1);
+            events.onSent(connection);
         },
         onResponseStart: (started, status, headers) => {
             hasExplicitLength = isDelimited(headers);
--- a/packages/forwarding/src/endpoints/model/connectionPool.ts
+++ b/packages/forwarding/src/endpoints/model/connectionPool.ts
@@ -25,6 +25,8 @@
     hasSocketError: boolean;
     /** Number of requests sent on this connection, including the current one. */
     requestCount: number;
+    /** Ids of requests that the endpoint has refused on this connection, and whose refusal it may send once more. */
+    readonly refusedIds: Set<string>;
     /** Called with the number of bytes received on the connection so far, whenever there are more. */
     onBytesReceived: ((bytesReceived: number) => void) | undefined;
     /** Called when the endpoint has ended its side and all its bytes have been read. */
@@ -66,6 +68,7 @@
             socket: undefined,
             hasSocketError: false,
             requestCount: 0,
+            refusedIds: new Set(),
             onBytesReceived: undefined,
             onEnd: undefined,
             client: new Client(`http://${address}`, {
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -6,6 +6,7 @@
     type RunningAttempt,
     sendAttempt,
 } from "../../endpoints/commands/sendAttempt.js";
+import type { Connection } from "../../endpoints/model/connectionPool.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import {
     type EndpointHealth,
@@ -61,13 +62,16 @@
  */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Refusals after which a connection is closed, so that the ids kept for it stay few. */
+const MAX_REFUSED_IDS = 64;
+
 /** Starts an attempt. Exactly one of `onEnd` and `onFailure` is called. */
 export function runAttempt(context: ForwardingContext, exchange: Exchange, plan: AttemptPlan): RunningAttempt {
     const { endpoint, record } = plan;
     let refused: RefusedResponse | undefined;
     let mismatch: string | undefined;
     let hasEnded = false;
-    let isReusedConnection = false;
+    let connection: Connection | undefined;
     const end = (outcome: AttemptOutcome, reason?: string): void => {
         hasEnded = true;
         refused?.close();
@@ -84,10 +88,10 @@
         recordArrival(exchange, plan, metadata);
         const isStated = metadata.isNotExecuted || metadata.isMisdirected;
         if (isStated || notRunStatuses.has(status)) {
-            // On a reused connection, a refusal without an id may be a copy of an earlier one.
-            const isCertain = isStated && (metadata.requestId !== undefined || !isReusedConnection);
+            const isCertain = isStated && isFirstRefusal(connection, metadata.requestId);
             refused = acceptRefusal(context, endpoint, { status, metadata, isStated, isCertain, abort: attempt.abort });
-            if (!isCertain) {
+            connection?.refusedIds.add(exchange.requestId);
+            if (!isCertain || (connection?.refusedIds.size ?? 0) >= MAX_REFUSED_IDS) {
                 attempt.abort(refused.reason);
             }
             return true;
@@ -118,9 +122,9 @@
             usesNewConnection: plan.usesNewConnection,
         }, {
             canSend,
-            onSent: isReused => {
+            onSent: used => {
                 record.wasSent = true;
-                isReusedConnection = isReused;
+                connection = used;
             },
             onResponse: handleResponse,
             onData: chunk => refused === undefined ? plan.onData(chunk) : refused.add(chunk),
@@ -144,6 +148,15 @@
     }
 }
 
+/**
+ * Returns whether a refusal cannot be a copy of an earlier one: on a reused connection it has to name a request that has
+ * not been refused there before. Callers may send a request again under its id, or use none.
+ */
+function isFirstRefusal(connection: Connection | undefined, requestId = ""): boolean {
+    return connection === undefined || connection.requestCount <= 1
+        || requestId !== "" && !connection.refusedIds.has(requestId);
+}
+
 /** Records the arrival of a response that belongs to the request. */
 function recordArrival(exchange: Exchange, { endpoint, record }: AttemptPlan, metadata: ResponseMetadata): void {
     const nowMs = performance.now();
--- a/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
+++ b/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
@@ -20,6 +20,7 @@
             socket: undefined,
             hasSocketError: false,
             requestCount: 1,
+            refusedIds: new Set<string>(),
             onBytesReceived: undefined,
             onEnd: undefined,
         }),
--- a/packages/forwarding/tests/requests/commands/repeatedRefusals.test.ts
+++ b/packages/forwarding/tests/requests/commands/repeatedRefusals.test.ts
@@ -113,6 +113,34 @@
         // A request that may run once has a connection of its own, on which there is no earlier refusal.
         expect(copyCount >= places.length).toBe(!name.startsWith("once"));
     });
+    // Guards against the same for a caller that sends the refused request again under its id, or uses none.
+    it.each(
+        (["call", "stream"] as const).flatMap(name => ["q1", ""].map(id => ({ name, id }))),
+    )("makes no false promise for a repeated id: $name '$id'", async ({ name, id }) => {
+        const refusal = buildRefusal(`t-id: ${id}\r\nt-not-run: 1\r\n${EMPTY}`);
+        let refusedOn: Socket | undefined;
+        let copyCount = 0;
+        const host = await startSystem({ ...faultRoutes[name], attempts: 1 }, (_received, socket) => {
+            copyCount += refusedOn === socket ? 1 : 0;
+            refusedOn ??= socket;
+            socket.write(refusal);
+        });
+        expect((await sendRequest(host, id)).status).toBe(503);
+        expect((await sendRequest(host, id)).status).toBe(502);
+        expect(copyCount).toBe(1);
+    });
+    // Guards against ids that are kept without end, and against a request that counts as run when its connection is closed.
+    it("keeps the connection for some refusals that name their request, and closes it then", async () => {
+        const sockets = new Set<Socket>();
+        const host = await startSystem({ ...faultRoutes.call, attempts: 1 }, (received, socket) => {
+            sockets.add(socket);
+            writeAnswer(socket, received, 503, "", "t-not-run: 1\r\n");
+        });
+        for (let count = 0; count < 130; count += 1) {
+            expect((await sendRequest(host, `q${count}`)).status).toBe(503);
+        }
+        expect(sockets.size).toBe(3);
+    });
 });
 
 describe("an endpoint that answers with a status which means that the request was not run", () => {
