Count a success without a length and without a byte of its body as broken off

Cause: a call's response that has neither a length nor chunks ends with its connection. If the endpoint closed it directly after the head, the caller got 200 with an empty body and "content-length: 0", which looks complete. Streams were already handled. Ruled out: responses broken off at any other byte, by an end or a reset, on a new or a reused connection, with a length, chunks or neither, in calls and streams. Change: sendAttempt fails such a response. 204, HEAD and errors may be empty. After: 12 of 12 and 3 of 3 for empty responses passed. foreignResponses, failurePoints, endlessResponses and tests/endpoints passed once beside them (137 tests in all).

--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -69,7 +69,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let wasSent = false;
     let isSettled = false;
-    let hasExplicitLength = false;
+    let framing: BodyFraming = { isDelimited: false, mayBeEmpty: false };
     let abortReason: string | undefined;
     let isOversized = false;
 
@@ -105,10 +105,10 @@
             return;
         }
         pool[request.usesNewConnection ? "discard" : "release"](connection);
-        events.onEnd(hasExplicitLength);
+        events.onEnd(framing.isDelimited);
     };
-    const getController = (): Dispatcher.DispatchController | undefined => controller;
-    const reading = createBodyReading({ getController, onData: events.onData, onExceeded: failOversized });
+    const reading = createBodyReading({ ...events, getController: () => controller, onExceeded: failOversized });
+    const isMissing = (): boolean => !framing.mayBeEmpty && reading.getBytes() === 0;
     connection.onEnd = () => controller?.resume();
     checkOverhead(connection, reading.getBytes, failOversized);
     connection.client.dispatch(buildDispatchOptions(request), {
@@ -123,7 +123,7 @@
             events.onSent(connection);
         },
         onResponseStart: (started, status, headers) => {
-            hasExplicitLength = isDelimited(headers);
+            framing = describeFraming(request.method, status, headers);
             if (status >= 200 && !isSettled && !events.onResponse(status, headers)) {
                 started.abort(new Error("the response does not belong to the request"));
             }
@@ -133,7 +133,7 @@
                 reading.add(chunk);
             }
         },
-        onResponseEnd: () => hasExplicitLength ? finish() : checkRegularEnd(connection, finish, fail),
+        onResponseEnd: () => framing.isDelimited ? finish() : checkRegularEnd(connection, isMissing(), finish, fail),
         onResponseError: (_controller, error) => fail(error),
     });
     return {
@@ -153,8 +153,21 @@
 export const isLackOfResources = (error: unknown): boolean =>
     lackOfResourcesCodes.has((error as NodeJS.ErrnoException | undefined)?.code ?? "");
 
-const isDelimited = (headers: ResponseHeaders): boolean =>
-    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+/** How the body of a response ends. */
+interface BodyFraming {
+    /** Whether it has a length or chunks, and does not end with its connection. */
+    readonly isDelimited: boolean;
+    /** Whether a response without a body is complete. */
+    readonly mayBeEmpty: boolean;
+}
+
+const NO_CONTENT = 204;
+const MIN_UNSUCCESSFUL_STATUS = 300;
+
+const describeFraming = (method: string, status: number, headers: ResponseHeaders): BodyFraming => ({
+    isDelimited: headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
+    mayBeEmpty: status >= MIN_UNSUCCESSFUL_STATUS || status === NO_CONTENT || method === "HEAD",
+});
 
 const buildDispatchOptions = (
     { method, target, headers, body }: AttemptRequest,
@@ -182,8 +195,20 @@
     };
 }
 
-/** Distinguishes the end of a body without a length, which ends only with the connection, from a reset. */
-function checkRegularEnd(connection: Connection, onEnd: () => void, onFailure: (error: Error) => void): void {
+/**
+ * Distinguishes the end of a body without a length, which ends only with the connection, from a reset. If the body is
+ * missing, the endpoint may have crashed after the head, which ends its connection in the same way as a regular end.
+ */
+function checkRegularEnd(
+    connection: Connection,
+    isMissing: boolean,
+    onEnd: () => void,
+    onFailure: (error: Error) => void,
+): void {
+    if (isMissing) {
+        onFailure(new Error("connection closed before the first byte of a body without a length"));
+        return;
+    }
     detectReset(connection).then(
         hasBeenReset =>
             hasBeenReset ? onFailure(new Error("connection reset before the response was complete")) : onEnd(),
