Continue a stream only by a response with the content type of the first one

Cause: after an interrupted stream, each response of the next endpoint with a status below 300 counted as the rest of the stream. A 200 with an error body that ends with an empty line was passed on to the caller as events, and a 200 or 204 with "content-length: 0" ended the stream as if it were complete. Ruled out: 503 with and without the statement "not run", 500, 421, 401, 404, 302, a response of another request or without signature, a head that breaks off, bytes that are not HTTP, and an end without a byte, each after an interruption before, after and inside an event, inside a chunk and before the last chunk: nothing of them reached the caller before this change. Change: a response with another media type than the first one ends the attempt as broken, with a failure of its endpoint.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -232,13 +232,23 @@
         };
         return;
     }
+    const mediaType = getMediaType(received);
+    if (run.progress.hasSentHeaders && mediaType !== run.progress.mediaType) {
+        run.plan.endpoint.health = recordFailure(run.plan.endpoint.health, performance.now());
+        abortRun(run, { kind: "broken", wasSent: true }, "response does not continue the stream: other content type");
+        return;
+    }
     if (!run.progress.hasSentHeaders) {
         run.progress.hasSentHeaders = true;
+        run.progress.mediaType = mediaType;
         run.exchange.response.writeHead(status, headers);
         run.exchange.response.flushHeaders();
     }
 }
 
+const getMediaType = (headers: ResponseHeaders): string =>
+    String(headers["content-type"] ?? "").split(";")[0]?.trim().toLowerCase() ?? "";
+
 /** Handles a part of the body. Returns `false` if the endpoint sends too much without an event. */
 function handleData(run: StreamRun, chunk: Buffer): boolean {
     if (run.isSettled) {
--- a/packages/forwarding/src/requests/model/streamAttempt.ts
+++ b/packages/forwarding/src/requests/model/streamAttempt.ts
@@ -9,6 +9,8 @@
     lastEventId: number | undefined;
     /** Whether the response headers have been sent. */
     hasSentHeaders: boolean;
+    /** Content type of that response without its parameters. A response that continues the stream has the same. */
+    mediaType?: string;
     /** Number of events forwarded. */
     events: number;
 }
