Send digests to the hosts of a fleet that was small only by its coordinators

Cause: startCoordination.test.ts, "copies tables from coordinators", failed beside busy processes with 14.9 datagrams per host and second. In a small fleet each host sends its state to all others, and each state made its sender a receiver of digests for 2.5 s. When the fleet grew beyond 32 hosts, every host sent digests to all others until then: 998 digests in half a second with 34 hosts where 74 suffice. Change: states of a small fleet count as subscriptions only for coordinators and their domain.

--- a/packages/forwarding/src/peers/commands/handlePeerMessages.ts
+++ b/packages/forwarding/src/peers/commands/handlePeerMessages.ts
@@ -11,12 +11,19 @@
     readonly table: PeerTable;
     readonly fleet: FleetView;
     readonly announcer: Announcer;
-    /** Times of the last state of each peer, which then expects digests. */
-    readonly subscribedAtMs: Map<string, number>;
+    /** Last state of each peer, which may then expect digests. */
+    readonly subscriptions: Map<string, Subscription>;
+}
+
+/** A state that has been received from a peer. */
+export interface Subscription {
+    readonly atMs: number;
+    /** Whether it was received in a small fleet, where each host sends its state to all others and expects no digests. */
+    readonly isFromSmallFleet: boolean;
 }
 
 /** Sets the handlers of states and digests. */
-export function handlePeerMessages({ peers, table, fleet, announcer, subscribedAtMs }: PeerMessagesOptions): void {
+export function handlePeerMessages({ peers, table, fleet, announcer, subscriptions }: PeerMessagesOptions): void {
     const { failureDomain, registry, socket, log } = peers;
     /** Answers a host at once that has just started, which waits for it before it reads the store. */
     const answerJoined = (peer: string): void => {
@@ -37,11 +44,11 @@
         peers.onState(state);
         if (state.isLeaving) {
             registry.removePeer(state.address);
-            subscribedAtMs.delete(state.address);
+            subscriptions.delete(state.address);
             return;
         }
         registry.setPeer(state.address, state.assignments, nowMs, state.settledQuery);
-        subscribedAtMs.set(state.address, nowMs);
+        subscriptions.set(state.address, { atMs: nowMs, isFromSmallFleet: fleet.isSmallFleet() });
         if (result === "joined") {
             answerJoined(state.address);
         }
--- a/packages/forwarding/src/peers/commands/startPeers.ts
+++ b/packages/forwarding/src/peers/commands/startPeers.ts
@@ -12,7 +12,7 @@
 import type { PeerState } from "../model/peerState.js";
 import { createPeerTable, type PeerTable } from "../model/peerTable.js";
 import { type Announcer, createAnnouncer } from "./createAnnouncer.js";
-import { handlePeerMessages } from "./handlePeerMessages.js";
+import { handlePeerMessages, type Subscription } from "./handlePeerMessages.js";
 import type { PeerSocket } from "./openPeerSocket.js";
 
 /** Interval of heartbeats and digests: the longest time between two messages to a peer that expects them. */
@@ -105,19 +105,16 @@
     const fleet = createFleetView({ table, address, failureDomain, capacity, isSeed, getIsLeaving });
     const announcer = createAnnouncer({ peers: options, table, fleet, getIsLeaving });
     const { sendState, sendDigests } = announcer;
-    const subscribedAtMs = new Map<string, number>();
+    const subscriptions = new Map<string, Subscription>();
     const listWorkDomains = createWorkDomainList(options);
-    handlePeerMessages({ peers: options, table, fleet, announcer, subscribedAtMs });
+    handlePeerMessages({ peers: options, table, fleet, announcer, subscriptions });
 
-    const listSubscribers = (): readonly string[] => {
-        const nowMs = performance.now();
-        return [...subscribedAtMs].filter(([, atMs]) => nowMs - atMs < SUBSCRIPTION_MS).map(([peer]) => peer);
-    };
+    const listSubscribers = (): readonly string[] => selectSubscribers(subscriptions, table, options, fleet);
     const listImmediateTargets = (): readonly string[] => fleet.listImmediateTargets(listWorkDomains());
     const sendHeartbeats = (): void => {
         table.evictExpired(performance.now()).forEach(peer => {
             registry.removePeer(peer);
-            subscribedAtMs.delete(peer);
+            subscriptions.delete(peer);
         });
         const targets = fleet.listHeartbeatTargets();
         fleet.recordSent(targets);
@@ -176,6 +173,26 @@
     };
 }
 
+/**
+ * Selects the peers that expect digests. States of a fleet that was small until now count only for coordinators and their
+ * domain: otherwise all hosts send digests to all others for seconds when a fleet grows.
+ */
+function selectSubscribers(
+    subscriptions: ReadonlyMap<string, Subscription>,
+    table: PeerTable,
+    { failureDomain }: PeersOptions,
+    fleet: FleetView,
+): readonly string[] {
+    const nowMs = performance.now();
+    const isCoordinator = fleet.isCoordinator();
+    return [...subscriptions]
+        .filter(([peer, { atMs, isFromSmallFleet }]) =>
+            nowMs - atMs < SUBSCRIPTION_MS
+            && (!isFromSmallFleet || isCoordinator && table.get(peer)?.failureDomain === failureDomain)
+        )
+        .map(([peer]) => peer);
+}
+
 interface AnnouncementOptions {
     readonly fleet: FleetView;
     readonly announcer: Announcer;
