--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -15,6 +15,7 @@
 import type { Admission } from "../../quarantine/commands/startQuarantine.js";
 import { monitorPrimary } from "../../reservations/commands/monitorPrimary.js";
 import { reserveShardMemory, type ShardReservations } from "../../reservations/commands/reserveShardMemory.js";
+import { createStallCheck } from "../../reservations/model/stallCheck.js";
 import type { Exchange } from "../model/exchange.js";
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
@@ -341,7 +342,7 @@
     const assignments = buildAssignedWork(exchange.service.engine, prompt, chosen.placement)
         .map(work => context.assignmentRegistry.add(work, nowMs));
     chosen.settle();
-    const stopMonitor = releaseIfUnresponsive(context, exchange, chosen);
+    const stopMonitor = releaseIfUnresponsive(context, exchange, progress, chosen);
     try {
         return await runStreamAttempt(context, exchange, progress, {
             ...options,
@@ -370,18 +371,25 @@
 /** Releases the memory of the shards early if the endpoint that uses it has gone. Returns a function that stops this. */
 function releaseIfUnresponsive(
     { protocol, log }: ForwardingContext,
-    { requestId }: Exchange,
+    { requestId, response, route }: Exchange,
+    progress: StreamProgress,
     { endpoint, reservedMemory }: ChosenEndpoints,
 ): () => void {
     if (reservedMemory === undefined) {
         return () => undefined;
     }
+    const eventsBefore = progress.events;
     return monitorPrimary({
         probe: () => probeEndpoint(endpoint, protocol),
+        hasStalled: createStallCheck({
+            countEvents: () => progress.events - eventsBefore,
+            isWaitingForCaller: () => response.writableNeedDrain,
+            targetPauseMs: route.targetPauseMs,
+        }),
         onUnresponsive: () => {
             log.warn(
                 { request: requestId, endpoint: endpoint.entry.id },
-                "reservations: primary endpoint unresponsive, releasing the memory of its shards",
+                "reservations: primary endpoint unresponsive or its stream stalled, releasing the memory of its shards",
             );
             reservedMemory.release();
         },
--- a/packages/forwarding/tests/reservations/commands/monitorPrimary.test.ts
+++ b/packages/forwarding/tests/reservations/commands/monitorPrimary.test.ts
@@ -26,6 +26,7 @@
         const releasedAtMs: number[] = [];
         const left = [...probes];
         const stop = monitorPrimary({
+            hasStalled: () => false,
             probe: () => Promise.resolve(left.length === 0 ? report : left.shift()),
             onUnresponsive: () => releasedAtMs.push(performance.now() - startedAtMs),
         });
@@ -37,7 +38,7 @@
     it("stops with the attempt, also while a probe runs", async () => {
         const probe = vi.fn(() => new Promise<Probe>(resolve => void setTimeout(() => resolve(undefined), 300)));
         const onUnresponsive = vi.fn();
-        const stop = monitorPrimary({ probe, onUnresponsive });
+        const stop = monitorPrimary({ probe, hasStalled: () => false, onUnresponsive });
         await vi.advanceTimersByTimeAsync(2_000);
         stop();
         await vi.advanceTimersByTimeAsync(10_000);
