--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -6,6 +6,7 @@
     type RunningAttempt,
     sendAttempt,
 } from "../../endpoints/commands/sendAttempt.js";
+import type { Connection } from "../../endpoints/model/connectionPool.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import {
     type EndpointHealth,
@@ -59,13 +60,22 @@
  */
 const MAX_SEND_DELAY_MS = 600;
 
+/**
+ * Statuses that guarantee the caller that its request has not run. An endpoint may answer with one of them although it
+ * has run the request, or after another endpoint has, so they count only together with its statement.
+ */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Refusals after which a connection is closed, so that the ids kept for it stay few. */
+const MAX_REFUSED_IDS = 64;
+
 /** Starts an attempt. Exactly one of `onEnd` and `onFailure` is called. */
 export function runAttempt(context: ForwardingContext, exchange: Exchange, plan: AttemptPlan): RunningAttempt {
     const { endpoint, record } = plan;
     let refused: RefusedResponse | undefined;
     let mismatch: string | undefined;
     let hasEnded = false;
-    let isReusedConnection = false;
+    let connection: Connection | undefined;
     const end = (outcome: AttemptOutcome, reason?: string): void => {
         hasEnded = true;
         refused?.close();
@@ -80,11 +90,12 @@
             return false;
         }
         recordArrival(exchange, plan, metadata);
-        if (metadata.isNotExecuted || metadata.isMisdirected) {
-            // On a reused connection, a refusal without an id may be a copy of an earlier one.
-            const isCertain = metadata.requestId !== undefined || !isReusedConnection;
-            refused = acceptRefusal(context, endpoint, { status, metadata, isCertain, abort: attempt.abort });
-            if (!isCertain) {
+        const isStated = metadata.isNotExecuted || metadata.isMisdirected;
+        if (isStated || notRunStatuses.has(status)) {
+            const isCertain = isStated && isFirstRefusal(connection, metadata.requestId);
+            refused = acceptRefusal(context, endpoint, { status, metadata, isStated, isCertain, abort: attempt.abort });
+            connection?.refusedIds.add(exchange.requestId);
+            if (!isCertain || (connection?.refusedIds.size ?? 0) >= MAX_REFUSED_IDS) {
                 attempt.abort(refused.reason);
             }
             return true;
@@ -112,10 +123,10 @@
             usesNewConnection: plan.usesNewConnection,
         }, {
             canSend: createSendCheck(context, exchange, plan),
-            onSent: isReused => {
+            onSent: used => {
                 record.wasSent = true;
                 recordMove(context, endpoint);
-                isReusedConnection = isReused;
+                connection = used;
             },
             onResponse: handleResponse,
             onData: chunk => refused === undefined ? plan.onData(chunk) : refused.add(chunk),
@@ -172,6 +183,15 @@
     }
 }
 
+/**
+ * Returns whether a refusal cannot be a copy of an earlier one: on a reused connection it has to name a request that has
+ * not been refused there before. Callers may send a request again under its id, or use none.
+ */
+function isFirstRefusal(connection: Connection | undefined, requestId = ""): boolean {
+    return connection === undefined || connection.requestCount <= 1
+        || requestId !== "" && !connection.refusedIds.has(requestId);
+}
+
 /** Records the arrival of a response that belongs to the request. */
 function recordArrival(exchange: Exchange, { endpoint, record }: AttemptPlan, metadata: ResponseMetadata): void {
     const nowMs = performance.now();
@@ -186,20 +206,30 @@
 interface Refusal {
     readonly status: number;
     readonly metadata: ResponseMetadata;
+    /** Whether the endpoint states that it did not run the request. */
+    readonly isStated: boolean;
+    /** Whether it states this, and certainly about this request. */
     readonly isCertain: boolean;
     readonly abort: RunningAttempt["abort"];
 }
 
-/** Begins to receive a refusal. Health is only changed if it is certainly about this request. */
+/** Begins to receive a refusal. A statement only changes health if it is certainly about this request. */
 function acceptRefusal(
     context: ForwardingContext,
     endpoint: Endpoint,
-    { status, metadata, isCertain, abort }: Refusal,
+    { status, metadata, isStated, isCertain, abort }: Refusal,
 ): RefusedResponse {
-    const reason = metadata.isMisdirected ? "address belongs to another endpoint" : `not executed, status ${status}`;
+    const reason = !isStated
+        ? `status ${status} without a statement that the request was not run`
+        : metadata.isMisdirected
+        ? "address belongs to another endpoint"
+        : `not executed, status ${status}`;
     if (isCertain) {
         recordRefusalFault(context, endpoint, metadata);
     }
+    else if (!isStated) {
+        endpoint.health = recordFailure(endpoint.health, performance.now());
+    }
     return createRefusedResponse({ reason, isCertain, onTimeout: () => abort(reason) });
 }
 
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -194,6 +194,7 @@
             socket: undefined,
             hasSocketError: false,
             requestCount: 1,
+            refusedIds: new Set(),
             onBytesReceived: undefined,
             onEnd: undefined,
         }),
--- a/packages/forwarding/tests/peers/commands/handlePeerMessages.test.ts
+++ b/packages/forwarding/tests/peers/commands/handlePeerMessages.test.ts
@@ -1,7 +1,7 @@
 import { toFailureDomainId } from "@currantrill/protocol";
 import bunyan from "bunyan";
 import { beforeEach, describe, expect, it } from "vitest";
-import { handlePeerMessages } from "../../../src/peers/commands/handlePeerMessages.js";
+import { handlePeerMessages, type Subscription } from "../../../src/peers/commands/handlePeerMessages.js";
 import type { MessageHandler } from "../../../src/peers/commands/openPeerSocket.js";
 import type { PeersOptions } from "../../../src/peers/commands/startPeers.js";
 import { createFleetView } from "../../../src/peers/model/fleetView.js";
@@ -29,13 +29,13 @@
 };
 
 const registry = createAssignmentRegistry(() => undefined);
-const subscribedAtMs = new Map<string, number>();
+const subscriptions = new Map<string, Subscription>();
 const answered: string[] = [];
 let receive: (state: PeerState) => void;
 
 beforeEach(() => {
     registry.removePeer("b:1");
-    subscribedAtMs.clear();
+    subscriptions.clear();
     answered.splice(0);
     const handlers = new Map<MessageKind, MessageHandler>();
     const table = createPeerTable("a:1");
@@ -64,7 +64,7 @@
             sendState: (_hosts, targets) => void answered.push(...targets),
             sendDigests: targets => void answered.push(...targets),
         },
-        subscribedAtMs,
+        subscriptions,
     });
     receive = message => {
         const nowMs = performance.now();
@@ -93,7 +93,7 @@
     // Guards against a host that serves by outdated tables during its shutdown, because it gets no digests.
     it("keeps the subscription of a host that is leaving, and does not answer it as one that has joined", () => {
         receive({ ...state, isLeaving: true });
-        expect([...subscribedAtMs.keys()]).toEqual(["b:1"]);
+        expect([...subscriptions.keys()]).toEqual(["b:1"]);
         expect(answered).toEqual([]);
     });
     // Guards against assignments of a host that has left without its last message, which would keep its endpoints booked.
