Give what callers make a process hold one budget

Cause: limits of each kind stood beside each other (48 MB of bodies, 48 MB of responses, 72 MB of waiting requests for each server), the servers for readiness, metrics and peers had none for bodies, incomplete heads had none, and pieces of bodies that were not read yet were objects: HTTP streams count their content, so 16 KB in pieces of one byte held some MB for each connection.

Ruled out: a smaller young generation alone.

Change: createResourceBudget decides, without network; trackConnections opens an account for each connection, pays for bytes before the parser gets them, and parses 1 KB at a time; createRequestQueues, readRawBody and the responses of endpoints pay from the same account, and createWaitingLimit is gone. Bodies are read from when their head arrives, so that no pieces wait. The limit is limits.memory_mb (new, 202, at least 176) x 0.85 - 135 MB, within 24 to 96 MB.

Left open: a response that the budget refuses still counts as a failure of its endpoint.

--- a/packages/forwarding/src/commands/createServerGuard.ts
+++ b/packages/forwarding/src/commands/createServerGuard.ts
@@ -7,11 +7,14 @@
 const ERROR_INTERVAL_MS = 1_000;
 const LIMIT_INTERVAL_MS = 5_000;
 
-/** Creates the options of a server that limit its connections, and log that and its errors. */
+/** Creates the options of a server that limit its connections and what they hold, and log that and its errors. */
 export function createServerGuard(
-    { log, metrics, settings }: Pick<ForwardingContext, "log" | "metrics" | "settings">,
+    { log, metrics, settings, resourceBudget }: Pick<
+        ForwardingContext,
+        "log" | "metrics" | "settings" | "resourceBudget"
+    >,
     name: keyof ConnectionLimits,
-): Required<Pick<ServeHttpOptions, "maxConnections" | "onConnectionLimit" | "onServerError">> {
+): Required<Pick<ServeHttpOptions, "budget" | "maxConnections" | "onConnectionLimit" | "onServerError">> {
     const maxConnections = computeConnectionLimits(settings.limits.file_descriptors)[name];
     const logError = createThrottledLog({
         intervalMs: ERROR_INTERVAL_MS,
@@ -22,6 +25,7 @@
         write: (fields, count) => log.warn({ ...fields, name, maxConnections, count }, "host: too many connections"),
     });
     return {
+        budget: resourceBudget,
         maxConnections,
         onConnectionLimit: event => {
             metrics.excessConnections.inc({ server: name, event });
--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -37,13 +37,15 @@
     context: ForwardingContext,
     bindAddress: AddressBinder,
 ): Promise<ForwardingServers> {
+    const bodyLimitBytes = (): number =>
+        context.getConfiguration()?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES;
     const serve = (name: "readiness" | "metrics" | "callers", options: ServerOptions): Promise<RunningServer> => {
         const address = context.settings.listen[name];
         const guard = createServerGuard(context, name);
         return bindAddress(
             name,
             address,
-            () => serveHttp({ ...splitAddress(address), bodies: "raw", ...guard, ...options }),
+            () => serveHttp({ ...splitAddress(address), bodies: "raw", bodyLimitBytes, ...guard, ...options }),
         );
     };
     const readiness = await serve("readiness", {
@@ -71,8 +73,6 @@
         }],
     });
     const callers = await serve("callers", {
-        bodyLimitBytes: () => context.getConfiguration()?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES,
-        bodyBudget: context.requestBudget,
         maxHeaderBytes: MAX_HEADER_BYTES,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
         handleError: (error, _request, response) => {
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -1,5 +1,4 @@
 /** Composes and starts a forwarding host. */
-import { createByteBudget } from "@currantrill/http";
 import { createAddressBinder, type ProcessReport, startProcessReport } from "@currantrill/lifecycle";
 import { toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
@@ -21,6 +20,7 @@
 import { createRouteDurations } from "../requests/model/routeDurations.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import { connectFleet } from "./connectFleet.js";
+import { createCallerBudget, resourceKinds } from "./createCallerBudget.js";
 import { drainForwarding } from "./drainForwarding.js";
 import { serveForwarding } from "./serveForwarding.js";
 import { trackTables } from "./trackTables.js";
@@ -100,7 +100,7 @@
         get permits() {
             return fleet.permits;
         },
-        ...createMemoryBudgets(() => context.settings),
+        resourceBudget: createCallerBudget(() => context.settings, log, metrics),
         quarantine,
         retryBudget: createSharedRetryBudget(() => context.settings.retries, () => peers.fleet.countHosts()),
         getConfiguration: configuration.get,
@@ -142,13 +142,6 @@
     context.log.info({ retries: changed.retries, drain: changed.drain }, "host: settings reloaded");
 }
 
-const createMemoryBudgets = (
-    getSettings: () => ForwardingSettings,
-): Pick<ForwardingContext, "requestBudget" | "responseBudget"> => ({
-    requestBudget: createByteBudget(() => getSettings().requests.max_buffered_bytes),
-    responseBudget: createByteBudget(() => getSettings().responses.max_buffered_bytes),
-});
-
 interface Upkeep {
     /** Writes to the store again what this host has written there. */
     readonly restoreWrites: () => void;
@@ -236,6 +229,7 @@
 function updateGauges(context: ForwardingContext, hostCount: number): void {
     const all = context.directory.listAll();
     context.metrics.peers.set(hostCount - 1);
+    resourceKinds.forEach(kind => context.metrics.callerBytes.set({ kind }, context.resourceBudget.getUsed(kind)));
     context.metrics.endpoints.set({ state: "silent" }, all.filter(endpoint => endpoint.health.isUnresponsive).length);
     context.metrics.endpoints.set({ state: "draining" }, all.filter(endpoint => endpoint.entry.isDraining).length);
     context.metrics.endpoints.set({ state: "known" }, all.length);
--- a/packages/forwarding/src/peers/commands/synchronizeTables.ts
+++ b/packages/forwarding/src/peers/commands/synchronizeTables.ts
@@ -43,7 +43,7 @@
 }
 
 export interface TableSynchronizationOptions
-    extends Pick<ServeHttpOptions, "maxConnections" | "onConnectionLimit" | "onServerError"> {
+    extends Pick<ServeHttpOptions, "budget" | "maxConnections" | "onConnectionLimit" | "onServerError"> {
     /** Called with the outcome of each fetch, for metrics. */
     readonly onFetch?: (outcome: "copied" | "refused" | "failed") => void;
 }
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -1,5 +1,5 @@
 /** Handles a caller's request from its arrival to its response: routing, authorization, serving and the request log. */
-import type { HttpRequest } from "@currantrill/http";
+import type { ByteBudget, HttpRequest } from "@currantrill/http";
 import type { ServerResponse } from "node:http";
 import type { ConfigurationIndex } from "../../configuration/model/configurationIndex.js";
 import type { RequestKind } from "../../configuration/model/servingConfiguration.js";
@@ -26,6 +26,20 @@
 /** Outcomes of requests that endpoints have answered. */
 const answeredOutcomes: ReadonlySet<string> = new Set(["answered", "complete"]);
 
+/**
+ * Memory of a request in progress: its record, timers, and the connection to the endpoint. With it, one request on each
+ * connection that the smallest host may have (765) fits into its budget.
+ */
+const EXCHANGE_BYTES = 24 * 1024;
+/** The blocks of a response and the whole body that replaces them exist side by side until the runtime has collected them. */
+const RESPONSE_COPIES = 2;
+
+const countCopies = (payer: ByteBudget): ByteBudget => ({
+    take: bytes => payer.take(bytes * RESPONSE_COPIES),
+    give: bytes => payer.give(bytes * RESPONSE_COPIES),
+    getUsed: payer.getUsed,
+});
+
 /** Limit on the shared parts of a prompt in its log line. */
 const MAX_LOGGED_PARTS = 16;
 
@@ -45,6 +59,12 @@
         refuseRequest(context, request, response, exchange, index);
         return;
     }
+    const payer = request.pay("request");
+    if (!payer.take(EXCHANGE_BYTES)) {
+        refuseRequest(context, request, response, "no_memory", index);
+        return;
+    }
+    response.once("close", () => payer.give(EXCHANGE_BYTES));
     context.retryBudget.recordRequest(exchange.service.name, exchange.startedAtMs);
     context.exchanges.add(exchange);
     context.metrics.inFlight.set(context.exchanges.size);
@@ -100,6 +120,7 @@
         callerMetadata,
         trackedParts: selectTrackedParts(callerMetadata.sharedParts),
         response,
+        responseBudget: countCopies(request.pay("response")),
         route,
         service,
         ...(authorization.workspace === undefined ? {} : { workspace: authorization.workspace }),
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -76,7 +76,7 @@
             record: createRecord(exchange, plan),
             splitter: createEventSplitter({
                 maxBytes: context.settings.responses.max_event_bytes,
-                budget: context.responseBudget,
+                budget: exchange.responseBudget,
             }),
             resolve,
             resumeEndpointStream: () => resumeAttempt(run),
@@ -223,7 +223,7 @@
             headers,
             body: createByteBuffer({
                 maxBytes: run.context.settings.responses.max_body_bytes,
-                budget: run.context.responseBudget,
+                budget: run.exchange.responseBudget,
             }),
             cancelTimeout: startTimeout(
                 ERROR_BODY_TIMEOUT_MS,
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -21,6 +21,8 @@
     | "body_too_large"
     /** The bodies of all requests on this host exceed its memory for them. */
     | "bodies_too_large"
+    /** What callers make this host hold exceeds its memory for them. */
+    | "no_memory"
     /** The host has as many connections as it may, all of them with requests in flight. */
     | "too_many_connections"
     | "outcome_unknown"
@@ -59,6 +61,11 @@
         message: "this host has no memory left for the body; the request was not run",
         retryAfterSeconds: 0.4,
     },
+    no_memory: {
+        status: 503,
+        message: "this host has no memory left for the request; it was not run",
+        retryAfterSeconds: 0.4,
+    },
     too_many_connections: {
         status: 503,
         message: "this host has too many connections; the request was not run",
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -168,7 +168,7 @@
     );
     const collector = createByteBuffer({
         maxBytes: context.settings.responses.max_body_bytes,
-        budget: context.responseBudget,
+        budget: exchange.responseBudget,
     });
     let status = 0;
     let headers: ResponseHeaders = {};
--- a/packages/forwarding/src/requests/model/exchange.ts
+++ b/packages/forwarding/src/requests/model/exchange.ts
@@ -1,4 +1,5 @@
 /** A caller's request while it is being served, with its response and its attempts. */
+import type { ByteBudget } from "@currantrill/http";
 import type { WorkspaceId } from "@currantrill/protocol";
 import type { ServerResponse } from "node:http";
 import type { Route, ServiceDefinition } from "../../configuration/model/servingConfiguration.js";
@@ -18,6 +19,8 @@
     /** Shared parts of the prompt that the quarantine tracks. */
     readonly trackedParts: readonly string[];
     readonly response: ServerResponse;
+    /** Pays for what the host keeps of responses of endpoints, until the caller has received it. */
+    readonly responseBudget: ByteBudget;
     readonly route: Route;
     readonly service: ServiceDefinition;
     readonly workspace?: WorkspaceId;
--- a/packages/http/src/createRequestQueues.ts
+++ b/packages/http/src/createRequestQueues.ts
@@ -1,32 +1,31 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { createWaitingLimit, type WaitingLimit } from "./createWaitingLimit.js";
+import type { ByteBudget } from "./byteBudget.js";
 
 /**
  * Waiting requests of a connection at which reading from it stops. Below it reading goes on, since a connection that is not
  * read does not report that its caller has closed it. The bytes of one read, up to 64 KiB, may exceed the limit.
  */
 const MAX_WAITING_REQUESTS = 16;
+/** Bytes of bodies of waiting requests at which reading stops. Legal bodies of a few requests would exceed a budget. */
+const MAX_WAITING_BODY_BYTES = 64 * 1024;
 
-/**
- * Limit on the memory of the waiting requests of all connections of a server, beside a heap of 200 MB. 16,384 requests with
- * a head of 29 bytes fit into it.
- */
-const MAX_WAITING_BYTES_OF_SERVER = 72 * 1024 * 1024;
 /** Node.js keeps the objects of a request from its arrival: 19,000 short requests take 84 MB. */
 const REQUEST_OVERHEAD_BYTES = 4_550;
 /** Most bytes of a body that are kept before it is read: those of one read. */
 const MAX_UNREAD_BODY_BYTES = 64 * 1024;
+/** Name and value of a header field, their places in the lists of Node.js and of the host, and the entry in `headers`. */
+const FIELD_OVERHEAD_BYTES = 200;
 
 export type BeginRequest = (request: IncomingMessage, response: ServerResponse) => void;
 
 export interface RequestQueues {
     /**
      * Begins a request once the responses to all earlier requests of its connection have been sent. It is never begun if the
-     * connection ends before that. If waiting requests occupy too much memory, the connection with most of it is closed.
+     * connection ends before that. Its connection is closed if `budget` does not pay for its objects.
      */
-    readonly enqueue: (request: IncomingMessage, response: ServerResponse, begin: BeginRequest) => void;
+    readonly enqueue: (request: IncomingMessage, response: ServerResponse, options: EnqueueOptions) => void;
     /**
      * Calls `fail` once the requests of the connection that have been received in full are answered, at once if there are none.
      * A request whose body is incomplete is not begun.
@@ -38,14 +37,32 @@
     readonly hasPending: (socket: Duplex) => boolean;
     /** Returns whether a request of the connection waits. */
     readonly hasWaiting: (socket: Duplex) => boolean;
+    /** Returns whether a connection only waits for a response: its only request has been received, and nothing is unread. */
+    readonly isWaitingForHost: (socket: Duplex) => boolean;
+    /** Stops reading from a connection if too much waits. Called after bytes have been parsed. */
+    readonly limitReading: (socket: Duplex) => void;
+    /** Returns the number of requests of the connection whose head has been received. */
+    readonly countHeads: (socket: Duplex) => number;
+    /** Returns the request of the connection whose body is being received. */
+    readonly getReceiving: (socket: Duplex) => IncomingMessage | undefined;
     /** Returns the number of requests that wait or have been begun. */
     readonly countPending: () => number;
 }
 
-interface WaitingRequest {
+export interface EnqueueOptions {
+    readonly begin: BeginRequest;
+    readonly budget: ByteBudget;
+    /** Called if the request is not begun. */
+    readonly drop?: () => void;
+    /** Returns the bytes of its body that are held. */
+    readonly getBodyBytes?: () => number;
+    /** Whether its body is not read before it is begun, so that Node.js keeps what has arrived. */
+    readonly isBodyUnread?: boolean;
+}
+
+interface WaitingRequest extends EnqueueOptions {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
-    readonly begin: BeginRequest;
 }
 
 /** A request in a queue, with the memory that it may occupy until it is begun. */
@@ -56,11 +73,11 @@
 interface RequestQueue {
     readonly socket: Socket;
     readonly waiting: QueuedRequest[];
-    /** Memory of the waiting requests. */
-    waitingBytes: number;
     /** Whether a request has been begun and its response has not been sent. */
     isBusy: boolean;
     isMonitored: boolean;
+    /** Response to the request that has been begun last. */
+    current: ServerResponse | undefined;
     /** Request whose head was received last, until its response has been sent. */
     last: IncomingMessage | undefined;
     /** Number of requests whose head has been received. */
@@ -72,7 +89,6 @@
 /** State of all connections of a server. */
 interface ServerState {
     readonly queues: WeakMap<Duplex, RequestQueue>;
-    readonly waitingLimit: WaitingLimit<RequestQueue>;
     pendingCount: number;
 }
 
@@ -85,26 +101,42 @@
     const queues = new WeakMap<Duplex, RequestQueue>();
     const state: ServerState = {
         queues,
-        waitingLimit: createWaitingLimit(MAX_WAITING_BYTES_OF_SERVER),
         pendingCount: 0,
     };
     return {
-        enqueue: (request, response, begin) => enqueueRequest(state, { request, response, begin }),
+        enqueue: (request, response, options) => enqueueRequest(state, { request, response, ...options }),
         failAfterPending: (socket, fail) => failAfterPending(state, queues.get(socket), fail),
         countReceived: socket => countReceivedRequests(queues.get(socket)),
         hasPending: socket => hasPendingRequest(queues.get(socket)),
         hasWaiting: socket => (queues.get(socket)?.waiting.length ?? 0) > 0,
+        isWaitingForHost: socket => isWaitingForHost(queues.get(socket)),
+        limitReading: socket => {
+            const queue = queues.get(socket);
+            if (queue !== undefined && queue.waiting.length > 0) {
+                stopReading(queue);
+            }
+        },
+        countHeads: socket => queues.get(socket)?.receivedCount ?? 0,
+        getReceiving: socket => {
+            const last = queues.get(socket)?.last;
+            return last?.complete === false ? last : undefined;
+        },
         countPending: () => state.pendingCount,
     };
 }
 
-function enqueueRequest(state: ServerState, entry: WaitingRequest): void {
-    const { socket } = entry.request;
+function enqueueRequest(state: ServerState, received: WaitingRequest): void {
+    const { socket } = received.request;
+    const entry = { ...received, bytes: estimateBytes(received) };
     const queue = state.queues.get(socket) ?? createQueue(socket);
     state.queues.set(socket, queue);
     queue.last = entry.request;
     queue.receivedCount += 1;
-    if (!queue.isBusy && canRespond(entry)) {
+    if (!entry.budget.take(entry.bytes)) {
+        entry.drop?.();
+        socket.destroy();
+    }
+    else if (!queue.isBusy && canRespond(entry)) {
         state.pendingCount += 1;
         beginRequest(state, queue, entry);
     }
@@ -113,13 +145,23 @@
     }
     else {
         // The connection ends with an earlier response. Further requests would only occupy memory.
+        dropEntry(entry);
         socket.pause();
     }
 }
 
-function beginRequest(state: ServerState, queue: RequestQueue, { request, response, begin }: WaitingRequest): void {
+function dropEntry({ budget, bytes, drop }: QueuedRequest): void {
+    budget.give(bytes);
+    drop?.();
+}
+
+function beginRequest(state: ServerState, queue: RequestQueue, entry: QueuedRequest): void {
+    const { request, response, begin, budget, bytes } = entry;
     queue.isBusy = true;
+    queue.current = response;
     response.once("close", () => {
+        budget.give(bytes);
+        queue.current = undefined;
         state.pendingCount -= 1;
         if (queue.last === request) {
             // An idle connection would keep the body in memory.
@@ -146,28 +188,19 @@
     }
     const next = queue.waiting.shift();
     if (next !== undefined) {
-        releaseWaiting(state, queue, next.bytes);
-        if (queue.waiting.length === MAX_WAITING_REQUESTS - 1) {
-            queue.socket.resume();
-        }
         beginRequest(state, queue, next);
+        // Stops again if too much still waits.
+        queue.socket.resume();
     }
 }
 
-function addWaiting(state: ServerState, queue: RequestQueue, entry: WaitingRequest): void {
+function addWaiting(state: ServerState, queue: RequestQueue, entry: QueuedRequest): void {
     state.pendingCount += 1;
-    const bytes = estimateBytes(entry.request);
-    queue.waiting.push({ ...entry, bytes });
-    queue.waitingBytes += bytes;
+    queue.waiting.push(entry);
     if (!queue.isMonitored) {
         monitorConnection(state, queue);
     }
     stopReading(queue);
-    const excess = state.waitingLimit.add(queue, bytes);
-    if (excess !== undefined) {
-        excess.socket.destroy();
-        dropWaiting(state, excess);
-    }
 }
 
 function monitorConnection(state: ServerState, queue: RequestQueue): void {
@@ -181,7 +214,8 @@
 }
 
 function stopReading({ socket, waiting }: RequestQueue): void {
-    if (waiting.length >= MAX_WAITING_REQUESTS) {
+    const bodyBytes = waiting.reduce((sum, { getBodyBytes }) => sum + (getBodyBytes?.() ?? 0), 0);
+    if (waiting.length >= MAX_WAITING_REQUESTS || bodyBytes > MAX_WAITING_BODY_BYTES) {
         socket.pause();
     }
 }
@@ -189,21 +223,22 @@
 function dropWaiting(state: ServerState, queue: RequestQueue): void {
     const dropped = queue.waiting.splice(0);
     state.pendingCount -= dropped.length;
-    releaseWaiting(state, queue, queue.waitingBytes);
+    dropped.forEach(dropEntry);
 }
 
-function releaseWaiting({ waitingLimit }: ServerState, queue: RequestQueue, bytes: number): void {
-    queue.waitingBytes -= bytes;
-    waitingLimit.remove(queue, bytes);
-}
-
-/** A body without a stated length counts as the bytes of one read. */
-function estimateBytes({ rawHeaders, url = "", headers }: IncomingMessage): number {
+function estimateBytes({ request, isBodyUnread = false }: WaitingRequest): number {
+    const { rawHeaders, url = "", headers } = request;
     const headBytes = rawHeaders.reduce((sum, text) => sum + text.length, url.length);
     const statedBytes = headers["transfer-encoding"] === undefined ? Number(headers["content-length"] ?? 0) : Infinity;
-    return REQUEST_OVERHEAD_BYTES + headBytes + Math.min(statedBytes, MAX_UNREAD_BODY_BYTES);
+    const bodyBytes = isBodyUnread ? Math.min(statedBytes, MAX_UNREAD_BODY_BYTES) : 0;
+    return REQUEST_OVERHEAD_BYTES + headBytes + rawHeaders.length / 2 * FIELD_OVERHEAD_BYTES + bodyBytes;
 }
 
+/** A connection that is not read from, or whose response is not read, waits for its caller. */
+const isWaitingForHost = (queue: RequestQueue | undefined): boolean =>
+    queue !== undefined && queue.isBusy && queue.waiting.length === 0 && !isIncomplete(queue)
+    && queue.current?.writableLength === 0;
+
 function failAfterPending(state: ServerState, queue: RequestQueue | undefined, fail: () => void): void {
     if (queue === undefined) {
         fail();
@@ -218,7 +253,7 @@
         return;
     }
     if (isIncomplete(queue) && queue.waiting.at(-1)?.request === queue.last) {
-        releaseWaiting(state, queue, queue.waiting.pop()?.bytes ?? 0);
+        queue.waiting.splice(-1).forEach(dropEntry);
         state.pendingCount -= 1;
     }
     queue.onIdle = fail;
@@ -227,9 +262,9 @@
 const createQueue = (socket: Socket): RequestQueue => ({
     socket,
     waiting: [],
-    waitingBytes: 0,
     isBusy: false,
     isMonitored: false,
+    current: undefined,
     last: undefined,
     receivedCount: 0,
     onIdle: undefined,
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -7,4 +7,6 @@
 export * from "./readRawBody.js";
 export * from "./readServerSentEvents.js";
 export * from "./requestJson.js";
+export * from "./resourceBudget.js";
 export * from "./serveHttp.js";
+export * from "./trackConnections.js";
--- a/packages/http/src/readRawBody.ts
+++ b/packages/http/src/readRawBody.ts
@@ -30,7 +30,8 @@
         const buffer = createByteBuffer({ maxBytes: limitBytes, ...(budget === undefined ? {} : { budget }) });
         let length = 0;
         let chunks = 0;
-        let isDiscarding = false;
+        // What is over the limit by its stated length is not kept at all.
+        let isDiscarding = Number(request.headers["content-length"] ?? 0) > limitBytes;
         const rejectTooLarge = (): void => reject(createBodyError(413, "entity.too.large", "the body is too large"));
         request.on("data", (chunk: Buffer) => {
             length += chunk.length;
@@ -41,8 +42,7 @@
                 return;
             }
             if (chunks % MAX_CHUNKS_PER_TURN === 0) {
-                request.pause();
-                setImmediate(() => request.resume());
+                stopForTurn(request);
             }
             if (isDiscarding || buffer.append(chunk)) {
                 return;
@@ -72,5 +72,15 @@
     });
 }
 
+/** The connection pauses, too: Node.js would go on adding pieces, which are objects, until they have 16 KB of content. */
+function stopForTurn(request: IncomingMessage): void {
+    request.pause();
+    request.socket.pause();
+    setImmediate(() => {
+        request.resume();
+        request.socket.resume();
+    });
+}
+
 const createBodyError = (status: number, type: string, message: string): HttpError =>
     Object.assign(new Error(message), { status, type });
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -8,7 +8,9 @@
 import { type BeginRequest, createRequestQueues } from "./createRequestQueues.js";
 import { handleClientErrors } from "./handleClientErrors.js";
 import { type ConnectionLimit, type ConnectionLimitEvent, limitConnections } from "./limitConnections.js";
-import { readRawBody } from "./readRawBody.js";
+import { type RawBody, readRawBody } from "./readRawBody.js";
+import { createResourceBudget, type ResourceBudget, type ResourceKind } from "./resourceBudget.js";
+import { trackConnections } from "./trackConnections.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
 
@@ -22,6 +24,8 @@
     readonly receivedAtMs: number;
     /** Returns whether a further request of the connection waits, which `connection: close` would leave without a response. */
     readonly isFollowed: () => boolean;
+    /** Returns the budget that pays for what the host holds for the connection. */
+    readonly pay: (kind: ResourceKind) => ByteBudget;
     /** Parsed JSON value, or a `Buffer` if the server was started with `bodies: "raw"`. */
     readonly body: unknown;
 }
@@ -51,10 +55,11 @@
     /** A function is evaluated for each request with `raw` bodies, and once at the start with `json` bodies. */
     readonly bodyLimitBytes?: number | (() => number);
     /**
-     * Pays for the memory of `raw` bodies until their responses have been sent. A request whose body exceeds it gets an
-     * error with status 503 and type `body.budget`.
+     * Pays for everything that clients make the server hold. Several servers can share one. A request whose `raw` body
+     * exceeds it gets an error with status 503 and type `body.budget`; without room for anything else, connections are
+     * closed. By default, the server has one of its own with `DEFAULT_BUDGET_BYTES`.
      */
-    readonly bodyBudget?: ByteBudget;
+    readonly budget?: ResourceBudget;
     readonly maxHeaderBytes?: number;
     /**
      * Most connections, without limit by default. If all have requests in flight, a request on a further one gets an error
@@ -95,6 +100,9 @@
     readonly type?: string;
 }
 
+/** 16,384 requests with a head of 29 bytes fit into it, beside a heap of 200 MB. */
+const DEFAULT_BUDGET_BYTES = 72 * 1024 * 1024;
+
 const badRequestReasons: Record<BadRequestStatus, string> = {
     400: "Bad Request",
     408: "Request Timeout",
@@ -152,13 +160,33 @@
         headersTimeout: settings.requestTimeoutMs,
     });
     const queues = createRequestQueues();
+    const budget = options.budget ?? createResourceBudget({ getLimit: () => DEFAULT_BUDGET_BYTES });
+    const bodies = new WeakMap<IncomingMessage, ReadingBody>();
     server.on("request", (request, response) => {
         const { socket } = request;
+        const account = tracker.getAccount(socket);
+        if (account === undefined) {
+            return;
+        }
         const isFollowed = (): boolean => queues.hasWaiting(socket);
-        Object.assign(request, { receivedAtMs: performance.now(), isFollowed } satisfies Partial<HttpRequest>);
-        queues.enqueue(request, response, handleRequest);
+        const { pay } = account;
+        Object.assign(request, { receivedAtMs: performance.now(), isFollowed, pay } satisfies Partial<HttpRequest>);
+        response.once("close", () => account.recordTransfer(MIN_ANSWER_BYTES));
+        const common = { begin: handleRequest, budget: pay("request") };
+        if (settings.bodies === "json") {
+            queues.enqueue(request, response, { ...common, isBodyUnread: true });
+            return;
+        }
+        const body = startReading(request, getBodyLimit(settings.bodyLimitBytes), pay("body"));
+        bodies.set(request, body);
+        queues.enqueue(request, response, { ...common, drop: body.drop, getBodyBytes: body.getBytes });
+    });
+    server.on("checkExpectation", (request, response) => {
+        const account = tracker.getAccount(request.socket);
+        if (account !== undefined) {
+            queues.enqueue(request, response, { begin: rejectExpectation, budget: account.pay("request") });
+        }
     });
-    server.on("checkExpectation", (request, response) => queues.enqueue(request, response, rejectExpectation));
     handleClientErrors(server, {
         queues,
         requestTimeoutMs: settings.requestTimeoutMs,
@@ -170,6 +198,7 @@
         onLimit: settings.onConnectionLimit,
         getNowMs: settings.getNowMs,
     });
+    const tracker = trackConnections({ server, budget, queues, getMaxHeadBytes: () => settings.maxHeaderBytes });
     // The method of Node.js, which `server.close` calls, also closes connections whose last response is still being sent.
     server.closeIdleConnections = connectionLimit.closeKept;
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
@@ -180,7 +209,7 @@
     }
     const parseBody = settings.bodies === "json"
         ? await createJsonParser(getBodyLimit(settings.bodyLimitBytes))
-        : createRawParser(settings.bodyLimitBytes, settings.bodyBudget);
+        : createRawParser(bodies);
     app.use(parseBody, createExcessRefusal(connectionLimit), ...settings.middleware);
     for (const route of settings.routes) {
         addRoute(app, route, reportError);
@@ -205,10 +234,47 @@
     return bodyParser.json({ limit: limitBytes, strict: false, type: () => true }) as HttpMiddleware;
 }
 
-function createRawParser(limit: number | (() => number), budget: ByteBudget | undefined): HttpMiddleware {
+/** A body that is being received, or has been. */
+interface ReadingBody {
+    readonly done: Promise<RawBody>;
+    /** Returns its memory to the budget once it has been received. */
+    readonly drop: () => void;
+    readonly getBytes: () => number;
+}
+
+/**
+ * Starts reading a body when its head arrives, also if the request has to wait. Pieces that are not read would be kept as
+ * objects: 64 KiB in chunks of one byte take 5 MB.
+ */
+function startReading(request: IncomingMessage, limitBytes: number, payer: ByteBudget): ReadingBody {
+    const budget = createPartialBudget(payer);
+    const done = readRawBody(request, { limitBytes, budget });
+    const drop = (): void => void done.then(({ release }) => release(), () => undefined);
+    // The error is handled when it is the request's turn, which may be never.
+    done.catch(() => undefined);
+    return { done, drop, getBytes: () => budget.getUsed() + request.readableLength };
+}
+
+/** Counts what one body takes from the budget of its connection. */
+function createPartialBudget(payer: ByteBudget): ByteBudget {
+    let used = 0;
+    return {
+        take: bytes => {
+            const isTaken = payer.take(bytes);
+            used += isTaken ? bytes : 0;
+            return isTaken;
+        },
+        give: bytes => {
+            used -= bytes;
+            payer.give(bytes);
+        },
+        getUsed: () => used,
+    };
+}
+
+function createRawParser(bodies: WeakMap<IncomingMessage, ReadingBody>): HttpMiddleware {
     return (request, response, next) => {
-        const limitBytes = getBodyLimit(limit);
-        readRawBody(request, { limitBytes, ...(budget === undefined ? {} : { budget }) }).then(
+        bodies.get(request)?.done.then(
             ({ bytes, release }) => {
                 if (response.closed) {
                     release();
@@ -272,6 +338,9 @@
     socket.end(`${lines.join("\r\n")}\r\n\r\n${text}`);
 }
 
+/** An answered request counts as progress of its connection, however short the response was. */
+const MIN_ANSWER_BYTES = 1_024;
+
 /** Interval at which idle connections are closed during a drain. */
 const IDLE_CONNECTION_SWEEP_MS = 20;
 
--- a/packages/settings/src/model/forwardingSettings.ts
+++ b/packages/settings/src/model/forwardingSettings.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
 import { addressSchema, millisecondsSchema } from "./addressSchema.js";
 
+/** Below it, the process and one body of 4 MB exceed the part of the memory that a process may use. */
+const MIN_MEMORY_MB = 176;
 const bytesSchema = z.number().int().min(1);
 
 /** Settings of a host that forwards whole requests, read from a TOML file at startup and whenever the file changes. */
@@ -45,6 +47,8 @@
     limits: z.strictObject({
         /** File descriptors that the process may have open. Most of them are connections of callers and to endpoints. */
         file_descriptors: z.number().int().min(1).default(4_200),
+        /** Memory of the host. What callers may make the process hold is derived from it. */
+        memory_mb: z.number().min(MIN_MEMORY_MB).default(202),
     }).prefault({}),
     requests: z.strictObject({
         /** Most memory that bodies of requests occupy at the same time; a request beyond it is refused. */
