--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -98,7 +98,6 @@
                 },
             ),
         permits: { hasRoom: () => true, acquire: () => Promise.resolve(true), getWaitMs: () => undefined },
-        responseBudget: createByteBudget(() => 10_000),
         quarantine: {
             admit: () => Promise.resolve({ kind: "admitted" }),
             isIsolated: () => false,
@@ -129,6 +128,7 @@
                 callerMetadata: { promptTokens },
                 trackedParts: [],
                 response: createResponse(replies),
+                responseBudget: createByteBudget(() => 10_000),
                 route: createRoute(route),
                 service: { name: directoryService, engine },
                 priority: 1,
