Change the row of an isolated part once the host has written its own

A host writes what it has read from the store within a random second and reads the row for that. If this fell between the change and the request, the host knew of the change, and a trial 300 ms later was right. Change: the test changes the row after the host's own write. The check is the same.

--- a/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
+++ b/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
@@ -171,6 +171,8 @@
     // Guards against a trial by a host that does not know that another one has just made it.
     it("is not tried if the row in the store has changed", async () => {
         const system = await startSystem({ retry_after_ms: 300 });
+        // The host writes what it has read within a second, reads the row for that, and would know of a change before.
+        await new Promise(resolve => setTimeout(resolve, 1_100));
         system.host.store.put("quarantine", "desk bad", { ...entry, revision: 9 });
         await new Promise(resolve => setTimeout(resolve, 350));
         expect((await send(system, "bad")).status).toBe(503);
