--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -22,6 +22,24 @@
     return host;
 }
 
+/** Starts two hosts that know each other, before an endpoint whose calls take `workMs`. */
+async function startPair({ workMs, graceMs }: { workMs: number; graceMs: number; }): Promise<[TestHost, TestHost]> {
+    const endpoint = await startEndpoint(
+        "e0",
+        (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "late"), workMs),
+    );
+    closers.push(endpoint.close);
+    const first = await startHost([createRoute({ kind: "once" })], [endpoint], { graceMs });
+    const second = await startHost([], [endpoint], {
+        store: first.store,
+        graceMs: 200,
+        ip: "127.0.0.2",
+        peerPort: Number(first.listen.peers.split(":")[1]),
+        seeds: ["127.0.0.1:1"],
+    });
+    return [first, second];
+}
+
 async function getStatus(url: string): Promise<number> {
     const reply = await request(url, { headers: { "host": "desk.example", "t-id": "q" } });
     await reply.body.dump();
@@ -57,19 +75,7 @@
         expect(await getStatus(`${second.url}/r/x`)).toBe(404);
     });
     it("announces its assignments to its peers", async () => {
-        const endpoint = await startEndpoint(
-            "e0",
-            (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "late"), 700),
-        );
-        closers.push(endpoint.close);
-        const first = await startHost([createRoute({ kind: "once" })], [endpoint], { graceMs: 200 });
-        const second = await startHost([], [endpoint], {
-            store: first.store,
-            graceMs: 200,
-            ip: "127.0.0.2",
-            peerPort: Number(first.listen.peers.split(":")[1]),
-            seeds: ["127.0.0.1:1"],
-        });
+        const [first, second] = await startPair({ workMs: 700, graceMs: 200 });
         await waitUntil(() => first.logged.some(entry => entry["msg"] === "peers: peer is alive"));
         const status = getStatus(`${first.url}/r/x`);
         await waitUntil(() => second.host.context.assignmentRegistry.groupByEndpoint(performance.now()).has("e0"));
@@ -79,19 +85,7 @@
     // Guards against endpoints that are overrun during a shutdown, or left idle after it: peers count the work of the host
     // until it has ended, and no longer.
     it("announces its work during the shutdown, and its end", async () => {
-        const endpoint = await startEndpoint(
-            "e0",
-            (received, socket) => void setTimeout(() => writeAnswer(socket, received, 200, "late"), 1_000),
-        );
-        closers.push(endpoint.close);
-        const first = await startHost([createRoute({ kind: "once" })], [endpoint], { graceMs: 3_000 });
-        const second = await startHost([], [endpoint], {
-            store: first.store,
-            graceMs: 200,
-            ip: "127.0.0.2",
-            peerPort: Number(first.listen.peers.split(":")[1]),
-            seeds: ["127.0.0.1:1"],
-        });
+        const [first, second] = await startPair({ workMs: 1_000, graceMs: 3_000 });
         const isCounted = (): boolean =>
             second.host.context.assignmentRegistry.groupByEndpoint(performance.now()).has("e0");
         await waitUntil(() => first.logged.some(entry => entry["msg"] === "peers: peer is alive"));
