Tell peers that an endpoint is warm only after a cold period, and drop late placements

A warm endpoint is told only for a time after a cold period. No test. - The last message of a leaving host waits for the turn in which stopped requests release their work. By reading; no test.

--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -154,7 +154,9 @@
 ): Promise<void> {
     peers.announceLeaving();
     await drainForwarding(context, servers, delayMs);
-    // The work has ended. Without this message, peers count it until this host has been silent for some time.
+    // Requests that were stopped at the end release their work in this turn.
+    await setImmediate();
+    // Without this message, peers count the work until this host has been silent for some time.
     peers.announceLeaving();
     await setImmediate();
 }
--- a/packages/forwarding/src/coordination/commands/createPlacementClient.ts
+++ b/packages/forwarding/src/coordination/commands/createPlacementClient.ts
@@ -9,6 +9,11 @@
  * starved of processor time takes tens.
  */
 const ANSWER_TIMEOUT_MS = 30;
+/**
+ * An answer that is read later has waited in this process, which was paused: its placement and the permits that it took are
+ * outdated.
+ */
+const MAX_ANSWER_AGE_MS = 2 * ANSWER_TIMEOUT_MS;
 
 export interface PlacementReply {
     readonly answer: PlacementAnswer;
@@ -43,12 +48,14 @@
     return {
         ask: async (coordinator, query) => {
             let queryId = 0;
-            const answer = await waiter.ask(id => {
+            const askedAtMs = performance.now();
+            const received = await waiter.ask(id => {
                 queryId = id;
                 lastId = id;
                 unsettledIds.add(id);
                 socket.send(encodeQuery({ from: address, id, query }), [coordinator]);
             });
+            const answer = performance.now() - askedAtMs > MAX_ANSWER_AGE_MS ? undefined : received;
             const settle = (): void => void unsettledIds.delete(queryId);
             onAnswer(answer?.kind ?? "no_answer");
             if (answer?.kind !== "placed") {
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -62,7 +62,7 @@
     const endpoints = new Map<string, Endpoint>();
     const formerEndpoints = createFormerEndpoints();
     const warmupLog = createWarmupLog(log);
-    /** To a host that has just started every process is new. */
+    /** Whether the first copy of the table has been applied. Processes in it do not count as just started. */
     let hasFirstSnapshot = false;
 
     const removeEndpoint = (id: string, reason: string): void => {
--- a/packages/forwarding/src/warmup/model/endpointWarmth.ts
+++ b/packages/forwarding/src/warmup/model/endpointWarmth.ts
@@ -14,6 +14,9 @@
  */
 const MAX_ECHO_MS = 100;
 
+/** Longest time for which hosts tell each other that a response has ended a cold period. */
+const SHARE_END_MS = 10_000;
+
 /** A cold time, or a value that is none, as decoded from a row or a response. */
 export interface ColdStatement {
     readonly coldRemainingMs?: number;
@@ -70,6 +73,8 @@
     let returnedAtMs: number | undefined;
     let row: Statement | undefined;
     let response: Statement | undefined;
+    /** When a response ended a cold period; `undefined` if none did. */
+    let endedAtMs: number | undefined;
     let hasLoggedInvalid = false;
 
     const getRemainingMs = (nowMs: number): number => {
@@ -104,6 +109,9 @@
         if (statement.remainingMs === 0 && startedAtMs !== undefined && startedAtMs <= statement.atMs) {
             startedAtMs = undefined;
         }
+        if (statement.remainingMs > 0 || wasCold) {
+            endedAtMs = statement.remainingMs > 0 ? undefined : nowMs;
+        }
         logIfBegun(wasCold, source === "peer" ? "peer" : "response", nowMs);
         if (getPolicy() !== undefined && wasCold !== getRemainingMs(nowMs) > 0) {
             onChange(source);
@@ -135,12 +143,14 @@
         },
         share: nowMs => {
             const policy = getPolicy();
-            // A response that has ended a cold period is told for as long as the period could have lasted.
-            const isCurrent = response !== undefined && policy !== undefined
-                && nowMs - response.atMs <= Math.max(response.remainingMs, policy.durationMs);
-            return response === undefined || !isCurrent
-                ? undefined
-                : { remainingMs: response.remainingMs, ageMs: nowMs - response.atMs };
+            if (response === undefined || policy === undefined) {
+                return undefined;
+            }
+            // That an endpoint is warm is news only after a cold period; hundreds of endpoints may say it in each response.
+            const isCurrent = response.remainingMs > 0
+                ? nowMs - response.atMs <= Math.max(response.remainingMs, policy.durationMs)
+                : endedAtMs !== undefined && nowMs - endedAtMs <= Math.min(policy.durationMs, SHARE_END_MS);
+            return isCurrent ? { remainingMs: response.remainingMs, ageMs: nowMs - response.atMs } : undefined;
         },
         getRemainingMs,
         getRate: nowMs => getRemainingMs(nowMs) > 0 ? getPolicy()?.requestsPerSecond : undefined,
--- a/packages/forwarding/tests/warmup/model/endpointWarmth.test.ts
+++ b/packages/forwarding/tests/warmup/model/endpointWarmth.test.ts
@@ -209,6 +209,17 @@
         }
         hosts.forEach(host => expect(host.getRemainingMs(1_002)).toBe(0));
     });
+    // Guards against messages that list each warm endpoint and leave no room for news.
+    it("tells peers that an endpoint is warm only for a time after a cold period", () => {
+        const { warmth } = createWarmth();
+        warmth.recordResponse(say(0), 0);
+        expect(warmth.share(1)).toBeUndefined();
+        warmth.recordResponse(say(1_000), 100);
+        warmth.recordResponse(say(0), 300);
+        warmth.recordResponse(say(0), 3_000);
+        expect(warmth.share(3_000)).toEqual({ remainingMs: 0, ageMs: 0 });
+        expect(warmth.share(20_000)).toBeUndefined();
+    });
     it("tells peers at once when a response begins or ends a period", () => {
         const { warmth, changes } = createWarmth();
         warmth.recordResponse(say(0), 0);
