Pay for chunked bodies once, keep pauses of Node.js, and close by kind

Only a reader that has begun is waited for. Also: bytes that were put back no longer count as progress, a connection with an unread head or bytes does not count as waiting for the host, and a closed account takes nothing (by reading).

--- a/packages/http/src/createRequestQueues.ts
+++ b/packages/http/src/createRequestQueues.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { ByteBudget } from "./byteBudget.js";
+import { resumeConnection } from "./resumeConnection.js";
 
 /**
  * Waiting requests of a connection at which reading from it stops. Below it reading goes on, since a connection that is not
@@ -45,6 +46,8 @@
     readonly countHeads: (socket: Duplex) => number;
     /** Returns the request of the connection whose body is being received. */
     readonly getReceiving: (socket: Duplex) => IncomingMessage | undefined;
+    /** Returns the bytes of that body that have been received, 0 if they are not counted. */
+    readonly countBodyBytes: (socket: Duplex) => number;
     /** Returns the number of requests that wait or have been begun. */
     readonly countPending: () => number;
 }
@@ -56,6 +59,8 @@
     readonly drop?: () => void;
     /** Returns the bytes of its body that are held. */
     readonly getBodyBytes?: () => number;
+    /** Returns the bytes of its body that have been received. */
+    readonly getReceivedBytes?: () => number;
     /** Whether its body is not read before it is begun, so that Node.js keeps what has arrived. */
     readonly isBodyUnread?: boolean;
 }
@@ -80,6 +85,8 @@
     current: ServerResponse | undefined;
     /** Request whose head was received last, until its response has been sent. */
     last: IncomingMessage | undefined;
+    /** Returns the bytes of the body of the request whose head was received last, if they are counted. */
+    getReceivedBytes: (() => number) | undefined;
     /** Number of requests whose head has been received. */
     receivedCount: number;
     /** Called once no request is in progress or waits. */
@@ -121,6 +128,7 @@
             const last = queues.get(socket)?.last;
             return last?.complete === false ? last : undefined;
         },
+        countBodyBytes: socket => queues.get(socket)?.getReceivedBytes?.() ?? 0,
         countPending: () => state.pendingCount,
     };
 }
@@ -131,6 +139,7 @@
     const queue = state.queues.get(socket) ?? createQueue(socket);
     state.queues.set(socket, queue);
     queue.last = entry.request;
+    queue.getReceivedBytes = entry.getReceivedBytes;
     queue.receivedCount += 1;
     if (!entry.budget.take(entry.bytes)) {
         entry.drop?.();
@@ -190,7 +199,7 @@
     if (next !== undefined) {
         beginRequest(state, queue, next);
         // Stops again if too much still waits.
-        queue.socket.resume();
+        resumeConnection(queue.socket);
     }
 }
 
@@ -266,6 +275,7 @@
     isMonitored: false,
     current: undefined,
     last: undefined,
+    getReceivedBytes: undefined,
     receivedCount: 0,
     onIdle: undefined,
 });
--- a/packages/http/src/readRawBody.ts
+++ b/packages/http/src/readRawBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import type { ByteBudget } from "./byteBudget.js";
 import { createByteBuffer } from "./byteBuffer.js";
+import { resumeConnection } from "./resumeConnection.js";
 import type { HttpError } from "./serveHttp.js";
 
 /** Bytes beyond the limit that are read and discarded, so that the client can finish sending and read the response. */
@@ -12,6 +13,8 @@
     readonly limitBytes: number;
     /** Pays for the memory of the body until `RawBody.release` is called. */
     readonly budget?: ByteBudget;
+    /** Called with the length of each piece. */
+    readonly onPiece?: (bytes: number) => void;
 }
 
 export interface RawBody {
@@ -25,7 +28,10 @@
  * body exceeds the limit, status 503 and type `body.budget` if it exceeds the budget, status 400 and type
  * `request.aborted` if the connection closes before the end of the body.
  */
-export function readRawBody(request: IncomingMessage, { limitBytes, budget }: ReadRawBodyOptions): Promise<RawBody> {
+export function readRawBody(
+    request: IncomingMessage,
+    { limitBytes, budget, onPiece }: ReadRawBodyOptions,
+): Promise<RawBody> {
     return new Promise((resolve, reject) => {
         const buffer = createByteBuffer({ maxBytes: limitBytes, ...(budget === undefined ? {} : { budget }) });
         let length = 0;
@@ -36,6 +42,7 @@
         request.on("data", (chunk: Buffer) => {
             length += chunk.length;
             chunks += 1;
+            onPiece?.(chunk.length);
             if (length > limitBytes + DISCARD_LIMIT_BYTES) {
                 request.pause();
                 rejectTooLarge();
@@ -78,7 +85,7 @@
     request.socket.pause();
     setImmediate(() => {
         request.resume();
-        request.socket.resume();
+        resumeConnection(request.socket);
     });
 }
 
--- a/packages/http/src/resourceBudget.ts
+++ b/packages/http/src/resourceBudget.ts
@@ -69,6 +69,7 @@
     /** Bytes transferred since the last progress. */
     transferredBytes: number;
     isClosing: boolean;
+    isClosed: boolean;
 }
 
 interface BudgetState {
@@ -111,6 +112,7 @@
         progressAtMs: state.options.getNowMs(),
         transferredBytes: 0,
         isClosing: false,
+        isClosed: false,
     };
     if (!takeBytes(state, account, "connection", bytes)) {
         return undefined;
@@ -133,9 +135,10 @@
 }
 
 function takeBytes(state: BudgetState, account: AccountState, kind: ResourceKind, bytes: number): boolean {
-    const { options, used } = state;
-    const hasRoom = used[kind] + bytes <= options.getKindLimit(kind) && !account.isClosing
-        && (state.usedBytes + bytes <= options.getLimit() || evictAccounts(state, account, kind, bytes));
+    const { options } = state;
+    const hasRoom = !account.isClosing && !account.isClosed
+        && reserveRoom(state, { asking: account, kind, bytes, scope: kindScope(state, kind) })
+        && reserveRoom(state, { asking: account, kind, bytes, scope: totalScope(state) });
     if (!hasRoom) {
         options.onEvent("refused", kind);
         return false;
@@ -162,6 +165,7 @@
 
 function closeAccount(state: BudgetState, account: AccountState): void {
     state.open.delete(account);
+    account.isClosed = true;
     addBytes(state, account, "connection", -account.used.connection);
     addBytes(state, account, "head", -account.used.head);
     if (account.isClosing) {
@@ -170,37 +174,80 @@
     }
 }
 
+/** What a limit applies to: all bytes, or those of one kind. */
+interface LimitScope {
+    readonly limit: number;
+    readonly usedBytes: number;
+    /** Part of `usedBytes` of connections that are being closed. */
+    readonly closingBytes: number;
+    /** Returns the bytes of an account to which the limit applies. */
+    readonly getUsed: (account: AccountState) => number;
+}
+
+const totalScope = (state: BudgetState): LimitScope => ({
+    limit: state.options.getLimit(),
+    usedBytes: state.usedBytes,
+    closingBytes: state.closingBytes,
+    getUsed: ({ usedBytes }) => usedBytes,
+});
+
+const kindScope = (state: BudgetState, kind: ResourceKind): LimitScope => ({
+    limit: state.options.getKindLimit(kind),
+    usedBytes: state.used[kind],
+    // Only asked for once the limit is reached.
+    get closingBytes() {
+        return [...state.open].reduce((sum, { isClosing, used }) => sum + (isClosing ? used[kind] : 0), 0);
+    },
+    getUsed: ({ used }) => used[kind],
+});
+
+interface RoomRequest {
+    readonly asking: AccountState;
+    readonly kind: ResourceKind;
+    readonly bytes: number;
+    readonly scope: LimitScope;
+}
+
 /** Closes other connections until there is room. Returns `false` if none of them ranks before the one that asks. */
-function evictAccounts(state: BudgetState, asking: AccountState, kind: ResourceKind, bytes: number): boolean {
-    const { getLimit, onEvent } = state.options;
-    const limit = getLimit();
-    const isOver = (wanted: number): boolean => state.usedBytes - state.closingBytes + bytes > wanted;
-    if (state.usedBytes + bytes > limit * (1 + CLOSING_FRACTION)) {
+function reserveRoom(state: BudgetState, { asking, kind, bytes, scope }: RoomRequest): boolean {
+    const { limit, usedBytes, getUsed } = scope;
+    if (usedBytes + bytes <= limit) {
+        return true;
+    }
+    if (usedBytes + bytes > limit * (1 + CLOSING_FRACTION)) {
         return false;
     }
+    let closingBytes = scope.closingBytes;
+    const isOver = (wanted: number): boolean => usedBytes - closingBytes + bytes > wanted;
     if (!isOver(limit)) {
         return true;
     }
-    for (const account of rankAccounts(state, asking)) {
+    for (const account of rankAccounts(state, asking, getUsed)) {
         if (account === asking || !isOver(limit * (1 - FREED_FRACTION))) {
             break;
         }
         account.isClosing = true;
         state.closingBytes += account.usedBytes;
-        onEvent("closed", kind);
+        closingBytes += getUsed(account);
+        state.options.onEvent("closed", kind);
         account.holder.close(kind);
     }
     return !isOver(limit);
 }
 
 /** Ranks the connections that may be closed: the one first that holds most, for longest, without progress. */
-function rankAccounts(state: BudgetState, asking: AccountState): readonly AccountState[] {
+function rankAccounts(
+    state: BudgetState,
+    asking: AccountState,
+    getUsed: LimitScope["getUsed"],
+): readonly AccountState[] {
     const nowMs = state.options.getNowMs();
-    const compute = ({ usedBytes, progressAtMs }: AccountState): number =>
-        usedBytes * (nowMs - progressAtMs + MIN_STALLED_MS);
+    const compute = (account: AccountState): number =>
+        getUsed(account) * (nowMs - account.progressAtMs + MIN_STALLED_MS);
     return [...state.open]
         .filter(account => account === asking || !account.isClosing && !account.holder.isWaitingForHost())
         .map(account => ({ account, rank: compute(account) }))
+        .filter(({ account, rank }) => account === asking || rank > 0)
         .sort((a, b) => b.rank - a.rank)
         .map(({ account }) => account);
 }
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -179,7 +179,8 @@
         }
         const body = startReading(request, getBodyLimit(settings.bodyLimitBytes), pay("body"));
         bodies.set(request, body);
-        queues.enqueue(request, response, { ...common, drop: body.drop, getBodyBytes: body.getBytes });
+        const { drop, getBytes: getBodyBytes, getReceivedBytes } = body;
+        queues.enqueue(request, response, { ...common, drop, getBodyBytes, getReceivedBytes });
     });
     server.on("checkExpectation", (request, response) => {
         const account = tracker.getAccount(request.socket);
@@ -240,6 +241,8 @@
     /** Returns its memory to the budget once it has been received. */
     readonly drop: () => void;
     readonly getBytes: () => number;
+    /** Returns the bytes that have been received, also those that are not kept. */
+    readonly getReceivedBytes: () => number;
 }
 
 /**
@@ -248,11 +251,18 @@
  */
 function startReading(request: IncomingMessage, limitBytes: number, payer: ByteBudget): ReadingBody {
     const budget = createPartialBudget(payer);
-    const done = readRawBody(request, { limitBytes, budget });
+    let readBytes = 0;
+    const onPiece = (bytes: number): void => void (readBytes += bytes);
+    const done = readRawBody(request, { limitBytes, budget, onPiece });
     const drop = (): void => void done.then(({ release }) => release(), () => undefined);
     // The error is handled when it is the request's turn, which may be never.
     done.catch(() => undefined);
-    return { done, drop, getBytes: () => budget.getUsed() + request.readableLength };
+    return {
+        done,
+        drop,
+        getBytes: () => budget.getUsed() + request.readableLength,
+        getReceivedBytes: () => readBytes + request.readableLength,
+    };
 }
 
 /** Counts what one body takes from the budget of its connection. */
--- a/packages/http/src/trackConnections.ts
+++ b/packages/http/src/trackConnections.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from "node:stream";
 import type { RequestQueues } from "./createRequestQueues.js";
 import type { ResourceAccount, ResourceBudget } from "./resourceBudget.js";
+import { resumeConnection } from "./resumeConnection.js";
 
 /** Objects of a connection: socket, HTTP parser, listeners and queue. */
 const CONNECTION_BYTES = 16 * 1024;
@@ -22,7 +23,10 @@
     readonly budget: ResourceBudget;
     /** Returns the limit of the HTTP parser on a head. */
     readonly getMaxHeadBytes: () => number;
-    readonly queues: Pick<RequestQueues, "isWaitingForHost" | "limitReading" | "countHeads" | "getReceiving">;
+    readonly queues: Pick<
+        RequestQueues,
+        "isWaitingForHost" | "limitReading" | "countHeads" | "getReceiving" | "countBodyBytes"
+    >;
 }
 
 export interface ConnectionTracker {
@@ -40,8 +44,12 @@
     const { server, budget, queues } = options;
     const accounts = new WeakMap<Duplex, ResourceAccount>();
     server.on("connection", (socket: Socket) => {
-        const holder = { isWaitingForHost: () => queues.isWaitingForHost(socket), close: () => socket.destroy() };
-        const account = budget.open(holder, CONNECTION_BYTES);
+        const getHeadBytes = (): number => account?.pay("head").getUsed() ?? 0;
+        const isWaitingForHost = (): boolean =>
+            queues.isWaitingForHost(socket) && socket.readableLength === 0
+            // The last slice of a request is paid for until the next one.
+            && getHeadBytes() <= SLICE_BYTES * HEAD_FACTOR;
+        const account = budget.open({ isWaitingForHost, close: () => socket.destroy() }, CONNECTION_BYTES);
         if (account === undefined) {
             socket.destroy();
             return;
@@ -69,16 +77,22 @@
     const parseSlice = (slice: Buffer): boolean => {
         const receiving = queues.getReceiving(socket);
         const isPaid = receiving !== undefined && receiving.headers["transfer-encoding"] === undefined;
+        const paidBefore = head.getUsed();
         if (!isPaid && !takeHead(slice.length)) {
             return false;
         }
         const heads = queues.countHeads(socket);
+        const bodyBytes = queues.countBodyBytes(socket);
         parsers.forEach(parse => parse(slice));
         if (heads !== queues.countHeads(socket) || receiving?.complete === true) {
             // The head has become a request, which pays for its objects. The rest of the slice may belong to another head.
             head.give(head.getUsed());
             return takeHead(slice.length);
         }
+        if (receiving !== undefined && queues.countBodyBytes(socket) > bodyBytes) {
+            // A slice with a part of a body, which pays for itself. The parser only keeps what belongs to trailers.
+            head.give(head.getUsed() - paidBefore);
+        }
         return true;
     };
     // With a listener, Node.js reads into buffers instead of passing the bytes to the parser itself.
@@ -88,9 +102,9 @@
     const waitForReader = (rest: Buffer): void => {
         socket.pause();
         socket.unshift(rest);
-        // A paused reader resumes the connection itself.
-        if (queues.getReceiving(socket)?.isPaused() === false) {
-            setImmediate(() => socket.resume());
+        // A paused reader, and one that has not begun to read, resumes the connection itself.
+        if (queues.getReceiving(socket)?.readableFlowing === true) {
+            setImmediate(() => resumeConnection(socket));
         }
     };
     const parseChunk = (chunk: Buffer): void => {
@@ -110,8 +124,11 @@
             queues.limitReading(socket);
         }
     };
+    let countedBytes = 0;
     socket.on("data", (chunk: Buffer) => {
-        account.recordTransfer(chunk.length);
+        // Bytes that were put back come again, and are no progress of the caller.
+        account.recordTransfer(socket.bytesRead - countedBytes);
+        countedBytes = socket.bytesRead;
         parseChunk(chunk);
     });
 }
--- a/packages/http/tests/resourceBudget.test.ts
+++ b/packages/http/tests/resourceBudget.test.ts
@@ -53,6 +53,15 @@
 }
 
 describe("the budget for what callers make a process hold", () => {
+    // Guards against bodies that stop before their end and keep all other bodies out, while there is room for other kinds.
+    it("closes connections that hold most of a kind whose limit is reached", () => {
+        const { closed, open, setTime } = createFixture(500);
+        open("large", 300);
+        open("small", 190);
+        setTime(10_000);
+        open("new", 20);
+        expect(closed).toEqual(["large"]);
+    });
     // Guards against callers that are turned away although there is room.
     it("closes and refuses nothing up to its limit", () => {
         const { budget, closed, events, open, setTime } = createFixture();
--- a/packages/measure/src/callerBudget.ts
+++ b/packages/measure/src/callerBudget.ts
@@ -66,6 +66,7 @@
                 isWaitingForHost: () => false,
                 limitReading: () => undefined,
                 countHeads: () => heads,
+                countBodyBytes: () => 0,
                 getReceiving: () => last?.complete === false ? last : undefined,
             },
         })
