--- a/packages/forwarding/src/warmup/model/endpointWarmth.ts
+++ b/packages/forwarding/src/warmup/model/endpointWarmth.ts
@@ -143,20 +143,29 @@
         },
         share: nowMs => {
             const policy = getPolicy();
-            if (response === undefined || policy === undefined) {
-                return undefined;
-            }
-            // That an endpoint is warm is news only after a cold period; hundreds of endpoints may say it in each response.
-            const isCurrent = response.remainingMs > 0
-                ? nowMs - response.atMs <= Math.max(response.remainingMs, policy.durationMs)
-                : endedAtMs !== undefined && nowMs - endedAtMs <= Math.min(policy.durationMs, SHARE_END_MS);
-            return isCurrent ? { remainingMs: response.remainingMs, ageMs: nowMs - response.atMs } : undefined;
+            return response === undefined || policy === undefined || !isNews(response, endedAtMs, policy, nowMs)
+                ? undefined
+                : { remainingMs: response.remainingMs, ageMs: nowMs - response.atMs };
         },
         getRemainingMs,
         getRate: nowMs => getRemainingMs(nowMs) > 0 ? getPolicy()?.requestsPerSecond : undefined,
     };
 }
 
+/**
+ * Returns whether other hosts have to know of a response. That an endpoint is warm is news only after a cold period:
+ * hundreds of endpoints may say it in each response.
+ */
+const isNews = (
+    { remainingMs, atMs }: Statement,
+    endedAtMs: number | undefined,
+    { durationMs }: ColdPolicy,
+    nowMs: number,
+): boolean =>
+    remainingMs > 0
+        ? nowMs - atMs <= Math.max(remainingMs, durationMs)
+        : endedAtMs !== undefined && nowMs - endedAtMs <= Math.min(durationMs, SHARE_END_MS);
+
 const isEcho = (a: Statement, b: Statement): boolean =>
     Math.abs(a.atMs + a.remainingMs - (b.atMs + b.remainingMs)) <= MAX_ECHO_MS;
 
