--- a/packages/forwarding/src/warmup/model/endpointWarmth.ts
+++ b/packages/forwarding/src/warmup/model/endpointWarmth.ts
@@ -109,9 +109,7 @@
         if (statement.remainingMs === 0 && startedAtMs !== undefined && startedAtMs <= statement.atMs) {
             startedAtMs = undefined;
         }
-        if (statement.remainingMs > 0 || wasCold) {
-            endedAtMs = statement.remainingMs > 0 ? undefined : nowMs;
-        }
+        endedAtMs = statement.remainingMs > 0 ? undefined : wasCold ? nowMs : endedAtMs;
         logIfBegun(wasCold, source === "peer" ? "peer" : "response", nowMs);
         if (getPolicy() !== undefined && wasCold !== getRemainingMs(nowMs) > 0) {
             onChange(source);
