Name what a host sees of its fleet, and define a constant before its use

Cause: reading the whole change as a newcomer. `FleetSight` and `see` did not say what they hold and do, and the limit of log lines of invalid settings stood below the function that uses it. Change: VisibleFleet, recordFleet; the constant stands at the top. No behaviour changes. Ruled out: crc32 of node:zlib instead of the own hash of shareSlots.ts. It needs Node.js 20.15, and the README states 20; xxhash-wasm is loaded with a top-level await, which the CommonJS bundle of the host cannot have.

--- a/packages/forwarding/src/warmup/commands/createColdGranting.ts
+++ b/packages/forwarding/src/warmup/commands/createColdGranting.ts
@@ -43,7 +43,7 @@
 
     /** A host that has seen no peer yet does not know how many there are. */
     const knowsFleet = (): boolean => memory.hasSeenPeer() || !hasSeeds;
-    const see = (): void => {
+    const recordFleet = (): void => {
         // The announced number of hosts of another domain stays for some seconds after its coordinators have gone.
         const counts = Object.fromEntries(
             Object.entries(fleet.countByDomain()).map(([domain, count]) => [
@@ -56,7 +56,7 @@
     };
     return {
         check: () => {
-            see();
+            recordFleet();
             tenure.check(listGrantedDomains(), readClocks());
         },
         getAllowance: (domain, requestsPerSecond) =>
--- a/packages/forwarding/src/warmup/commands/createWarmup.ts
+++ b/packages/forwarding/src/warmup/commands/createWarmup.ts
@@ -4,6 +4,9 @@
 import type { ServingConfiguration } from "../../configuration/model/servingConfiguration.js";
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 
+/** Most invalid settings in a log line. */
+const MAX_REPORTED = 10;
+
 export interface WarmupOptions {
     readonly log: Logger;
     readonly listEndpoints: () => readonly Pick<Endpoint, "entry" | "warmth">[];
@@ -34,6 +37,3 @@
     countCold: ({ monotonicMs }) =>
         listEndpoints().filter(({ warmth }) => warmth.getRate(monotonicMs) !== undefined).length,
 });
-
-/** Most invalid settings in a log line. */
-const MAX_REPORTED = 10;
--- a/packages/forwarding/src/warmup/model/fleetMemory.ts
+++ b/packages/forwarding/src/warmup/model/fleetMemory.ts
@@ -7,7 +7,7 @@
 const KEEP_MS = 600_000;
 
 /** What a host sees of its fleet at a moment. */
-export interface FleetSight {
+export interface VisibleFleet {
     /** Live hosts by failure domain, including this one. */
     readonly counts: Readonly<Record<string, number>>;
     readonly localDomain: string;
@@ -16,7 +16,7 @@
 }
 
 export interface FleetMemory {
-    readonly record: (sight: FleetSight, nowMs: number) => void;
+    readonly record: (visible: VisibleFleet, nowMs: number) => void;
     /** Returns whether a peer has ever been seen. */
     readonly hasSeenPeer: () => boolean;
     /** Returns the number of remembered hosts, at least 1. */
@@ -38,9 +38,9 @@
     let hasSeenPeer = false;
     const countHosts = (): number => Math.max(1, sum([...sizes.values()]));
     return {
-        record: (sight, nowMs) => {
-            localDomain = sight.localDomain;
-            for (const [domain, count] of Object.entries(sight.counts)) {
+        record: (visible, nowMs) => {
+            localDomain = visible.localDomain;
+            for (const [domain, count] of Object.entries(visible.counts)) {
                 const known = sizes.get(domain);
                 const isLost = count === (domain === localDomain ? 1 : 0);
                 hasSeenPeer ||= !isLost;
@@ -48,7 +48,7 @@
                     || !isLost && nowMs - known.atMs > KEEP_MS;
                 if (isOutdated) {
                     sizes.set(domain, { count, atMs: nowMs });
-                    localHosts = domain === localDomain ? sight.localHosts : localHosts;
+                    localHosts = domain === localDomain ? visible.localHosts : localHosts;
                 }
             }
         },
