End calls to services in time also after a garbage collection

The log has no failed attempt, so the limit never fired. Node.js 20 holds a signal of AbortSignal.timeout only weakly within AbortSignal.any: of 50 such signals none aborts after a collection. A call to a silent service then lasts until the caller's own timeout. Change: the attempt holds its timer and controller itself. This was the only place with both functions. Test: the same call with forced collections; failed before (2 s without an answer), passes now.

--- a/packages/host/src/calls/commands/runIdempotentCall.ts
+++ b/packages/host/src/calls/commands/runIdempotentCall.ts
@@ -7,6 +7,12 @@
 import { chooseServiceEndpoint } from "./chooseServiceEndpoint.js";
 import { sendCall } from "./sendCall.js";
 
+/** The service endpoint has not answered within `progress.service_ms` or the rest of the caller's timeout. */
+class CallTimeout extends Error {
+    override readonly name = "CallTimeout";
+    override readonly message = "The service endpoint did not answer in time.";
+}
+
 /**
  * Resolves with the first complete response. Retries on another endpoint, or over new connections, while the retry
  * budget and the timeout allow. Rejects with a `CallerError`.
@@ -21,12 +27,18 @@
         const connections = context.clients.get(endpoint.url);
         const timeoutMs = Math.min(getRemainingMs(call.scope), context.settings.progress.service_ms);
         const endCall = context.services.begin(endpoint.name);
+        // Not `AbortSignal.timeout`: Node.js 20 collects such a signal within `AbortSignal.any` as garbage, and it never aborts.
+        const timeout = new AbortController();
+        const timer = setTimeout(() => timeout.abort(new CallTimeout()), timeoutMs);
         const result = await sendCall(call, {
             connections,
             attemptId: createAttemptId(),
-            signal: AbortSignal.any([call.scope.signal, AbortSignal.timeout(Math.ceil(timeoutMs))]),
+            signal: AbortSignal.any([call.scope.signal, timeout.signal]),
             admit: () => context.lending.isUsable(endpoint.name),
-        }).finally(endCall);
+        }).finally(() => {
+            clearTimeout(timer);
+            endCall();
+        });
         if (result.kind === "answered") {
             context.prompts.retryBudget = addRetryTokens(context.prompts.retryBudget);
             return result.answer;
--- a/packages/host/tests/system/calls.test.ts
+++ b/packages/host/tests/system/calls.test.ts
@@ -1,4 +1,6 @@
 import { requestJson } from "@currantrill/http";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import {
     callerHeaders,
@@ -152,4 +154,22 @@
         expect((await requestStock()).status).toBe(200);
         await vi.waitUntil(() => host!.running.context.inFlight.size === 0);
     });
+
+    it("ends an attempt in time whose timeout could be collected as garbage", async () => {
+        system = await startTestSystem({ settings: { progress: { service_ms: 200 } } });
+        const [host] = system.hosts;
+        const requestStock = () =>
+            requestJson(`${host!.url}/services/orders/stock`, { headers: callerHeaders, timeoutMs: 2_000 });
+        expect((await requestStock()).status).toBe(200);
+        await setFault(system.services[0]!, { kind: "silent", durationMs: 60_000 });
+        const response = requestStock();
+        // The attempt waits for the silent connection.
+        const collecting = setInterval(collectGarbage, 20);
+        expect((await response.finally(() => clearInterval(collecting))).status).toBe(200);
+    });
 });
+
+function collectGarbage(): void {
+    setFlagsFromString("--expose-gc");
+    (runInNewContext("gc") as () => void)();
+}
