Name who closed a connection, and report each request without a whole answer

Cause: a request whose connection closed left a line only if an exchange had been created, without who closed it; requests that waited or were being received left none. The hypotheses on the cut answer could not be told apart. Change: closeConnection records the cause of each closure by the host; serveHttp reports each request without a whole answer with its phase and cause; a host logs and counts it. The line of a request has the answer's length, the time in which it was received, and its arrival against the stop signal. A stream that is cut at a stop has the outcome cut_at_stop instead of outcome_unknown with status 200. The intake of requests moved to receiveRequests.ts. No decision changed.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -41,7 +41,7 @@
     const startedAtMs = performance.now() - Math.min(delayMs, graceMs * MAX_DELAY_FRACTION);
     const noticedAtMs = startedAtMs + graceMs * DRAIN_NOTICE_FRACTION;
     const stopsAtMs = startedAtMs + graceMs * DRAIN_END_FRACTION;
-    context.shutdown = { noticedAtMs, stopsAtMs };
+    context.shutdown = { startedAtMs, noticedAtMs, stopsAtMs };
     context.log.info({ inFlight: context.exchanges.size, graceMs }, "host: draining");
     await sleep(noticedAtMs - performance.now());
     const closed = servers.callers.drain();
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -19,6 +19,7 @@
     readonly crashReports: Counter<"state">;
     readonly isolatedParts: Gauge;
     readonly inFlight: Gauge;
+    readonly unansweredRequests: Counter<"phase" | "cause">;
     readonly unexpectedErrors: Counter;
     readonly excessConnections: Counter;
     readonly callerBudgetEvents: Counter<"event" | "cause">;
@@ -38,37 +39,7 @@
     const registers = [registry];
     return {
         registry,
-        requests: new Counter({
-            name: "currantrill_forwarded_requests_total",
-            help: "Requests by kind and outcome.",
-            labelNames: ["kind", "outcome"],
-            registers,
-        }),
-        requestSeconds: new Histogram({
-            name: "currantrill_forwarded_request_seconds",
-            help: "Time from a request to its end.",
-            labelNames: ["kind"],
-            buckets: DURATION_BUCKETS_SECONDS,
-            registers,
-        }),
-        firstEventSeconds: new Histogram({
-            name: "currantrill_first_event_seconds",
-            help: "Time from a streaming request to its first event.",
-            labelNames: ["route"],
-            buckets: DURATION_BUCKETS_SECONDS,
-            registers,
-        }),
-        attempts: new Counter({
-            name: "currantrill_attempts_total",
-            help: "Sends of requests to endpoints by outcome.",
-            labelNames: ["outcome"],
-            registers,
-        }),
-        connections: new Counter({
-            name: "currantrill_endpoint_connections_total",
-            help: "Connections opened to endpoints.",
-            registers,
-        }),
+        ...createRequestMetrics(registers),
         storeCalls: new Counter({
             name: "currantrill_store_calls_total",
             help: "Calls to the store by operation and outcome.",
@@ -110,6 +81,53 @@
     };
 }
 
+/** Creates the metrics of requests and their attempts. */
+const createRequestMetrics = (
+    registers: Registry[],
+): Pick<
+    ForwardingMetrics,
+    "requests" | "requestSeconds" | "firstEventSeconds" | "unansweredRequests" | "attempts" | "connections"
+> => ({
+    requests: new Counter({
+        name: "currantrill_forwarded_requests_total",
+        help: "Requests by kind and outcome.",
+        labelNames: ["kind", "outcome"],
+        registers,
+    }),
+    requestSeconds: new Histogram({
+        name: "currantrill_forwarded_request_seconds",
+        help: "Time from a request to its end.",
+        labelNames: ["kind"],
+        buckets: DURATION_BUCKETS_SECONDS,
+        registers,
+    }),
+    firstEventSeconds: new Histogram({
+        name: "currantrill_first_event_seconds",
+        help: "Time from a streaming request to its first event.",
+        labelNames: ["route"],
+        buckets: DURATION_BUCKETS_SECONDS,
+        registers,
+    }),
+    unansweredRequests: new Counter({
+        name: "currantrill_unanswered_requests_total",
+        help:
+            "Requests whose connection closed before their response had been sent in full, by where they were and why.",
+        labelNames: ["phase", "cause"],
+        registers,
+    }),
+    attempts: new Counter({
+        name: "currantrill_attempts_total",
+        help: "Sends of requests to endpoints by outcome.",
+        labelNames: ["outcome"],
+        registers,
+    }),
+    connections: new Counter({
+        name: "currantrill_endpoint_connections_total",
+        help: "Connections opened to endpoints.",
+        registers,
+    }),
+});
+
 /** Creates the metrics of evacuations. */
 const createEvacuationMetrics = (
     registers: Registry[],
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -179,6 +179,7 @@
             workspace: exchange.workspace,
             kind: route.kind,
             promptTokens: exchange.callerMetadata.promptTokens,
+            answerTokens: exchange.callerMetadata.answerTokens,
             sharedParts: exchange.callerMetadata.sharedParts?.slice(0, MAX_LOGGED_PARTS),
             isolatedPart: exchange.isolatedPart,
             configuration: exchange.configurationVersion,
@@ -186,6 +187,11 @@
             status: exchange.response.statusCode,
             outcome,
             durationMs,
+            // How long its body took to arrive, and when it had arrived in full, counted from the stop signal.
+            receivedMs: Math.round(exchange.startedAtMs - exchange.receivedAtMs),
+            afterStopMs: context.shutdown === undefined
+                ? undefined
+                : Math.round(exchange.startedAtMs - context.shutdown.startedAtMs),
         },
         "requests: ended",
     );
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -1,4 +1,5 @@
 /** Error responses that the host itself generates. */
+import { closeConnection } from "@currantrill/http";
 import type { ServerResponse } from "node:http";
 
 /**
@@ -94,10 +95,16 @@
 const spreadRetryAfter = (seconds: number): string =>
     String(Math.round(seconds * (1 + (MAX_RETRY_SPREAD - 1) * Math.random()) * 1_000) / 1_000);
 
+/** Closes the connection of a response that has begun, so that the caller cannot mistake it for a complete one. */
+export function closeResponse({ socket }: ServerResponse, cause: string): void {
+    if (socket !== null) {
+        closeConnection(socket, cause);
+    }
+}
+
 /**
  * Sends a refusal and returns its status. `minRetryAfterSeconds` replaces the shortest wait of the reason. If response
- * headers have already been sent, closes the connection instead, so that the caller cannot mistake the truncated response
- * for a complete one.
+ * headers have already been sent, closes the connection instead.
  */
 export function sendRefusal(
     response: ServerResponse,
@@ -108,7 +115,7 @@
     const { status, message, retryAfterSeconds: defaultSeconds } = refusals[reason];
     const retryAfterSeconds = minRetryAfterSeconds ?? defaultSeconds;
     if (response.headersSent) {
-        response.destroy();
+        closeResponse(response, reason);
         return status;
     }
     response.writeHead(status, {
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -26,7 +26,7 @@
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import { ANSWER_EVENTS, runStreamAttempt } from "./runStreamAttempt.js";
-import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
+import { closeResponse, type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
 /** Limit on attempts that fail before the request is sent. They do not count as attempts of the route. */
 const MAX_CONNECT_FAILURES = 4;
@@ -170,8 +170,13 @@
 }
 
 /** Gives a stream its final answer when the host stops. */
-const finishAtStop = (context: ForwardingContext, exchange: Exchange): string =>
-    finishWithRefusal(context, exchange, hasPossiblyRun(exchange) ? "outcome_unknown" : "stopping");
+function finishAtStop(context: ForwardingContext, exchange: Exchange): string {
+    if (exchange.response.headersSent) {
+        closeResponse(exchange.response, "stop");
+        return "cut_at_stop";
+    }
+    return finishWithRefusal(context, exchange, hasPossiblyRun(exchange) ? "outcome_unknown" : "stopping");
+}
 
 function finishWithRefusal(context: ForwardingContext, exchange: Exchange, reason: RefusalReason): string {
     sendRefusal(exchange.response, reason, context.callers.buildResponseHeaders(exchange.requestId));
--- a/packages/forwarding/tests/requests/queries/canAnswerInTime.test.ts
+++ b/packages/forwarding/tests/requests/queries/canAnswerInTime.test.ts
@@ -2,7 +2,7 @@
 import { canAnswerInTime } from "../../../src/requests/queries/canAnswerInTime.js";
 
 /** A shutdown that began at 0 and has 8 s. */
-const shutdown = { noticedAtMs: 2_800, stopsAtMs: 7_360 };
+const shutdown = { startedAtMs: 0, noticedAtMs: 2_800, stopsAtMs: 7_360 };
 
 describe("canAnswerInTime", () => {
     // Guards against a request that is cut off when the host stops, and against one that is refused without need while
--- a/packages/http/src/createRequestQueues.ts
+++ b/packages/http/src/createRequestQueues.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { ByteBudget } from "./byteBudget.js";
+import { closeConnection, recordCloseCause } from "./closeConnection.js";
 import { resumeConnection } from "./resumeConnection.js";
 
 /**
@@ -142,8 +143,8 @@
     queue.getReceivedBytes = entry.getReceivedBytes;
     queue.receivedCount += 1;
     if (!entry.budget.take(entry.bytes)) {
+        closeConnection(socket, "budget");
         entry.drop?.();
-        socket.destroy();
     }
     else if (!queue.isBusy && canRespond(entry)) {
         state.pendingCount += 1;
@@ -154,6 +155,7 @@
     }
     else {
         // The connection ends with an earlier response. Further requests would only occupy memory.
+        recordCloseCause(socket, "earlier_response");
         dropEntry(entry);
         socket.pause();
     }
@@ -170,6 +172,9 @@
     queue.current = response;
     response.once("close", () => {
         budget.give(bytes);
+        if (response.writableFinished && !response.shouldKeepAlive) {
+            recordCloseCause(queue.socket, "earlier_response");
+        }
         queue.current = undefined;
         state.pendingCount -= 1;
         if (queue.last === request) {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./byteBudget.js";
 export * from "./byteBuffer.js";
+export * from "./closeConnection.js";
 export * from "./createGuardedDispatcher.js";
 export * from "./createHttpConnectionPool.js";
 export * from "./limitConnections.js";
@@ -10,3 +11,4 @@
 export * from "./resourceBudget.js";
 export * from "./serveHttp.js";
 export * from "./trackConnections.js";
+export * from "./unansweredRequest.js";
--- a/packages/http/src/limitConnections.ts
+++ b/packages/http/src/limitConnections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { closeConnection } from "./closeConnection.js";
 
 /**
  * Fraction of the limit by which connections may exceed it, so that their requests get a refusal. Connections beyond that
@@ -35,6 +36,7 @@
     readonly isExcess: (request: IncomingMessage) => boolean;
     /** Closes the connections that clients keep for a further request and on which none is arriving. */
     readonly closeKept: () => void;
+    readonly closeAll: () => void;
 }
 
 interface ConnectionState {
@@ -76,13 +78,13 @@
             return false;
         }
         remove(closed);
-        closed.destroy();
+        closeConnection(closed, "connection_limit");
         return true;
     };
     /** Kept apart from the others, so that these connections do not replace each other before their requests are refused. */
     const addExcess = (socket: Socket): void => {
         if (excess.size >= maxExcess) {
-            socket.destroy();
+            closeConnection(socket, "connection_limit");
             onLimit("dropped");
             return;
         }
@@ -121,7 +123,11 @@
     });
     return {
         isExcess: request => excess.has(request.socket),
-        closeKept: () => [...idle].filter(socket => isKept(connections, socket)).forEach(socket => socket.destroy()),
+        closeKept: () => {
+            const kept = [...idle].filter(socket => isKept(connections, socket));
+            kept.forEach(socket => closeConnection(socket, "stop"));
+        },
+        closeAll: () => [...connections.keys(), ...excess].forEach(socket => closeConnection(socket, "stop")),
     };
 }
 
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -1,16 +1,18 @@
 /** HTTP server based on polka, with parsed JSON or raw request bodies. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import polka from "polka";
 import type { ByteBudget } from "./byteBudget.js";
-import { type BeginRequest, createRequestQueues } from "./createRequestQueues.js";
+import { closeConnection } from "./closeConnection.js";
+import { createRequestQueues } from "./createRequestQueues.js";
 import { handleClientErrors } from "./handleClientErrors.js";
 import { type ConnectionLimit, type ConnectionLimitEvent, limitConnections } from "./limitConnections.js";
-import { type RawBody, readRawBody } from "./readRawBody.js";
+import { receiveRequests, type RequestBodies } from "./receiveRequests.js";
 import { createResourceBudget, type ResourceBudget, type ResourceKind } from "./resourceBudget.js";
 import { trackConnections } from "./trackConnections.js";
+import type { UnansweredRequest } from "./unansweredRequest.js";
 
 export type HttpMethod = "GET" | "PUT" | "POST" | "DELETE";
 
@@ -80,6 +82,8 @@
     readonly handleNotFound?: (request: IncomingMessage, response: ServerResponse) => void;
     /** Called if the server cannot accept a connection, such as without free file descriptors. It goes on listening. */
     readonly onServerError?: (error: Error) => void;
+    /** Called for each request whose connection closes before its response has been sent in full. */
+    readonly onUnanswered?: (unanswered: UnansweredRequest) => void;
     /** Builds the JSON response to bytes that the HTTP parser rejects. */
     readonly describeBadRequest?: (status: BadRequestStatus) => BadRequestResponse;
 }
@@ -123,6 +127,7 @@
     onConnectionLimit: (): void => undefined,
     getNowMs: (): number => performance.now(),
     onServerError: (): void => undefined,
+    onUnanswered: (): void => undefined,
     describeBadRequest: (status: BadRequestStatus): BadRequestResponse => ({
         headers: {},
         body: { error: badRequestReasons[status] },
@@ -161,32 +166,14 @@
     });
     const queues = createRequestQueues();
     const budget = options.budget ?? createResourceBudget({ getLimit: () => DEFAULT_BUDGET_BYTES });
-    const bodies = new WeakMap<IncomingMessage, ReadingBody>();
-    server.on("request", (request, response) => {
-        const { socket } = request;
-        const account = tracker.getAccount(socket);
-        if (account === undefined) {
-            return;
-        }
-        const isFollowed = (): boolean => queues.hasWaiting(socket);
-        const { pay } = account;
-        Object.assign(request, { receivedAtMs: performance.now(), isFollowed, pay } satisfies Partial<HttpRequest>);
-        response.once("close", () => account.recordTransfer(MIN_ANSWER_BYTES));
-        const common = { begin: handleRequest, budget: pay("request") };
-        if (settings.bodies === "json") {
-            queues.enqueue(request, response, { ...common, isBodyUnread: true });
-            return;
-        }
-        const body = startReading(request, getBodyLimit(settings.bodyLimitBytes), pay("body"));
-        bodies.set(request, body);
-        const { drop, getBytes: getBodyBytes, getReceivedBytes } = body;
-        queues.enqueue(request, response, { ...common, drop, getBodyBytes, getReceivedBytes });
-    });
-    server.on("checkExpectation", (request, response) => {
-        const account = tracker.getAccount(request.socket);
-        if (account !== undefined) {
-            queues.enqueue(request, response, { begin: rejectExpectation, budget: account.pay("request") });
-        }
+    const bodies = receiveRequests({
+        server,
+        queues,
+        getAccount: socket => tracker.getAccount(socket),
+        isRaw: settings.bodies === "raw",
+        getBodyLimit: () => getBodyLimit(settings.bodyLimitBytes),
+        begin: (request, response) => app.handler(request, response),
+        onUnanswered: settings.onUnanswered,
     });
     handleClientErrors(server, {
         queues,
@@ -200,11 +187,12 @@
         getNowMs: settings.getNowMs,
     });
     const tracker = trackConnections({ server, budget, queues, getMaxHeadBytes: () => settings.maxHeaderBytes });
+    // Without a listener, Node.js closes these connections itself.
+    server.on("timeout", (socket: Socket) => closeConnection(socket, "idle"));
     // The method of Node.js, which `server.close` calls, also closes connections whose last response is still being sent.
     server.closeIdleConnections = connectionLimit.closeKept;
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
-    const handleRequest: BeginRequest = (request, response) => app.handler(request, response);
     function reportError(error: unknown, request: IncomingMessage, response: ServerResponse): void {
         settings.handleError(error as HttpError, request, response);
     }
@@ -223,7 +211,7 @@
         port: (server.address() as AddressInfo).port,
         countPending: queues.countPending,
         drain: () => drainServer(server),
-        close: () => closeServer(server),
+        close: () => closeServer(server, connectionLimit.closeAll),
     };
 }
 
@@ -235,54 +223,7 @@
     return bodyParser.json({ limit: limitBytes, strict: false, type: () => true }) as HttpMiddleware;
 }
 
-/** A body that is being received, or has been. */
-interface ReadingBody {
-    readonly done: Promise<RawBody>;
-    /** Returns its memory to the budget once it has been received. */
-    readonly drop: () => void;
-    readonly getBytes: () => number;
-    /** Returns the bytes that have been received, also those that are not kept. */
-    readonly getReceivedBytes: () => number;
-}
-
-/**
- * Starts reading a body when its head arrives, also if the request has to wait. Pieces that are not read would be kept as
- * objects: 64 KiB in chunks of one byte take 5 MB.
- */
-function startReading(request: IncomingMessage, limitBytes: number, payer: ByteBudget): ReadingBody {
-    const budget = createPartialBudget(payer);
-    let readBytes = 0;
-    const onPiece = (bytes: number): void => void (readBytes += bytes);
-    const done = readRawBody(request, { limitBytes, budget, onPiece });
-    const drop = (): void => void done.then(({ release }) => release(), () => undefined);
-    // The error is handled when it is the request's turn, which may be never.
-    done.catch(() => undefined);
-    return {
-        done,
-        drop,
-        getBytes: () => budget.getUsed() + request.readableLength,
-        getReceivedBytes: () => readBytes + request.readableLength,
-    };
-}
-
-/** Counts what one body takes from the budget of its connection. */
-function createPartialBudget(payer: ByteBudget): ByteBudget {
-    let used = 0;
-    return {
-        take: bytes => {
-            const isTaken = payer.take(bytes);
-            used += isTaken ? bytes : 0;
-            return isTaken;
-        },
-        give: bytes => {
-            used -= bytes;
-            payer.give(bytes);
-        },
-        getUsed: () => used,
-    };
-}
-
-function createRawParser(bodies: WeakMap<IncomingMessage, ReadingBody>): HttpMiddleware {
+function createRawParser(bodies: RequestBodies): HttpMiddleware {
     return (request, response, next) => {
         bodies.get(request)?.done.then(
             ({ bytes, release }) => {
@@ -298,15 +239,6 @@
     };
 }
 
-/**
- * Sends what Node.js would send without a listener. Its own response is not in the queue, so the requests after it would be
- * taken for requests of an ended connection.
- */
-function rejectExpectation(_request: IncomingMessage, response: ServerResponse): void {
-    response.writeHead(417);
-    response.end();
-}
-
 /** Runs after the body has been read, since closing a connection with unread bytes may destroy the response. */
 const createExcessRefusal = ({ isExcess }: ConnectionLimit): HttpMiddleware => (request, response, next) => {
     if (!isExcess(request)) {
@@ -332,7 +264,7 @@
     describe: (status: BadRequestStatus) => BadRequestResponse,
 ): void {
     if (error.code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
+        closeConnection(socket, error.code === "ECONNRESET" ? "client" : "bad_request");
         return;
     }
     const status = badRequestStatuses[error.code ?? ""] ?? 400;
@@ -348,9 +280,6 @@
     socket.end(`${lines.join("\r\n")}\r\n\r\n${text}`);
 }
 
-/** An answered request counts as progress of its connection, however short the response was. */
-const MIN_ANSWER_BYTES = 1_024;
-
 /** Interval at which idle connections are closed during a drain. */
 const IDLE_CONNECTION_SWEEP_MS = 20;
 
@@ -399,9 +328,9 @@
     });
 }
 
-function closeServer(server: Server): Promise<void> {
+function closeServer(server: Server, closeAll: () => void): Promise<void> {
     return new Promise(resolve => {
         server.close(() => resolve());
-        server.closeAllConnections();
+        closeAll();
     });
 }
--- a/packages/http/src/trackConnections.ts
+++ b/packages/http/src/trackConnections.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { closeConnection } from "./closeConnection.js";
 import type { RequestQueues } from "./createRequestQueues.js";
 import type { ResourceAccount, ResourceBudget } from "./resourceBudget.js";
 import { resumeConnection } from "./resumeConnection.js";
@@ -49,9 +50,12 @@
             queues.isWaitingForHost(socket) && socket.readableLength === 0
             // The last slice of a request is paid for until the next one.
             && getHeadBytes() <= SLICE_BYTES * HEAD_FACTOR;
-        const account = budget.open({ isWaitingForHost, close: () => socket.destroy() }, CONNECTION_BYTES);
+        const account = budget.open(
+            { isWaitingForHost, close: () => closeConnection(socket, "budget") },
+            CONNECTION_BYTES,
+        );
         if (account === undefined) {
-            socket.destroy();
+            closeConnection(socket, "budget");
             return;
         }
         accounts.set(socket, account);
@@ -119,7 +123,7 @@
                 return;
             }
             if (!parseSlice(rest.subarray(0, SLICE_BYTES))) {
-                socket.destroy();
+                closeConnection(socket, "budget");
             }
             queues.limitReading(socket);
         }
