Give requests that wait their final answer when the host stops

What callers saw: a request that a stopping host had read and not passed on, and whose connection was closed 80 ms after the end of the grace time, with neither an answer nor a refusal. Cause: a stream had a reaction to the stop only while an attempt ran. Change: serveExchange owns the final answer: it reacts to the stop whenever no attempt does, and what still runs for the request then sends nothing more. The reaction of calls and streams is one function, finishAtStop. Evidence: 'refuses a stream that waits when the host stops' failed before in both cases (connection closed), and gets 503 now. Ruled out: calls, which react to the stop from begin to end.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -55,7 +55,7 @@
             { inFlight: context.exchanges.size, pending },
             "host: requests in flight at the end of the grace time",
         );
-        context.exchanges.forEach(exchange => exchange.onStop?.());
+        context.exchanges.forEach(exchange => exchange.onStop());
         await waitForPending(performance.now() + FLUSH_MS);
     }
     await servers.callers.close();
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -2,7 +2,6 @@
 import type { ByteBudget, HttpRequest } from "@currantrill/http";
 import type { ServerResponse } from "node:http";
 import type { ConfigurationIndex } from "../../configuration/model/configurationIndex.js";
-import type { RequestKind } from "../../configuration/model/servingConfiguration.js";
 import { checkAuthorization } from "../../configuration/queries/checkAuthorization.js";
 import { chooseService, matchRoute } from "../../configuration/queries/matchRoute.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
@@ -12,16 +11,7 @@
 import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { selectRequestHeaders } from "../queries/selectHeaders.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
-import { serveCall } from "./serveCall.js";
-import { serveStream } from "./serveStream.js";
-
-const serveByKind: Readonly<
-    Record<RequestKind, (context: ForwardingContext, exchange: Exchange) => Promise<string>>
-> = {
-    repeatable: serveCall,
-    once: serveCall,
-    stream: serveStream,
-};
+import { serveExchange } from "./serveExchange.js";
 
 /** Outcomes of requests that endpoints have answered. */
 const answeredOutcomes: ReadonlySet<string> = new Set(["answered", "complete"]);
@@ -70,12 +60,12 @@
     context.metrics.inFlight.set(context.exchanges.size);
     response.once("close", () => {
         if (!response.writableEnded) {
-            exchange.isDisconnected = true;
+            exchange.hasEnded = true;
             exchange.onDisconnect?.();
         }
     });
     try {
-        logExchange(context, exchange, await serveByKind[exchange.route.kind](context, exchange));
+        logExchange(context, exchange, await serveExchange(context, exchange));
     }
     catch (error) {
         context.log.error({ err: error, request: exchange.requestId }, "requests: internal error");
@@ -131,8 +121,8 @@
         deadlineAtMs: startedAtMs + Math.min(callerMetadata.deadlineMs ?? Infinity, route.timeoutMs),
         attempts: [],
         onDisconnect: undefined,
-        isDisconnected: false,
-        onStop: undefined,
+        hasEnded: false,
+        onStop: () => undefined,
     };
 }
 
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -47,6 +47,8 @@
     readonly record: AttemptRecord;
     readonly splitter: EventSplitter;
     readonly resolve: (end: StreamAttemptResult) => void;
+    /** What a stop of the host does while no attempt runs. */
+    readonly onStopWaiting: () => void;
     readonly resumeEndpointStream: () => void;
     readonly deadlineTimer: NodeJS.Timeout;
     readonly tracker: PromptTracker;
@@ -79,6 +81,7 @@
                 budget: exchange.responseBudget,
             }),
             resolve,
+            onStopWaiting: exchange.onStop,
             resumeEndpointStream: () => resumeAttempt(run),
             deadlineTimer: setTimeout(
                 () => abortRun(run, { kind: "out_of_time" }, "request deadline exceeded"),
@@ -156,7 +159,7 @@
     run.errorResponse?.cancelTimeout();
     run.errorResponse?.body.clear();
     run.exchange.onDisconnect = undefined;
-    run.exchange.onStop = undefined;
+    run.exchange.onStop = run.onStopWaiting;
     run.exchange.response.off("drain", run.resumeEndpointStream);
     run.resolve(end);
 }
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -104,7 +104,7 @@
 
 /**
  * Sends a refusal and returns its status. `minRetryAfterSeconds` replaces the shortest wait of the reason. If response
- * headers have already been sent, closes the connection instead.
+ * headers have already been sent, closes the connection instead. Does nothing if the response has already ended.
  */
 export function sendRefusal(
     response: ServerResponse,
@@ -114,6 +114,9 @@
 ): number {
     const { status, message, retryAfterSeconds: defaultSeconds } = refusals[reason];
     const retryAfterSeconds = minRetryAfterSeconds ?? defaultSeconds;
+    if (response.writableEnded) {
+        return status;
+    }
     if (response.headersSent) {
         closeResponse(response, reason);
         return status;
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -12,11 +12,11 @@
 import type { Exchange } from "../model/exchange.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
 import { getRetrySeconds } from "../queries/getRetrySeconds.js";
-import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
 import { clearWhenClosed } from "./clearWhenClosed.js";
+import { finishAtStop } from "./finishAtStop.js";
 import { runAttempt } from "./runAttempt.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
@@ -78,7 +78,7 @@
             },
         };
         exchange.onDisconnect = () => state.finish("caller_gone");
-        exchange.onStop = () => finishAtStop(context, exchange, state);
+        exchange.onStop = () => finishCallAtStop(context, exchange, state);
         const remainingMs = exchange.deadlineAtMs - performance.now();
         timers.push(setTimeout(() => finishAtDeadline(context, exchange, state), remainingMs));
         if (exchange.route.kind === "repeatable") {
@@ -291,7 +291,7 @@
 }
 
 /** Gives a call its final answer when the host stops. */
-function finishAtStop(context: ForwardingContext, exchange: Exchange, state: CallState): void {
+function finishCallAtStop(context: ForwardingContext, exchange: Exchange, state: CallState): void {
     if (state.isFinished) {
         return;
     }
@@ -299,9 +299,7 @@
         sendResponse(exchange, state, state.fallback);
         return;
     }
-    const reason = hasPossiblyRun(exchange) ? "outcome_unknown" : "stopping";
-    sendRefusal(exchange.response, reason, context.callers.buildResponseHeaders(exchange.requestId));
-    state.finish(reason);
+    state.finish(finishAtStop(context, exchange));
 }
 
 function finishAtDeadline(context: ForwardingContext, exchange: Exchange, state: CallState): void {
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -22,11 +22,11 @@
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
 import { getRetrySeconds } from "../queries/getRetrySeconds.js";
-import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
+import { finishAtStop } from "./finishAtStop.js";
 import { ANSWER_EVENTS, runStreamAttempt } from "./runStreamAttempt.js";
-import { closeResponse, type RefusalReason, sendRefusal } from "./sendRefusal.js";
+import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
 /** Limit on attempts that fail before the request is sent. They do not count as attempts of the route. */
 const MAX_CONNECT_FAILURES = 4;
@@ -73,10 +73,10 @@
             return finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run");
         }
         const chosen = await chooseEndpoints(context, exchange, tried);
-        if (exchange.isDisconnected || !progress.hasSentHeaders && !canBeAnswered(context, exchange)) {
+        if (exchange.hasEnded || !progress.hasSentHeaders && !canBeAnswered(context, exchange)) {
             chosen?.reservedMemory?.release();
             chosen?.settle();
-            return exchange.isDisconnected ? "caller_gone" : finishAtStop(context, exchange);
+            return exchange.hasEnded ? "caller_gone" : finishAtStop(context, exchange);
         }
         if (chosen === undefined) {
             return mayHaveRun
@@ -169,15 +169,6 @@
     return hasBegun && await reported === true || quarantine.isSuspect(service, parts);
 }
 
-/** Gives a stream its final answer when the host stops. */
-function finishAtStop(context: ForwardingContext, exchange: Exchange): string {
-    if (exchange.response.headersSent) {
-        closeResponse(exchange.response, "stop");
-        return "cut_at_stop";
-    }
-    return finishWithRefusal(context, exchange, hasPossiblyRun(exchange) ? "outcome_unknown" : "stopping");
-}
-
 function finishWithRefusal(context: ForwardingContext, exchange: Exchange, reason: RefusalReason): string {
     sendRefusal(exchange.response, reason, context.callers.buildResponseHeaders(exchange.requestId));
     return reason;
@@ -221,7 +212,7 @@
         }
         chosen.settle();
         if (
-            attempt >= MAX_RESERVATION_ATTEMPTS || exchange.isDisconnected || performance.now() >= exchange.deadlineAtMs
+            attempt >= MAX_RESERVATION_ATTEMPTS || exchange.hasEnded || performance.now() >= exchange.deadlineAtMs
         ) {
             return undefined;
         }
--- a/packages/forwarding/src/requests/model/exchange.ts
+++ b/packages/forwarding/src/requests/model/exchange.ts
@@ -36,9 +36,10 @@
     readonly attempts: AttemptRecord[];
     /** Called once if the caller disconnects before the response is complete. */
     onDisconnect: (() => void) | undefined;
-    isDisconnected: boolean;
+    /** Whether the caller has disconnected, or has its final answer because the host stops. Nothing more is sent for it. */
+    hasEnded: boolean;
     /** Called if the host stops before the response is complete. It must be given its final answer. */
-    onStop: (() => void) | undefined;
+    onStop: () => void;
     /** Part of the prompt for which it was refused, as written to the request log. */
     isolatedPart?: string;
 }
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -284,6 +284,23 @@
         expect(endpoint.received).toHaveLength(status === 200 ? 1 : 0);
         expect(received.endsWith("\r\n0\r\n\r\n")).toBe(true);
     });
+    // Guards against a connection that is closed without a word because its request waits for something other than an
+    // endpoint when the host stops.
+    it.each(["admit", "acquire"] as const)("refuses a stream that waits when the host stops: %s", async wait => {
+        const endpoint = await startEndpoint("e0", () => undefined);
+        closers.push(endpoint.close);
+        const route = createRoute({ kind: "stream", timeoutMs: 15_000, targetMs: 300 });
+        const host = await startTestHost([route], [endpoint], { graceMs: 1_000 });
+        const { quarantine, permits } = host.host.context;
+        const startWaiting = (): Promise<never> => new Promise(() => undefined);
+        Object.assign(wait === "admit" ? quarantine : permits, { [wait]: startWaiting });
+        const status = getStatus(`${host.url}/r/x`);
+        await waitUntil(() => host.host.context.exchanges.size === 1);
+        await host.host.drain();
+        expect(await status).toBe(503);
+        expect(endpoint.received).toEqual([]);
+        expect(host.logged.filter(line => line["outcome"] === "stopping")).toHaveLength(1);
+    });
     // Guards against a shutdown that loses answers under load: each request that the host has accepted is answered.
     it("answers every request that it accepts during the shutdown under load", async () => {
         const endpoint = await startEndpoint(
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -138,8 +138,8 @@
                 deadlineAtMs: startedAtMs + 5_000,
                 attempts: [],
                 onDisconnect: undefined,
-                isDisconnected: false,
-                onStop: undefined,
+                hasEnded: false,
+                onStop: () => undefined,
                 replies,
             };
         },
