Refuse requests whose bodies are incomplete when the host stops

What callers saw: a connection that is closed without a word while they send a body to a host that stops. Cause: the end of the grace time spoke to requests that had been begun, and a request is begun when its body has arrived. Change: serveHttp fails incomplete bodies on request, with the error server.stop, which a host answers with 503 'stopping'. The request has not run. Evidence: 'refuses a request whose body is incomplete when the host stops' failed before (closed without a byte).

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -24,7 +24,7 @@
 
 /** Servers that a drain closes. */
 export interface DrainedServers extends Pick<ForwardingServers, "close"> {
-    readonly callers: Pick<ForwardingServers["callers"], "drain" | "countPending" | "close">;
+    readonly callers: Pick<ForwardingServers["callers"], "drain" | "countPending" | "failIncomplete" | "close">;
 }
 
 /**
@@ -56,6 +56,7 @@
             "host: requests in flight at the end of the grace time",
         );
         context.exchanges.forEach(exchange => exchange.onStop());
+        servers.callers.failIncomplete();
         await waitForPending(performance.now() + FLUSH_MS);
     }
     await servers.callers.close();
--- a/packages/forwarding/src/commands/serveForwarding.ts
+++ b/packages/forwarding/src/commands/serveForwarding.ts
@@ -19,6 +19,7 @@
 const refusalReasons: Readonly<Record<string, RefusalReason>> = {
     "entity.too.large": "body_too_large",
     "body.budget": "bodies_too_large",
+    "server.stop": "stopping",
     "connection.limit": "too_many_connections",
 };
 
--- a/packages/forwarding/tests/commands/drainForwarding.test.ts
+++ b/packages/forwarding/tests/commands/drainForwarding.test.ts
@@ -29,6 +29,7 @@
         const callers = {
             drain: () => new Promise<void>(() => undefined),
             countPending: () => 1,
+            failIncomplete: () => undefined,
             close: () => Promise.resolve(),
         };
         const close = (): Promise<void> => {
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -301,6 +301,23 @@
         expect(endpoint.received).toEqual([]);
         expect(host.logged.filter(line => line["outcome"] === "stopping")).toHaveLength(1);
     });
+    // Guards against a connection that is closed without a word while the body of its request arrives slowly.
+    it("refuses a request whose body is incomplete when the host stops", async () => {
+        const host = await startTestHost([createRoute({ kind: "once" })], [], { graceMs: 1_000 });
+        const [ip = "", port = "0"] = host.listen.callers.split(":");
+        const socket = connect(Number(port), ip);
+        let received = "";
+        socket.on("data", chunk => {
+            received += chunk.toString();
+        });
+        socket.on("error", () => undefined);
+        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        socket.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab");
+        await waitUntil(() => host.host.context.resourceBudget.getUsed("request") > 0);
+        await Promise.all([host.host.drain(), isClosed]);
+        expect(received).toContain("HTTP/1.1 503");
+        expect(received).toContain("stopping");
+    });
     // Guards against a shutdown that loses answers under load: each request that the host has accepted is answered.
     it("answers every request that it accepts during the shutdown under load", async () => {
         const endpoint = await startEndpoint(
--- a/packages/forwarding/tests/memoryNetwork.ts
+++ b/packages/forwarding/tests/memoryNetwork.ts
@@ -52,6 +52,7 @@
         server: createServer(),
         port: options.port,
         countPending: () => 0,
+        failIncomplete: () => undefined,
         drain: () => Promise.resolve(),
         close: () => Promise.resolve(void routes.delete(address)),
     });
--- a/packages/http/src/readRawBody.ts
+++ b/packages/http/src/readRawBody.ts
@@ -89,5 +89,6 @@
     });
 }
 
-const createBodyError = (status: number, type: string, message: string): HttpError =>
+/** Creates the error of a body that cannot be read. */
+export const createBodyError = (status: number, type: string, message: string): HttpError =>
     Object.assign(new Error(message), { status, type });
--- a/packages/http/src/receiveRequests.ts
+++ b/packages/http/src/receiveRequests.ts
@@ -3,7 +3,7 @@
 import type { Duplex } from "node:stream";
 import type { ByteBudget } from "./byteBudget.js";
 import type { BeginRequest, RequestQueues } from "./createRequestQueues.js";
-import { type RawBody, readRawBody } from "./readRawBody.js";
+import { createBodyError, type RawBody, readRawBody } from "./readRawBody.js";
 import type { ResourceAccount } from "./resourceBudget.js";
 import type { HttpRequest } from "./serveHttp.js";
 import { describeUnanswered, type UnansweredRequest } from "./unansweredRequest.js";
@@ -14,6 +14,13 @@
 /** Bodies that are being received, or have been, by their requests. */
 export type RequestBodies = WeakMap<IncomingMessage, ReadingBody>;
 
+export interface RequestReceiver {
+    /** Bodies that are read as bytes. */
+    readonly bodies: RequestBodies;
+    /** Fails the requests whose bodies are incomplete, with an error with status 503 and type `server.stop`. */
+    readonly failIncomplete: () => void;
+}
+
 export interface RequestReceiverOptions {
     readonly server: Server;
     readonly queues: RequestQueues;
@@ -29,14 +36,20 @@
     readonly onUnanswered: (unanswered: UnansweredRequest) => void;
 }
 
-/** Starts to receive requests, and returns the raw bodies. */
-export function receiveRequests(options: RequestReceiverOptions): RequestBodies {
+/** Starts to receive requests. */
+export function receiveRequests(options: RequestReceiverOptions): RequestReceiver {
     const { server, queues, getAccount } = options;
     const bodies: RequestBodies = new WeakMap();
+    const incomplete = new Set<ReadingBody>();
     server.on("request", (request, response) => {
         const account = getAccount(request.socket);
         if (account !== undefined) {
-            receiveRequest(options, account, bodies, request, response);
+            receiveRequest(options, account, request, response, body => {
+                bodies.set(request, body);
+                incomplete.add(body);
+                const remove = (): void => void incomplete.delete(body);
+                body.done.then(remove, remove);
+            });
         }
     });
     server.on("checkExpectation", (request, response) => {
@@ -45,15 +58,16 @@
             queues.enqueue(request, response, { begin: rejectExpectation, budget: account.pay("request") });
         }
     });
-    return bodies;
+    return { bodies, failIncomplete: () => incomplete.forEach(body => body.fail()) };
 }
 
+/** Queues a request, and starts to read its body if it is read as bytes. */
 function receiveRequest(
     { queues, isRaw, getBodyLimit, begin, onUnanswered }: RequestReceiverOptions,
     account: ResourceAccount,
-    bodies: RequestBodies,
     request: IncomingMessage,
     response: ServerResponse,
+    addBody: (body: ReadingBody) => void,
 ): void {
     const { pay } = account;
     const isFollowed = (): boolean => queues.hasWaiting(request.socket);
@@ -71,7 +85,7 @@
         return;
     }
     const body = startReading(request, getBodyLimit(), pay("body"));
-    bodies.set(request, body);
+    addBody(body);
     const { getBytes: getBodyBytes, getReceivedBytes } = body;
     const drop = (): void => {
         body.drop();
@@ -83,6 +97,8 @@
 /** A body that is being received, or has been. */
 interface ReadingBody {
     readonly done: Promise<RawBody>;
+    /** Rejects `done` with an error with status 503 and type `server.stop`, if it is incomplete. */
+    readonly fail: () => void;
     /** Returns its memory to the budget once it has been received. */
     readonly drop: () => void;
     readonly getBytes: () => number;
@@ -98,12 +114,21 @@
     const budget = createPartialBudget(payer);
     let readBytes = 0;
     const onPiece = (bytes: number): void => void (readBytes += bytes);
-    const done = readRawBody(request, { limitBytes, budget, onPiece });
-    const drop = (): void => void done.then(({ release }) => release(), () => undefined);
+    const read = readRawBody(request, { limitBytes, budget, onPiece });
+    const drop = (): void => void read.then(({ release }) => release(), () => undefined);
+    let fail = (): void => undefined;
+    const failed = new Promise<never>((_resolve, reject) => {
+        fail = () => {
+            reject(createBodyError(503, "server.stop", "the server stops before the body has been received"));
+            drop();
+        };
+    });
+    const done = Promise.race([read, failed]);
     // The error is handled when it is the request's turn, which may be never.
     done.catch(() => undefined);
     return {
         done,
+        fail,
         drop,
         getBytes: () => budget.getUsed() + request.readableLength,
         getReceivedBytes: () => readBytes + request.readableLength,
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -141,6 +141,11 @@
     readonly countPending: () => number;
     /** Stops accepting connections. Resolves when the requests in flight have ended. */
     readonly drain: () => Promise<void>;
+    /**
+     * Ends the requests whose `raw` bodies are incomplete with an error with status 503 and type `server.stop`, which
+     * `handleError` gets when it is their turn.
+     */
+    readonly failIncomplete: () => void;
     /** Closes the server at once, including connections with requests in flight. */
     readonly close: () => Promise<void>;
 }
@@ -166,7 +171,7 @@
     });
     const queues = createRequestQueues();
     const budget = options.budget ?? createResourceBudget({ getLimit: () => DEFAULT_BUDGET_BYTES });
-    const bodies = receiveRequests({
+    const { bodies, failIncomplete } = receiveRequests({
         server,
         queues,
         getAccount: socket => tracker.getAccount(socket),
@@ -211,6 +216,7 @@
         port: (server.address() as AddressInfo).port,
         countPending: queues.countPending,
         drain: () => drainServer(server),
+        failIncomplete,
         close: () => closeServer(server, connectionLimit.closeAll),
     };
 }
