Read from connections before closing them as unused

What callers saw: a request on a kept or unused connection, sent in time, and a connection that closes with neither an answer nor a refusal. Change: awaitReads lets the event loop read from all connections first. Not covered: a kept connection that is closed in favour of a new one while there are too many.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -1,4 +1,5 @@
 /** Graceful shutdown of a forwarding host. */
+import { awaitReads } from "@currantrill/http";
 import type { ForwardingContext } from "../model/forwardingContext.js";
 import type { Exchange } from "../requests/model/exchange.js";
 import type { ForwardingServers } from "./serveForwarding.js";
@@ -46,8 +47,15 @@
     await sleep(noticedAtMs - performance.now());
     const closed = servers.callers.drain();
     // Requests whose body is still being received, and responses that are still being sent, count as well.
-    const waitForPending = (endAtMs: number): Promise<void> =>
-        waitUntil(() => servers.callers.countPending() === 0 || performance.now() >= endAtMs);
+    const waitForPending = async (endAtMs: number): Promise<void> => {
+        const hasEnded = (): boolean => servers.callers.countPending() === 0 || performance.now() >= endAtMs;
+        do {
+            await waitUntil(hasEnded);
+            // A request may wait on a connection that would be closed now.
+            await awaitReads();
+        }
+        while (!hasEnded());
+    };
     await Promise.race([closed, waitForPending(stopsAtMs)]);
     const pending = servers.callers.countPending();
     if (pending > 0) {
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -318,6 +318,33 @@
         expect(received).toContain("HTTP/1.1 503");
         expect(received).toContain("stopping");
     });
+    // Guards against a request that is lost because it arrives on an unused connection while a starved host is about to
+    // close its connections.
+    it("answers a request that has arrived unread at the end of its drain", async () => {
+        const endpoint = await startEndpoint("e0", (received, socket) => writeAnswer(socket, received, 200, "whole"));
+        closers.push(endpoint.close);
+        const route = createRoute({ kind: "once", timeoutMs: 300 });
+        const host = await startTestHost([route], [endpoint], { graceMs: 1_000 });
+        const [ip = "", port = "0"] = host.listen.callers.split(":");
+        const socket = connect(Number(port), ip);
+        const received: string[] = [];
+        socket.on("data", chunk => received.push(chunk.toString()));
+        socket.on("error", () => undefined);
+        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        await new Promise(resolve => socket.once("connect", resolve));
+        const drained = host.host.drain();
+        // The drain ends 350 ms after its start if nothing is pending.
+        await new Promise(resolve => setTimeout(resolve, 300));
+        // Timers run after this phase of the event loop, and reads after them.
+        await new Promise(resolve => setImmediate(resolve));
+        socket.write("GET /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\n\r\n");
+        const unblockedAtMs = performance.now() + 150;
+        while (performance.now() < unblockedAtMs) {
+            // The host handles no event.
+        }
+        await Promise.all([drained, isClosed]);
+        expect(received.join("")).toContain("HTTP/1.1 200");
+    });
     // Guards against a shutdown that loses answers under load: each request that the host has accepted is answered.
     it("answers every request that it accepts during the shutdown under load", async () => {
         const endpoint = await startEndpoint(
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./awaitReads.js";
 export * from "./byteBudget.js";
 export * from "./byteBuffer.js";
 export * from "./closeConnection.js";
--- a/packages/http/src/limitConnections.ts
+++ b/packages/http/src/limitConnections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { awaitReads } from "./awaitReads.js";
 import { closeConnection } from "./closeConnection.js";
 
 /**
@@ -34,8 +35,8 @@
 export interface ConnectionLimit {
     /** Returns whether the request came on a connection beyond the limit. */
     readonly isExcess: (request: IncomingMessage) => boolean;
-    /** Closes the connections that clients keep for a further request and on which none is arriving. */
-    readonly closeKept: () => void;
+    /** Closes the connections that clients keep for a further request and on which none has arrived. */
+    readonly closeKept: () => Promise<void>;
     readonly closeAll: () => void;
 }
 
@@ -123,7 +124,8 @@
     });
     return {
         isExcess: request => excess.has(request.socket),
-        closeKept: () => {
+        closeKept: async () => {
+            await awaitReads();
             const kept = [...idle].filter(socket => isKept(connections, socket));
             kept.forEach(socket => closeConnection(socket, "stop"));
         },
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import polka from "polka";
+import { awaitReads } from "./awaitReads.js";
 import type { ByteBudget } from "./byteBudget.js";
 import { closeConnection } from "./closeConnection.js";
 import { createRequestQueues } from "./createRequestQueues.js";
@@ -192,10 +193,10 @@
         getNowMs: settings.getNowMs,
     });
     const tracker = trackConnections({ server, budget, queues, getMaxHeadBytes: () => settings.maxHeaderBytes });
-    // Without a listener, Node.js closes these connections itself.
-    server.on("timeout", (socket: Socket) => closeConnection(socket, "idle"));
+    // Without a listener, Node.js closes these connections at once.
+    server.on("timeout", (socket: Socket) => void closeIfUnread(socket));
     // The method of Node.js, which `server.close` calls, also closes connections whose last response is still being sent.
-    server.closeIdleConnections = connectionLimit.closeKept;
+    server.closeIdleConnections = () => void connectionLimit.closeKept();
     // polka's types describe Express requests, so the application is cast to the narrower `PolkaApp`.
     const app = polka({ onError: reportError, onNoMatch: settings.handleNotFound }) as unknown as PolkaApp;
     function reportError(error: unknown, request: IncomingMessage, response: ServerResponse): void {
@@ -322,6 +323,15 @@
     });
 }
 
+/** Closes a connection at the end of its keep-alive timeout, unless a request has arrived meanwhile. */
+async function closeIfUnread(socket: Socket): Promise<void> {
+    const { bytesRead } = socket;
+    await awaitReads();
+    if (socket.bytesRead === bytesRead) {
+        closeConnection(socket, "idle");
+    }
+}
+
 function drainServer(server: Server): Promise<void> {
     return new Promise(resolve => {
         // Connections become idle only when their last response has ended, which may be after the drain starts, so idle
