Count requests whose head is arriving as pending in a drain

What callers saw: a connection that closes in the middle of a head that they send to a stopping host. Change: RunningServer.countPending counts connections on which bytes of a request have arrived. A caller that stops half-way holds the drain until its regular end, as one that does so in a body. Evidence: 'answers a request whose head arrives in pieces around the end of its drain' failed before (closed without a byte).

--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -345,6 +345,27 @@
         await Promise.all([drained, isClosed]);
         expect(received.join("")).toContain("HTTP/1.1 200");
     });
+    // Guards against a drain that counts no request while the head of one is arriving, and closes its connection.
+    it("answers a request whose head arrives in pieces around the end of its drain", async () => {
+        const endpoint = await startEndpoint("e0", (received, socket) => writeAnswer(socket, received, 200, "whole"));
+        closers.push(endpoint.close);
+        const route = createRoute({ kind: "once", timeoutMs: 300 });
+        const host = await startTestHost([route], [endpoint], { graceMs: 1_500 });
+        const [ip = "", port = "0"] = host.listen.callers.split(":");
+        const socket = connect(Number(port), ip);
+        const received: string[] = [];
+        socket.on("data", chunk => received.push(chunk.toString()));
+        socket.on("error", () => undefined);
+        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        socket.write("GET /r/x HTTP/1.1\r\nhost: desk.example\r\n");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const drained = host.host.drain();
+        // The drain ends 525 ms after its start if nothing is pending.
+        await new Promise(resolve => setTimeout(resolve, 700));
+        socket.write("t-id: q1\r\n\r\n");
+        await Promise.all([drained, isClosed]);
+        expect(received.join("")).toContain("HTTP/1.1 200");
+    });
     // Guards against a shutdown that loses answers under load: each request that the host has accepted is answered.
     it("answers every request that it accepts during the shutdown under load", async () => {
         const endpoint = await startEndpoint(
--- a/packages/http/src/limitConnections.ts
+++ b/packages/http/src/limitConnections.ts
@@ -37,6 +37,8 @@
     readonly isExcess: (request: IncomingMessage) => boolean;
     /** Closes the connections that clients keep for a further request and on which none has arrived. */
     readonly closeKept: () => Promise<void>;
+    /** Returns the number of connections on which the head of a request is arriving. */
+    readonly countArriving: () => number;
     readonly closeAll: () => void;
 }
 
@@ -129,15 +131,18 @@
             const kept = [...idle].filter(socket => isKept(connections, socket));
             kept.forEach(socket => closeConnection(socket, "stop"));
         },
+        countArriving: () => [...idle].filter(socket => isArriving(connections, socket)).length,
         closeAll: () => [...connections.keys(), ...excess].forEach(socket => closeConnection(socket, "stop")),
     };
 }
 
+/** Returns whether a connection without a request in flight has got bytes of one. */
+const isArriving = (connections: ReadonlyMap<Socket, ConnectionState>, socket: Socket): boolean =>
+    socket.bytesRead !== connections.get(socket)?.bytesWhenIdle;
+
 /** Returns whether the client keeps a connection without a request in flight, and no further request is arriving. */
-function isKept(connections: ReadonlyMap<Socket, ConnectionState>, socket: Socket): boolean {
-    const state = connections.get(socket);
-    return state?.isKept === true && socket.bytesRead === state.bytesWhenIdle;
-}
+const isKept = (connections: ReadonlyMap<Socket, ConnectionState>, socket: Socket): boolean =>
+    connections.get(socket)?.isKept === true && !isArriving(connections, socket);
 
 /** Finds the connection to close: one that is kept, or else one that has not sent the head of a request in time. */
 function findIdle(
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -138,7 +138,7 @@
 export interface RunningServer {
     readonly server: Server;
     readonly port: number;
-    /** Returns the number of requests whose head has been received and whose response has not been sent in full. */
+    /** Returns the number of requests of which bytes have been received and whose response has not been sent in full. */
     readonly countPending: () => number;
     /** Stops accepting connections. Resolves when the requests in flight have ended. */
     readonly drain: () => Promise<void>;
@@ -215,7 +215,7 @@
     return {
         server,
         port: (server.address() as AddressInfo).port,
-        countPending: queues.countPending,
+        countPending: () => queues.countPending() + connectionLimit.countArriving(),
         drain: () => drainServer(server),
         failIncomplete,
         close: () => closeServer(server, connectionLimit.closeAll),
