Estimate streams by the length of their answers on a stopping host

What callers saw: a long answer that a stopping host begins and cuts off at the end of its grace time. Cause: the expected time of a request is the 0.9 quantile of the last 32 of its route, whatever the length of its own answer. Change: the time to the first event and the pace of recent streams, both at the 0.9 quantile, times the stated length; at most the longest recent stream, since callers' statements are often far off. Without a stated length the estimate is as before. A refusal with 'stopping' asks the caller to come back at once: the other hosts have not become busier. Its log line has the estimate. The test 'gives a final answer to a stream that has not begun' needs a stream that is taken; its route has a shorter target.

--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -7,7 +7,7 @@
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import { selectTrackedParts } from "../../quarantine/queries/selectTrackedParts.js";
 import type { Exchange } from "../model/exchange.js";
-import { canBeAnswered } from "../queries/canAnswerInTime.js";
+import { canBeAnswered, estimateAnswerMs } from "../queries/canAnswerInTime.js";
 import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { selectRequestHeaders } from "../queries/selectHeaders.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
@@ -44,14 +44,20 @@
     }
     const index = context.getConfiguration();
     const created = index === undefined ? "no_configuration" : createExchange(context, index, request, response);
-    const exchange = typeof created === "string" || canBeAnswered(context, created) ? created : "stopping";
-    if (typeof exchange === "string") {
-        refuseRequest(context, request, response, exchange, index);
+    if (typeof created === "string") {
+        refuseRequest(context, request, response, { reason: created, index });
+        return;
+    }
+    const exchange = created;
+    if (!canBeAnswered(context, exchange)) {
+        const expectedMs = Math.round(estimateAnswerMs(context, exchange));
+        const afterStopMs = computeAfterStopMs(context, exchange);
+        refuseRequest(context, request, response, { reason: "stopping", index, fields: { expectedMs, afterStopMs } });
         return;
     }
     const payer = request.pay("request");
     if (!payer.take(EXCHANGE_BYTES)) {
-        refuseRequest(context, request, response, "no_memory", index);
+        refuseRequest(context, request, response, { reason: "no_memory", index });
         return;
     }
     response.once("close", () => payer.give(EXCHANGE_BYTES));
@@ -126,12 +132,22 @@
     };
 }
 
+interface UnservedRequest {
+    readonly reason: RefusalReason;
+    readonly index: ConfigurationIndex | undefined;
+    /** Further inputs of the decision, for the log. */
+    readonly fields?: Readonly<Record<string, unknown>>;
+}
+
+/** Returns when a request had arrived in full, counted from the stop signal, in milliseconds. */
+const computeAfterStopMs = ({ shutdown }: ForwardingContext, { startedAtMs }: Exchange): number | undefined =>
+    shutdown === undefined ? undefined : Math.round(startedAtMs - shutdown.startedAtMs);
+
 function refuseRequest(
     context: ForwardingContext,
     request: HttpRequest,
     response: ServerResponse,
-    reason: RefusalReason,
-    index: ConfigurationIndex | undefined,
+    { reason, index, fields = {} }: UnservedRequest,
 ): void {
     const { requestId = "" } = context.callers.parseHeaders(request.headers);
     const status = sendRefusal(response, reason, context.callers.buildResponseHeaders(requestId));
@@ -144,6 +160,7 @@
             configuration: index?.configuration.version,
             status,
             outcome: reason,
+            ...fields,
         },
         "requests: refused",
     );
@@ -153,11 +170,16 @@
     const { route, attempts } = exchange;
     const durationMs = Math.round(performance.now() - exchange.startedAtMs);
     context.metrics.requests.inc({ kind: route.kind, outcome });
+    const firstAfterMs = attempts.find(attempt => attempt.firstAfterMs !== undefined)?.firstAfterMs;
+    const { answerTokens } = exchange.callerMetadata;
     if (answeredOutcomes.has(outcome)) {
-        context.routeDurations.record(route.name, durationMs);
+        context.routeDurations.record(route.name, {
+            durationMs,
+            ...(firstAfterMs === undefined ? {} : { firstEventMs: firstAfterMs }),
+            ...(answerTokens === undefined ? {} : { answerTokens }),
+        });
     }
     context.metrics.requestSeconds.observe({ kind: route.kind }, durationMs / 1_000);
-    const firstAfterMs = attempts.find(attempt => attempt.firstAfterMs !== undefined)?.firstAfterMs;
     if (firstAfterMs !== undefined) {
         context.metrics.firstEventSeconds.observe({ route: route.name }, firstAfterMs / 1_000);
     }
@@ -179,9 +201,7 @@
             durationMs,
             // How long its body took to arrive, and when it had arrived in full, counted from the stop signal.
             receivedMs: Math.round(exchange.startedAtMs - exchange.receivedAtMs),
-            afterStopMs: context.shutdown === undefined
-                ? undefined
-                : Math.round(exchange.startedAtMs - context.shutdown.startedAtMs),
+            afterStopMs: computeAfterStopMs(context, exchange),
         },
         "requests: ended",
     );
--- a/packages/forwarding/src/requests/commands/sendRefusal.ts
+++ b/packages/forwarding/src/requests/commands/sendRefusal.ts
@@ -59,7 +59,8 @@
         message: "no endpoint takes a further request for now, by the limits that they state",
         retryAfterSeconds: 0.4,
     },
-    stopping: { status: 503, message: "this host is stopping; another one takes the request", retryAfterSeconds: 0.15 },
+    // The other hosts are no more busy than before, so there is nothing to wait for.
+    stopping: { status: 503, message: "this host is stopping; another one takes the request", retryAfterSeconds: 0.01 },
     no_route: { status: 404, message: "no route matches the host and path" },
     key_unknown: { status: 401, message: "the key is not known" },
     body_unreadable: { status: 400, message: "the body could not be read" },
--- a/packages/forwarding/src/requests/queries/canAnswerInTime.ts
+++ b/packages/forwarding/src/requests/queries/canAnswerInTime.ts
@@ -8,7 +8,7 @@
     readonly arrivedAtMs: number;
     /** Deadline of the request. At the latest then it has a final answer. */
     readonly deadlineAtMs: number;
-    /** Time that requests of the route take. */
+    /** Time that the request is expected to take. */
     readonly expectedMs: number;
 }
 
@@ -30,14 +30,20 @@
  */
 const ASSUMED_TARGET_FRACTION: Readonly<Record<RequestKind, number>> = { once: 0.5, repeatable: 0.5, stream: 1 };
 
+/** Estimates the time from sending a request to the end of its answer, in milliseconds. */
+export const estimateAnswerMs = (
+    { routeDurations }: Pick<ForwardingContext, "routeDurations">,
+    { route, callerMetadata }: Pick<Exchange, "route" | "callerMetadata">,
+): number =>
+    routeDurations.estimateMs(route.name, callerMetadata.answerTokens)
+        ?? route.targetMs * ASSUMED_TARGET_FRACTION[route.kind];
+
 /** Returns whether the host can answer a request, if it is sent to an endpoint now. */
-export const canBeAnswered = (
-    { shutdown, routeDurations }: ForwardingContext,
-    { route, startedAtMs, deadlineAtMs }: Pick<Exchange, "route" | "startedAtMs" | "deadlineAtMs">,
-): boolean => {
-    if (shutdown === undefined) {
-        return true;
-    }
-    const expectedMs = routeDurations.estimateMs(route.name) ?? route.targetMs * ASSUMED_TARGET_FRACTION[route.kind];
-    return canAnswerInTime({ arrivedAtMs: startedAtMs, deadlineAtMs, expectedMs }, shutdown, performance.now());
-};
+export function canBeAnswered(
+    context: Pick<ForwardingContext, "shutdown" | "routeDurations">,
+    exchange: Pick<Exchange, "route" | "startedAtMs" | "deadlineAtMs" | "callerMetadata">,
+): boolean {
+    const { startedAtMs: arrivedAtMs, deadlineAtMs } = exchange;
+    const times = { arrivedAtMs, deadlineAtMs, expectedMs: estimateAnswerMs(context, exchange) };
+    return context.shutdown === undefined || canAnswerInTime(times, context.shutdown, performance.now());
+}
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -197,7 +197,7 @@
         },
         {
             name: "gives a final answer to a stream that has not begun at the stop",
-            route: createRoute({ kind: "stream", canResume: false, timeoutMs: 15_000 }),
+            route: createRoute({ kind: "stream", canResume: false, timeoutMs: 15_000, targetMs: 300 }),
             afterMs: 1_000,
             workMs: 10_000,
             status: 502,
