Give up a silent endpoint only if another one can finish the answer

What callers saw: a stream that a host breaks off after a silence of its endpoint, although the endpoint goes on. Cause: the host gave up an endpoint that answers its probe after a fixed silence if the retry budget allowed it. The stream had begun, so what was left was to close its connection. Change: canContinueElsewhere is asked before; until then the silent endpoint keeps the stream. If a stream has begun, this also holds for an endpoint that did not answer the probe. The record of an attempt moved to createStreamRecord.ts.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -5,19 +5,20 @@
 import { markUnresponsive, recordFailure } from "../../endpoints/model/endpointHealth.js";
 import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
-import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import type { PromptTracker } from "../../quarantine/model/promptTracker.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
 import { getFirstEventLimits, getPauseLimits, type WaitLimits } from "../../streams/model/waitLimits.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
+import { canContinueElsewhere } from "../queries/canContinueElsewhere.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
 import { clearWhenClosed } from "./clearWhenClosed.js";
+import { createStreamRecord } from "./createStreamRecord.js";
 import { runAttempt } from "./runAttempt.js";
 
-/** Interval at which a stalled attempt is checked again that cannot be retried, because the retry budget is used up. */
-const RETRY_BUDGET_CHECK_MS = 200;
+/** Interval at which a stalled attempt is checked again for which there is no other one now. */
+const RETRY_CHECK_MS = 200;
 
 /** Time for the body of an error response, which is a few hundred bytes long. */
 const ERROR_BODY_TIMEOUT_MS = 1_000;
@@ -46,6 +47,7 @@
     readonly plan: StreamAttemptPlan;
     readonly record: AttemptRecord;
     readonly splitter: EventSplitter;
+    readonly startedAtMs: number;
     readonly resolve: (end: StreamAttemptResult) => void;
     /** What a stop of the host does while no attempt runs. */
     readonly onStopWaiting: () => void;
@@ -75,11 +77,12 @@
             exchange,
             progress,
             plan,
-            record: createRecord(exchange, plan),
+            record: createStreamRecord(exchange, plan),
             splitter: createEventSplitter({
                 maxBytes: context.settings.responses.max_event_bytes,
                 budget: exchange.responseBudget,
             }),
+            startedAtMs: performance.now(),
             resolve,
             onStopWaiting: exchange.onStop,
             resumeEndpointStream: () => resumeAttempt(run),
@@ -126,27 +129,6 @@
     });
 }
 
-function createRecord(exchange: Exchange, plan: StreamAttemptPlan): AttemptRecord {
-    const record: AttemptRecord = {
-        endpoint: plan.endpoint.entry.id,
-        sentAfterMs: Math.round(performance.now() - exchange.startedAtMs),
-        ...describeEstimate(plan.placement),
-        ...(plan.shardTargets.length === 0 ? {} : { parts: plan.shardTargets.map(target => target.address) }),
-        outcome: "pending",
-        wasSent: false,
-    };
-    exchange.attempts.push(record);
-    return record;
-}
-
-/** Describes the estimate of the placement and the work on the endpoint that it took into account. */
-const describeEstimate = (placement: PromptPlacement): Partial<AttemptRecord> => ({
-    expectedMs: Math.round(placement.firstEventMs),
-    backlogMs: Math.round(placement.backlogMs),
-    booked: placement.assignedCount,
-    cost: Number(placement.cost.toFixed(2)),
-});
-
 function finishRun(run: StreamRun, end: StreamAttemptResult): void {
     if (run.isSettled) {
         return;
@@ -188,33 +170,44 @@
 /** Aborts the attempt at once if the endpoint did not respond to the probe, otherwise after `abortAfterMs`. */
 function handleStall(run: StreamRun, limits: WaitLimits, isResponsive: boolean): void {
     const { endpoint } = run.plan;
-    if (!isResponsive) {
-        endpoint.health = markUnresponsive(endpoint.health, performance.now());
-        abortRun(
+    if (isResponsive) {
+        scheduleStallAbort(
             run,
-            { kind: "broken", wasSent: run.record.wasSent },
-            "no event, and the endpoint did not respond to a probe",
+            limits.abortAfterMs - limits.probeAfterMs,
+            `no event for ${Math.round(limits.abortAfterMs)} ms`,
         );
         return;
     }
-    scheduleStallAbort(run, limits, limits.abortAfterMs - limits.probeAfterMs);
+    endpoint.health = markUnresponsive(endpoint.health, performance.now());
+    const reason = "no event, and the endpoint did not respond to a probe";
+    if (!run.progress.hasSentHeaders || canReplace(run)) {
+        abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, reason);
+        return;
+    }
+    scheduleStallAbort(run, RETRY_CHECK_MS, reason);
 }
 
-/** Aborts the attempt after a time, as soon as the retry budget allows another one: until then it may still go on. */
-function scheduleStallAbort(run: StreamRun, limits: WaitLimits, delayMs: number): void {
-    const { context, exchange, plan } = run;
+/** Returns whether another attempt can take the place of one whose endpoint is silent. Until then that one may still go on. */
+const canReplace = (
+    { context, exchange, plan, progress, startedAtMs, lastEventAtMs = startedAtMs }: StreamRun,
+): boolean =>
+    context.retryBudget.canSpend(exchange.service.name, performance.now())
+    && canContinueElsewhere(context, exchange, {
+        hasSentHeaders: progress.hasSentHeaders,
+        lastProgressAtMs: lastEventAtMs,
+        firstEventMs: plan.placement.firstEventMs,
+    });
+
+/** Aborts the attempt after a time, as soon as another one can take its place. */
+function scheduleStallAbort(run: StreamRun, delayMs: number, reason: string): void {
+    const { endpoint } = run.plan;
     run.cancelStallCheck = startTimeout(delayMs, () => {
-        const nowMs = performance.now();
-        if (!context.retryBudget.canSpend(exchange.service.name, nowMs)) {
-            scheduleStallAbort(run, limits, RETRY_BUDGET_CHECK_MS);
+        if (!canReplace(run)) {
+            scheduleStallAbort(run, RETRY_CHECK_MS, reason);
             return;
         }
-        plan.endpoint.health = recordFailure(plan.endpoint.health, nowMs);
-        abortRun(
-            run,
-            { kind: "broken", wasSent: run.record.wasSent },
-            `no event for ${Math.round(limits.abortAfterMs)} ms`,
-        );
+        endpoint.health = recordFailure(endpoint.health, performance.now());
+        abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, reason);
     });
 }
 
--- /dev/null
+++ b/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
@@ -0,0 +1,58 @@
+/** Streams whose endpoint falls silent, and goes on later. */
+import { request } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import {
+    beginStream,
+    createRoute,
+    endStream,
+    formatEvent,
+    startEndpoint,
+    startTestHost,
+    waitUntil,
+    writeChunk,
+} from "../../hostFixture.js";
+
+const closers: (() => unknown)[] = [];
+afterEach(() => Promise.all(closers.splice(0).map(close => close())));
+
+/** After this silence another endpoint is tried if there is one. */
+const SILENT_MS = 2_400;
+
+describe("a stream whose endpoint falls silent", () => {
+    // Guards against a stream that is broken off in favour of another endpoint although there is none, or none that can
+    // finish the answer before the host stops: the silent one may still go on, as it does here.
+    it.each([
+        { name: "the only endpoint", count: 1, graceMs: undefined, expected: 1 },
+        { name: "on a host that stops too soon for another attempt", count: 2, graceMs: 3_500, expected: 1 },
+        { name: "on a host that stops later", count: 2, graceMs: 12_000, expected: 2 },
+        { name: "on a host that does not stop", count: 2, graceMs: undefined, expected: 2 },
+    ])("is complete: $name", async ({ count, graceMs, expected }) => {
+        let received = 0;
+        const endpoints = await Promise.all(
+            Array.from({ length: count }, (_, index) =>
+                startEndpoint(`e${index}`, (prompt, socket) => {
+                    received += 1;
+                    beginStream(socket, prompt);
+                    writeChunk(socket, formatEvent(Number(prompt.headers["t-last"] ?? 0) + 1));
+                    const restMs = received === 1 ? SILENT_MS : 1_200;
+                    setTimeout(() => {
+                        writeChunk(socket, formatEvent(2));
+                        endStream(socket);
+                    }, restMs);
+                })),
+        );
+        endpoints.forEach(endpoint => closers.push(endpoint.close));
+        const route = createRoute({ kind: "stream", canResume: true, targetMs: 300, targetPauseMs: 250 });
+        const host = await startTestHost([route], endpoints, { graceMs: graceMs ?? 1_000 });
+        host.host.context.routeDurations.record("r", { durationMs: 1_900 });
+        closers.push(() => host.host.drain());
+        const replied = request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q" } });
+        await waitUntil(() => received === 1);
+        if (graceMs !== undefined) {
+            void host.host.drain();
+        }
+        const reply = await replied;
+        expect(await reply.body.text()).toBe(formatEvent(1) + formatEvent(2));
+        expect(received).toBe(expected);
+    });
+});
