Give final answers at a stop a fraction of the grace time to be sent

What callers saw: a closed connection in place of the final answer of a stopping host. Cause: connections were closed 80 ms after the final answers. Change: up to 4% of the grace time, 0.32 s of 8 s; the drain ends as soon as all are sent. Evidence: 'waits until the final answers have been sent' failed before for 100 and 300 ms.

--- a/packages/forwarding/src/commands/drainForwarding.ts
+++ b/packages/forwarding/src/commands/drainForwarding.ts
@@ -8,8 +8,11 @@
 const DRAIN_NOTICE_FRACTION = 0.35;
 /** Fraction of the grace time after which requests in flight get their final answer. */
 const DRAIN_END_FRACTION = 0.92;
-/** Time in which these answers are sent, before the connections are closed. */
-const FLUSH_MS = 80;
+/**
+ * Fraction of the grace time in which these answers are sent, before the connections are closed. A process whose processor
+ * quota is used up does not run for up to 0.1 s, so it is several times that in a grace time of 8 s.
+ */
+const FLUSH_FRACTION = 0.04;
 /**
  * Largest fraction of the grace time by which a stop signal is taken to have waited. A host that was suspended for longer
  * cannot tell when the signal came, and its requests in flight get the rest.
@@ -65,7 +68,7 @@
         );
         context.exchanges.forEach(exchange => exchange.onStop());
         servers.callers.failIncomplete();
-        await waitForPending(performance.now() + FLUSH_MS);
+        await waitForPending(stopsAtMs + graceMs * FLUSH_FRACTION);
     }
     await servers.callers.close();
     await servers.close();
--- a/packages/forwarding/tests/commands/drainForwarding.test.ts
+++ b/packages/forwarding/tests/commands/drainForwarding.test.ts
@@ -44,4 +44,29 @@
         expect(answeredAfterMs).toBeLessThan(refusedAfterMs + 40);
         expect(closedAfterMs).toBeLessThan(8_000 - Math.min(delayMs, 1_000));
     });
+
+    // Guards against final answers that are cut because a throttled host does not run for a tenth of a second after it has
+    // given them.
+    it.each([100, 300])("waits until the final answers have been sent, which takes %i ms", async sendMs => {
+        let answeredAtMs = Infinity;
+        const onStop = (): void => {
+            answeredAtMs = performance.now();
+        };
+        const isSent = (): boolean => performance.now() >= answeredAtMs + sendMs;
+        let wasSent = false;
+        const callers = {
+            drain: () => new Promise<void>(() => undefined),
+            countPending: () => isSent() ? 0 : 1,
+            failIncomplete: () => undefined,
+            close: () => {
+                wasSent = isSent();
+                return Promise.resolve();
+            },
+        };
+        const servers = { callers, close: () => Promise.resolve() };
+        const drained = drainForwarding({ settings, log, exchanges: new Set([{ onStop }]) }, servers, 0);
+        await vi.advanceTimersByTimeAsync(8_000);
+        await drained;
+        expect(wasSent).toBe(true);
+    });
 });
