Answer requests that wait when their time limit ends

What callers saw: a stream that is held beyond its time limit, with neither an answer nor a refusal. Cause: as for the stop, a stream had a time limit only while an attempt ran; one that waited for the quarantine, for a permit or for memory was answered when the wait ended. Change: serveExchange answers it with out_of_time if no attempt runs. Evidence: 'answers a stream that waits when its time limit ends' failed before (no answer in 3 s).

--- a/packages/forwarding/src/requests/commands/serveExchange.ts
+++ b/packages/forwarding/src/requests/commands/serveExchange.ts
@@ -1,7 +1,9 @@
 import type { RequestKind } from "../../configuration/model/servingConfiguration.js";
+import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { Exchange } from "../model/exchange.js";
 import { finishAtStop } from "./finishAtStop.js";
+import { sendRefusal } from "./sendRefusal.js";
 import { serveCall } from "./serveCall.js";
 import { serveStream } from "./serveStream.js";
 
@@ -14,15 +16,35 @@
 };
 
 /**
- * Serves a request. Resolves with the outcome when the caller has its response or can no longer get it. If the host stops
- * while the request waits, such as for a permit, for memory or between two attempts, it gets its final answer here.
+ * Serves a request. Resolves with the outcome when the caller has its response or can no longer get it. If its time limit ends
+ * or the host stops while the request waits, such as for a permit, for memory or between two attempts, it gets its final
+ * answer here. Running attempts react to both themselves.
  */
-export function serveExchange(context: ForwardingContext, exchange: Exchange): Promise<string> {
-    const stopped = new Promise<string>(resolve => {
-        exchange.onStop = () => {
+export async function serveExchange(context: ForwardingContext, exchange: Exchange): Promise<string> {
+    let cancelTimeout = (): void => undefined;
+    const ended = new Promise<string>(resolve => {
+        const endWith = (finish: () => string): void => {
             exchange.hasEnded = true;
-            resolve(finishAtStop(context, exchange));
+            resolve(finish());
         };
+        exchange.onStop = () => endWith(() => finishAtStop(context, exchange));
+        cancelTimeout = startTimeout(exchange.deadlineAtMs - performance.now(), () => {
+            if (!isRunning(exchange)) {
+                endWith(() => finishOutOfTime(context, exchange));
+            }
+        });
     });
-    return Promise.race([serveByKind[exchange.route.kind](context, exchange), stopped]);
+    try {
+        return await Promise.race([serveByKind[exchange.route.kind](context, exchange), ended]);
+    }
+    finally {
+        cancelTimeout();
+    }
+}
+
+const isRunning = ({ attempts }: Exchange): boolean => attempts.some(({ outcome }) => outcome === "pending");
+
+function finishOutOfTime({ callers }: ForwardingContext, { requestId, response }: Exchange): string {
+    sendRefusal(response, "out_of_time", callers.buildResponseHeaders(requestId));
+    return "out_of_time";
 }
--- a/packages/forwarding/src/requests/model/exchange.ts
+++ b/packages/forwarding/src/requests/model/exchange.ts
@@ -36,7 +36,7 @@
     readonly attempts: AttemptRecord[];
     /** Called once if the caller disconnects before the response is complete. */
     onDisconnect: (() => void) | undefined;
-    /** Whether the caller has disconnected, or has its final answer because the host stops. Nothing more is sent for it. */
+    /** Whether the caller has disconnected, or has its final answer although the request waited. Nothing more is sent for it. */
     hasEnded: boolean;
     /** Called if the host stops before the response is complete. It must be given its final answer. */
     onStop: () => void;
