--- a/packages/http/tests/unreadRequests.test.ts
+++ b/packages/http/tests/unreadRequests.test.ts
@@ -19,7 +19,9 @@
 }
 
 /** Starts a server, and sends a first request on a connection that is then kept. */
-async function openKeptConnection(): Promise<{ server: RunningServer; caller: Socket; countResponses: () => number; }> {
+async function openKeptConnection(
+    idleTimeoutMs = IDLE_TIMEOUT_MS,
+): Promise<{ server: RunningServer; caller: Socket; countResponses: () => number; }> {
     const server = await serveHttp({
         host: "127.0.0.1",
         port: 0,
@@ -27,7 +29,7 @@
         routes: [{ method: "ALL", path: "*", handle: (_request, response) => sendJson(response, 200, {}) }],
     });
     closers.push(() => server.close());
-    server.server.keepAliveTimeout = IDLE_TIMEOUT_MS;
+    server.server.keepAliveTimeout = idleTimeoutMs;
     const caller = connect(server.port, "127.0.0.1");
     closers.push(() => caller.destroy());
     let text = "";
@@ -67,4 +69,14 @@
         const { caller } = await openKeptConnection();
         await new Promise(resolve => caller.once("close", resolve));
     });
+
+    // Guards against a new configuration that ends what was accepted under the old one.
+    it("keeps an idle connection for the timeout that held when it became idle", async () => {
+        const { server, caller, countResponses } = await openKeptConnection(5_000);
+        server.server.keepAliveTimeout = 1;
+        await new Promise(resolve => setTimeout(resolve, BLOCKED_MS));
+        caller.write(REQUEST);
+        await new Promise(resolve => setTimeout(resolve, IDLE_TIMEOUT_MS));
+        expect(countResponses()).toBe(2);
+    });
 });
