Do not begin the time limit of a waiting request anew after a pause

Change: a plain timer. Evidence: 'answers a stream that waits at once if its time limit has ended during a pause' failed before.

--- a/packages/forwarding/src/requests/commands/serveExchange.ts
+++ b/packages/forwarding/src/requests/commands/serveExchange.ts
@@ -1,5 +1,4 @@
 import type { RequestKind } from "../../configuration/model/servingConfiguration.js";
-import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { Exchange } from "../model/exchange.js";
 import { finishAtStop } from "./finishAtStop.js";
@@ -21,24 +20,24 @@
  * answer here. Running attempts react to both themselves.
  */
 export async function serveExchange(context: ForwardingContext, exchange: Exchange): Promise<string> {
-    let cancelTimeout = (): void => undefined;
+    let deadlineTimer: NodeJS.Timeout | undefined;
     const ended = new Promise<string>(resolve => {
         const endWith = (finish: () => string): void => {
             exchange.hasEnded = true;
             resolve(finish());
         };
         exchange.onStop = () => endWith(() => finishAtStop(context, exchange));
-        cancelTimeout = startTimeout(exchange.deadlineAtMs - performance.now(), () => {
+        deadlineTimer = setTimeout(() => {
             if (!isRunning(exchange)) {
                 endWith(() => finishOutOfTime(context, exchange));
             }
-        });
+        }, exchange.deadlineAtMs - performance.now());
     });
     try {
         return await Promise.race([serveByKind[exchange.route.kind](context, exchange), ended]);
     }
     finally {
-        cancelTimeout();
+        clearTimeout(deadlineTimer);
     }
 }
 
--- a/packages/forwarding/tests/commands/startForwarding.test.ts
+++ b/packages/forwarding/tests/commands/startForwarding.test.ts
@@ -112,6 +112,23 @@
         expect(await getStatus(`${host.url}/r/x`)).toBe(504);
         expect(endpoint.received).toEqual([]);
     });
+    // Guards against a time limit that begins anew because the process was paused when it ended.
+    it("answers a stream that waits at once if its time limit has ended during a pause", async () => {
+        const endpoint = await startEndpoint("e0", () => undefined);
+        closers.push(endpoint.close);
+        const route = createRoute({ kind: "stream", timeoutMs: 600 });
+        const host = await startTestHost([route], [endpoint], { graceMs: 200 });
+        closers.push(() => host.host.drain());
+        Object.assign(host.host.context.quarantine, { admit: () => new Promise(() => undefined) });
+        const status = getStatus(`${host.url}/r/x`);
+        await waitUntil(() => host.host.context.exchanges.size === 1);
+        const unblockedAtMs = performance.now() + 800;
+        while (performance.now() < unblockedAtMs) {
+            // The host handles no event.
+        }
+        const beginsAnew = new Promise(resolve => setTimeout(resolve, 500, "not answered"));
+        expect(await Promise.race([status, beginsAnew])).toBe(504);
+    });
     it("serves its metrics", async () => {
         const host = await startHost([createRoute()], [], { graceMs: 200 });
         await getStatus(`${host.url}/r/x`);
