Refuse a request on a kept connection that makes room for another one

What callers saw: a request on a kept connection of a host with as many connections as it may have, and a closed connection. Cause: the connection that had been idle for longest was closed as soon as a further one came, although a request could be unread on it. The same cause as for the other closures as unused, looked for in all places that close connections. Change: the connection joins those beyond the limit, is read from, and is closed unless a request has come, which gets 503 'too_many_connections'. Evidence: 'refuses a request that has arrived unread on the connection that is to be closed' failed before. Tried: closing it only if no byte has come keeps a half-sent head for good ('closes one with half a head' failed).

--- a/packages/http/src/limitConnections.ts
+++ b/packages/http/src/limitConnections.ts
@@ -63,7 +63,7 @@
     const connections = new Map<Socket, ConnectionState>();
     /** Connections without a request in flight, the one that has been idle for longest first. */
     const idle = new Set<Socket>();
-    const excess = new Set<Socket>();
+    const excess = createExcessConnections();
     const maxExcess = Math.max(MIN_EXCESS, Math.ceil(maxConnections * EXCESS_FRACTION));
     const markIdle = (socket: Socket, state: ConnectionState): void => {
         state.idleSinceMs = getNowMs();
@@ -74,31 +74,30 @@
         connections.delete(socket);
         idle.delete(socket);
     };
-    /** Closes an idle connection. Returns whether there was one. */
+    /** Closes an idle connection, unless a request has arrived on it, which is refused. Returns whether there was one. */
     const closeIdle = (): boolean => {
         const closed = findIdle(connections, idle, getNowMs());
         if (closed === undefined) {
             return false;
         }
         remove(closed);
-        closeConnection(closed, "connection_limit");
+        excess.add(closed);
+        void excess.closeUnlessRefused(closed);
         return true;
     };
-    /** Kept apart from the others, so that these connections do not replace each other before their requests are refused. */
-    const addExcess = (socket: Socket): void => {
-        if (excess.size >= maxExcess) {
+    const refuseOrDrop = (socket: Socket): void => {
+        if (excess.list().length >= maxExcess) {
             closeConnection(socket, "connection_limit");
             onLimit("dropped");
             return;
         }
         excess.add(socket);
-        socket.once("close", () => excess.delete(socket));
         onLimit("refused");
     };
     server.on("connection", (socket: Socket) => {
         const isFull = connections.size >= maxConnections;
         if (isFull && !closeIdle()) {
-            addExcess(socket);
+            refuseOrDrop(socket);
             return;
         }
         const state = { pendingCount: 0, isKept: false, idleSinceMs: 0, bytesWhenIdle: 0 };
@@ -112,6 +111,7 @@
     server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
         const state = connections.get(socket);
         if (state === undefined) {
+            excess.markRefused(socket);
             return;
         }
         state.pendingCount += 1;
@@ -132,7 +132,41 @@
             kept.forEach(socket => closeConnection(socket, "stop"));
         },
         countArriving: () => [...idle].filter(socket => isArriving(connections, socket)).length,
-        closeAll: () => [...connections.keys(), ...excess].forEach(socket => closeConnection(socket, "stop")),
+        closeAll: () => [...connections.keys(), ...excess.list()].forEach(socket => closeConnection(socket, "stop")),
+    };
+}
+
+/**
+ * Connections beyond the limit, whose requests are refused. They are kept apart from the others, so that they do not replace
+ * each other before that.
+ */
+interface ExcessConnections {
+    readonly list: () => readonly Socket[];
+    readonly has: (socket: Socket) => boolean;
+    readonly add: (socket: Socket) => void;
+    /** Records that a connection has sent a request. */
+    readonly markRefused: (socket: Socket) => void;
+    /** Closes a connection, unless it has sent a request, whose refusal closes it. */
+    readonly closeUnlessRefused: (socket: Socket) => Promise<void>;
+}
+
+function createExcessConnections(): ExcessConnections {
+    const excess = new Set<Socket>();
+    const refused = new WeakSet<Socket>();
+    return {
+        list: () => [...excess],
+        has: socket => excess.has(socket),
+        add: socket => {
+            excess.add(socket);
+            socket.once("close", () => excess.delete(socket));
+        },
+        markRefused: socket => void refused.add(socket),
+        closeUnlessRefused: async socket => {
+            await awaitReads();
+            if (!refused.has(socket)) {
+                closeConnection(socket, "connection_limit");
+            }
+        },
     };
 }
 
--- a/packages/http/tests/limitConnections.test.ts
+++ b/packages/http/tests/limitConnections.test.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { type ConnectionLimitEvent, type RunningServer, sendJson, serveHttp } from "../src/index.js";
 
@@ -79,6 +79,16 @@
     };
 }
 
+/** Opens a connection that another server has accepted. */
+async function openAcceptedSocket(): Promise<Socket> {
+    const acceptor = createServer();
+    await new Promise<void>(resolve => acceptor.listen(0, "127.0.0.1", resolve));
+    const accepted = new Promise<Socket>(resolve => acceptor.once("connection", resolve));
+    const socket = connect((acceptor.address() as AddressInfo).port, "127.0.0.1");
+    cleanups.push(() => socket.destroy(), () => acceptor.close());
+    return accepted;
+}
+
 async function openMany(server: LimitedServer, count: number): Promise<Client[]> {
     const clients: Client[] = [];
     for (let index = 0; index < count; index += 1) {
@@ -115,6 +125,22 @@
         expect(server.events).toEqual(["idle_closed"]);
     });
 
+    // Guards against a request that gets neither an answer nor a refusal because it arrives on the connection that is closed
+    // in favour of a further one.
+    it("refuses a request that has arrived unread on the connection that is to be closed", async () => {
+        const server = await startServer();
+        const clients = await openMany(server, MAX_CONNECTIONS);
+        await sendAll(server, clients);
+        server.answer();
+        await waitUntil(() => clients.every(client => client.received.includes("200 OK")));
+        const further = await openAcceptedSocket();
+        clients[0]?.socket.write(REQUEST);
+        server.running.server.emit("connection", further);
+        await waitUntil(() => clients.some(client => client.isClosed));
+        expect(clients[0]?.received).toContain("503 Service Unavailable");
+        expect(server.events).toEqual(["idle_closed"]);
+    });
+
     // Guards against clients that hold all connections without ever sending a whole head, and against the opposite: new
     // connections that are closed before their requests have had time to arrive.
     it.each([
