--- a/packages/forwarding/tests/commands/stoppingHost.test.ts
+++ b/packages/forwarding/tests/commands/stoppingHost.test.ts
@@ -1,5 +1,5 @@
 /** Requests before and while a host shuts down. */
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { Agent, request } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import {
@@ -9,6 +9,7 @@
     formatEvent,
     startEndpoint,
     startTestHost,
+    type TestHost,
     waitUntil,
     writeAnswer,
     writeChunk,
@@ -25,6 +26,29 @@
     return reply.statusCode;
 }
 
+/** A connection of a caller. */
+interface TestCaller {
+    readonly socket: Socket;
+    readonly isClosed: Promise<unknown>;
+    /** Returns what has been received. */
+    readonly read: () => string;
+}
+
+function openCaller({ listen }: TestHost): TestCaller {
+    const [ip = "", port = "0"] = listen.callers.split(":");
+    const socket = connect(Number(port), ip);
+    closers.push(() => socket.destroy());
+    let received = "";
+    socket.on("data", chunk => {
+        received += chunk.toString();
+    });
+    socket.on("error", () => undefined);
+    return { socket, isClosed: new Promise(resolve => socket.once("close", resolve)), read: () => received };
+}
+
+/** A request without the last two bytes of its body. */
+const HALF_REQUEST = "POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab";
+
 describe("a host that stops", () => {
     // Guards against a graceful shutdown that aborts a request in flight.
     it("completes requests in flight before it stops, and closes connections after their answers", async () => {
@@ -55,22 +79,15 @@
         closers.push(endpoint.close);
         const route = createRoute({ kind: "once", timeoutMs });
         const host = await startTestHost([route], [endpoint], { graceMs: 3_000 });
-        const [ip = "", port = "0"] = host.listen.callers.split(":");
-        const socket = connect(Number(port), ip);
-        let received = "";
-        socket.on("data", chunk => {
-            received += chunk.toString();
-        });
-        const isClosed = new Promise(resolve => socket.once("close", resolve));
-        socket.on("error", () => undefined);
-        socket.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab");
+        const { socket, isClosed, read } = openCaller(host);
+        socket.write(HALF_REQUEST);
         await new Promise(resolve => setTimeout(resolve, 50));
         const drained = host.host.drain();
         await new Promise(resolve => setTimeout(resolve, bodyAfterMs));
         socket.write("cd");
         await Promise.all([drained, isClosed]);
-        expect(received).toContain("HTTP/1.1 200");
-        expect(received).toContain("whole");
+        expect(read()).toContain("HTTP/1.1 200");
+        expect(read()).toContain("whole");
         expect(endpoint.received[0]?.body).toBe("abcd");
     });
     // Guards against a request on a connection that its caller opened before the shutdown and did not use, which is
@@ -156,22 +173,15 @@
         const endpoint = await startEndpoint("e0", () => undefined);
         closers.push(endpoint.close);
         const host = await startTestHost([route], [endpoint], { graceMs: 2_000 });
-        const [ip = "", port = "0"] = host.listen.callers.split(":");
-        const socket = connect(Number(port), ip);
-        let received = "";
-        socket.on("data", chunk => {
-            received += chunk.toString();
-        });
-        const isClosed = new Promise(resolve => socket.once("close", resolve));
-        socket.on("error", () => undefined);
-        socket.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab");
+        const { socket, isClosed, read } = openCaller(host);
+        socket.write(HALF_REQUEST);
         await new Promise(resolve => setTimeout(resolve, 50));
         const drained = host.host.drain();
         await new Promise(resolve => setTimeout(resolve, afterMs));
         socket.write("cd");
         await Promise.all([drained, isClosed]);
-        expect(received).toContain("HTTP/1.1 503");
-        expect(received.toLowerCase()).toContain("connection: close");
+        expect(read()).toContain("HTTP/1.1 503");
+        expect(read().toLowerCase()).toContain("connection: close");
         expect(endpoint.received).toEqual([]);
     });
     // Guards against a request that is passed on late in the grace time and cut off, because its head came while the load
@@ -188,22 +198,15 @@
         closers.push(endpoint.close);
         const route = createRoute({ kind: "stream", timeoutMs: 15_000, targetMs: 300 });
         const host = await startTestHost([route], [endpoint], { graceMs: 4_000 });
-        const [ip = "", port = "0"] = host.listen.callers.split(":");
-        const socket = connect(Number(port), ip);
-        closers.push(() => socket.destroy());
-        let received = "";
-        socket.on("data", chunk => {
-            received += chunk.toString();
-        });
-        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        const { socket, isClosed, read } = openCaller(host);
         const drained = host.host.drain();
-        socket.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab");
+        socket.write(HALF_REQUEST);
         await new Promise(resolve => setTimeout(resolve, bodyAfterMs));
         socket.write("cd");
         await Promise.all([drained, isClosed]);
-        expect(received).toContain(`HTTP/1.1 ${status}`);
+        expect(read()).toContain(`HTTP/1.1 ${status}`);
         expect(endpoint.received).toHaveLength(status === 200 ? 1 : 0);
-        expect(received.endsWith("\r\n0\r\n\r\n")).toBe(true);
+        expect(read().endsWith("\r\n0\r\n\r\n")).toBe(true);
     });
     // Guards against a connection that is closed without a word because its request waits for something other than an
     // endpoint when the host stops.
@@ -225,19 +228,12 @@
     // Guards against a connection that is closed without a word while the body of its request arrives slowly.
     it("refuses a request whose body is incomplete when the host stops", async () => {
         const host = await startTestHost([createRoute({ kind: "once" })], [], { graceMs: 1_000 });
-        const [ip = "", port = "0"] = host.listen.callers.split(":");
-        const socket = connect(Number(port), ip);
-        let received = "";
-        socket.on("data", chunk => {
-            received += chunk.toString();
-        });
-        socket.on("error", () => undefined);
-        const isClosed = new Promise(resolve => socket.once("close", resolve));
-        socket.write("POST /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: q1\r\ncontent-length: 4\r\n\r\nab");
+        const { socket, isClosed, read } = openCaller(host);
+        socket.write(HALF_REQUEST);
         await waitUntil(() => host.host.context.resourceBudget.getUsed("request") > 0);
         await Promise.all([host.host.drain(), isClosed]);
-        expect(received).toContain("HTTP/1.1 503");
-        expect(received).toContain("stopping");
+        expect(read()).toContain("HTTP/1.1 503");
+        expect(read()).toContain("stopping");
     });
     // Guards against a request that is lost because it arrives on an unused connection while a starved host is about to
     // close its connections.
@@ -246,12 +242,7 @@
         closers.push(endpoint.close);
         const route = createRoute({ kind: "once", timeoutMs: 300 });
         const host = await startTestHost([route], [endpoint], { graceMs: 1_000 });
-        const [ip = "", port = "0"] = host.listen.callers.split(":");
-        const socket = connect(Number(port), ip);
-        const received: string[] = [];
-        socket.on("data", chunk => received.push(chunk.toString()));
-        socket.on("error", () => undefined);
-        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        const { socket, isClosed, read } = openCaller(host);
         await new Promise(resolve => socket.once("connect", resolve));
         const drained = host.host.drain();
         // The drain ends 350 ms after its start if nothing is pending.
@@ -264,7 +255,7 @@
             // The host handles no event.
         }
         await Promise.all([drained, isClosed]);
-        expect(received.join("")).toContain("HTTP/1.1 200");
+        expect(read()).toContain("HTTP/1.1 200");
     });
     // Guards against a drain that counts no request while the head of one is arriving, and closes its connection.
     it("answers a request whose head arrives in pieces around the end of its drain", async () => {
@@ -272,12 +263,7 @@
         closers.push(endpoint.close);
         const route = createRoute({ kind: "once", timeoutMs: 300 });
         const host = await startTestHost([route], [endpoint], { graceMs: 1_500 });
-        const [ip = "", port = "0"] = host.listen.callers.split(":");
-        const socket = connect(Number(port), ip);
-        const received: string[] = [];
-        socket.on("data", chunk => received.push(chunk.toString()));
-        socket.on("error", () => undefined);
-        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        const { socket, isClosed, read } = openCaller(host);
         socket.write("GET /r/x HTTP/1.1\r\nhost: desk.example\r\n");
         await new Promise(resolve => setTimeout(resolve, 50));
         const drained = host.host.drain();
@@ -285,7 +271,7 @@
         await new Promise(resolve => setTimeout(resolve, 700));
         socket.write("t-id: q1\r\n\r\n");
         await Promise.all([drained, isClosed]);
-        expect(received.join("")).toContain("HTTP/1.1 200");
+        expect(read()).toContain("HTTP/1.1 200");
     });
     // Guards against a shutdown that loses answers under load: each request that the host has accepted is answered.
     it("answers every request that it accepts during the shutdown under load", async () => {
@@ -326,19 +312,13 @@
         );
         closers.push(endpoint.close);
         const host = await startTestHost([createRoute()], [endpoint], { graceMs: 2_000 });
-        const [ip = "", port = "0"] = host.listen.callers.split(":");
-        const socket = connect(Number(port), ip);
-        let received = "";
-        socket.on("data", chunk => {
-            received += chunk.toString();
-        });
-        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        const { socket, isClosed, read } = openCaller(host);
         const ids = Array.from({ length: 10 }, (_item, index) => `q${index}`);
         socket.write(ids.map(id => `GET /r/x HTTP/1.1\r\nhost: desk.example\r\nt-id: ${id}\r\n\r\n`).join(""));
         await waitUntil(() => endpoint.received.length > 0);
         await host.host.drain();
         await isClosed;
-        expect(received.match(/HTTP\/1\.1 \d+/g)).toEqual(ids.map(() => "HTTP/1.1 200"));
-        expect(received.match(/connection: close/gi)).toHaveLength(1);
+        expect(read().match(/HTTP\/1\.1 \d+/g)).toEqual(ids.map(() => "HTTP/1.1 200"));
+        expect(read().match(/connection: close/gi)).toHaveLength(1);
     });
 });
