Estimate answers only on a stopping host

Change: no estimate without a shutdown, in canContinueElsewhere neither. By the code, a timer that runs over 60 ms late begins anew (startTimeout), and then the silence of 2.4 s can end before the endpoint is given up. In the two cases that ask for a second attempt the endpoint now stays silent for good; what they demand is the same.

--- a/packages/forwarding/src/requests/queries/canAnswerInTime.ts
+++ b/packages/forwarding/src/requests/queries/canAnswerInTime.ts
@@ -43,7 +43,10 @@
     context: Pick<ForwardingContext, "shutdown" | "routeDurations">,
     exchange: Pick<Exchange, "route" | "startedAtMs" | "deadlineAtMs" | "callerMetadata">,
 ): boolean {
+    if (context.shutdown === undefined) {
+        return true;
+    }
     const { startedAtMs: arrivedAtMs, deadlineAtMs } = exchange;
     const times = { arrivedAtMs, deadlineAtMs, expectedMs: estimateAnswerMs(context, exchange) };
-    return context.shutdown === undefined || canAnswerInTime(times, context.shutdown, performance.now());
+    return canAnswerInTime(times, context.shutdown, performance.now());
 }
--- a/packages/forwarding/src/requests/queries/canContinueElsewhere.ts
+++ b/packages/forwarding/src/requests/queries/canContinueElsewhere.ts
@@ -35,10 +35,13 @@
     { hasSentHeaders, lastProgressAtMs, firstEventMs }: SilentAttempt,
     nowMs: number,
 ): boolean {
+    if (context.shutdown === undefined) {
+        return true;
+    }
     if (!hasSentHeaders) {
         return canBeAnswered(context, exchange);
     }
     const answeredMs = lastProgressAtMs - exchange.startedAtMs;
     const remainingMs = firstEventMs + Math.max(0, estimateAnswerMs(context, exchange) - answeredMs);
-    return nowMs + remainingMs <= (context.shutdown?.stopsAtMs ?? Infinity);
+    return nowMs + remainingMs <= context.shutdown.stopsAtMs;
 }
