Name causes one by one, and what is only counted

Read as a newcomer: the causes of a closure each have their line, the set of causes without a log line is named after that, and an alias in forwardRequest is gone. No behaviour changed.

--- a/packages/forwarding/src/commands/createServerGuard.ts
+++ b/packages/forwarding/src/commands/createServerGuard.ts
@@ -6,8 +6,8 @@
 /** While descriptors are missing, a server reports an error on each turn of the event loop. */
 const ERROR_INTERVAL_MS = 1_000;
 const LIMIT_INTERVAL_MS = 5_000;
-/** Causes that crowds of callers bring about, and that have a line of their own. The client's has the line of its request. */
-const uncommentedCauses: ReadonlySet<CloseCause> = new Set(["client", "budget", "connection_limit"]);
+/** Causes that are only counted: a client that leaves, and those that crowds of callers bring about, which have other lines. */
+const unloggedCauses: ReadonlySet<CloseCause> = new Set(["client", "budget", "connection_limit"]);
 
 /**
  * Creates the options of a server that limit its connections and what they hold, and log that, its errors and requests
@@ -47,7 +47,7 @@
     { request, phase, cause }: UnansweredRequest,
 ): void {
     metrics.unansweredRequests.inc({ phase, cause });
-    if (uncommentedCauses.has(cause)) {
+    if (unloggedCauses.has(cause)) {
         return;
     }
     const { requestId = "" } = callers.parseHeaders(request.headers);
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -43,12 +43,11 @@
         response.setHeader("connection", "close");
     }
     const index = context.getConfiguration();
-    const created = index === undefined ? "no_configuration" : createExchange(context, index, request, response);
-    if (typeof created === "string") {
-        refuseRequest(context, request, response, { reason: created, index });
+    const exchange = index === undefined ? "no_configuration" : createExchange(context, index, request, response);
+    if (typeof exchange === "string") {
+        refuseRequest(context, request, response, { reason: exchange, index });
         return;
     }
-    const exchange = created;
     if (!canBeAnswered(context, exchange)) {
         const expectedMs = Math.round(estimateAnswerMs(context, exchange));
         const afterStopMs = computeAfterStopMs(context, exchange);
--- a/packages/http/src/closeConnection.ts
+++ b/packages/http/src/closeConnection.ts
@@ -1,16 +1,18 @@
 import type { Duplex } from "node:stream";
 
-/**
- * Why a server closes a connection. `budget`: callers make the process hold too much. `connection_limit`: there are too many
- * connections. `idle`: no request has come for the keep-alive timeout. `bad_request`: bytes that are no request. `earlier_response`:
- * a response was the last one of the connection. `stop`: the server is closed. Handlers have further causes of their own.
- */
+/** Why a server closes a connection. Handlers have further causes of their own. */
 export type CloseCause =
+    /** Callers make the process hold too much. */
     | "budget"
+    /** There are too many connections. */
     | "connection_limit"
+    /** No request has come for the keep-alive timeout. */
     | "idle"
+    /** The client sent bytes that are no request. */
     | "bad_request"
+    /** A response was the last one of the connection. */
     | "earlier_response"
+    /** The server is closed. */
     | "stop"
     | (string & {});
 
--- a/packages/http/src/limitConnections.ts
+++ b/packages/http/src/limitConnections.ts
@@ -39,6 +39,7 @@
     readonly closeKept: () => Promise<void>;
     /** Returns the number of connections on which the head of a request is arriving. */
     readonly countArriving: () => number;
+    /** Closes all connections, also those with requests in flight. */
     readonly closeAll: () => void;
 }
 
