--- a/packages/forwarding/tests/commands/createCallerBudget.test.ts
+++ b/packages/forwarding/tests/commands/createCallerBudget.test.ts
@@ -31,6 +31,8 @@
     it.each([
         { values: {}, limits: { file_descriptors: 4_200, memory_mb: 202 } },
         { values: { "limits.memory_mb": "512" }, limits: { file_descriptors: 4_200, memory_mb: 512 } },
+        // Guards against a host that does not start because its memory is small.
+        { values: { "limits.memory_mb": "160" }, limits: { file_descriptors: 4_200, memory_mb: 160 } },
         { values: { "limits.file_descriptors": "99" }, limits: { file_descriptors: 99, memory_mb: 202 } },
         { values: { "limits.memory_mb": "0" }, limits: ["limits.memory_mb"] },
     ])("reads its size from settings with $values", ({ values, limits }) => {
