Log a digest of requests whose outcome is unknown

Change: the line of a request with an attempt of unknown outcome has the digest of its method, authority, path, workspace and body. It is computed for these requests only. No decision changes.

--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -5,6 +5,7 @@
 import { checkAuthorization } from "../../configuration/queries/checkAuthorization.js";
 import { chooseService, matchRoute } from "../../configuration/queries/matchRoute.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
+import { createRequestIdentity } from "../../quarantine/model/requestIdentity.js";
 import { selectTrackedParts } from "../../quarantine/queries/selectTrackedParts.js";
 import type { Exchange } from "../model/exchange.js";
 import { canBeAnswered, estimateAnswerMs } from "../queries/canAnswerInTime.js";
@@ -106,19 +107,29 @@
         return "no_endpoint";
     }
     const startedAtMs = performance.now();
+    const method = request.method ?? "GET";
+    const body = request.body as Buffer;
+    const workspace = authorization.workspace === undefined ? {} : { workspace: authorization.workspace };
     return {
         requestId: callerMetadata.requestId ?? "",
-        method: request.method ?? "GET",
+        method,
         target,
         headers: selectRequestHeaders(request.rawHeaders, context.protocol.reservedHeaders),
-        body: request.body as Buffer,
+        body,
         callerMetadata,
         trackedParts: selectTrackedParts(callerMetadata.sharedParts),
+        identity: createRequestIdentity({
+            method,
+            authority: request.headers.host ?? "",
+            target,
+            body,
+            ...workspace,
+        }),
         response,
         responseBudget: countCopies(request.pay("response")),
         route,
         service,
-        ...(authorization.workspace === undefined ? {} : { workspace: authorization.workspace }),
+        ...workspace,
         priority: authorization.priority,
         configurationVersion: index.configuration.version,
         receivedAtMs: request.receivedAtMs,
@@ -193,6 +204,9 @@
             answerTokens: exchange.callerMetadata.answerTokens,
             sharedParts: exchange.callerMetadata.sharedParts?.slice(0, MAX_LOGGED_PARTS),
             isolatedPart: exchange.isolatedPart,
+            requestDigest: attempts.some(({ outcome: each }) => each === "unknown")
+                ? exchange.identity.getDigest()
+                : undefined,
             configuration: exchange.configurationVersion,
             attempts,
             status: exchange.response.statusCode,
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -14,6 +14,7 @@
 import { createAssignmentRegistry } from "../../src/placement/model/assignmentRegistry.js";
 import type { PromptPlacement } from "../../src/placement/model/promptPlacement.js";
 import type { DecodedEvacuation } from "../../src/ports/index.js";
+import { createRequestIdentity } from "../../src/quarantine/model/requestIdentity.js";
 import type { Exchange } from "../../src/requests/model/exchange.js";
 import { createDirectory, directoryService, endpointIds } from "../directoryFixture.js";
 import { engine } from "../engineFixture.js";
@@ -127,6 +128,12 @@
                 body: Buffer.alloc(0),
                 callerMetadata: { promptTokens },
                 trackedParts: [],
+                identity: createRequestIdentity({
+                    method: "POST",
+                    authority: "desk.example",
+                    target: "/r/x",
+                    body: Buffer.alloc(0),
+                }),
                 response: createResponse(replies),
                 responseBudget: createByteBudget(() => 10_000),
                 route: createRoute(route),
