Name what the quarantine tracks a suspect

Cause: the quarantine is to find a second kind of culprit, requests as a whole, by the same evidence, table, rows and messages.

Change: names only. `part` of entries, suspicions and answers is `suspect`, with a branded id; messages, rows of the store and log fields keep `part`. The rows that the tests write are given as they are stored.

Evidence: the tests of quarantine, peers and evacuation pass.

--- a/packages/forwarding/src/quarantine/commands/createCrashReporter.ts
+++ b/packages/forwarding/src/quarantine/commands/createCrashReporter.ts
@@ -6,12 +6,13 @@
 import { markUnresponsive } from "../../endpoints/model/endpointHealth.js";
 import type { ForwardingMetrics } from "../../model/forwardingMetrics.js";
 import type { EndpointProtocol } from "../../ports/endpointProtocol.js";
-import type { PartQuarantine } from "../model/partQuarantine.js";
+import type { QuarantineState } from "../model/quarantineState.js";
+import type { SuspectId } from "../model/suspect.js";
 
 /** A prompt whose connection was closed before the endpoint had written two events. */
 export interface BrokenPrompt {
     readonly service: ServiceId;
-    readonly parts: readonly string[];
+    readonly parts: readonly SuspectId[];
     /** Whether the response had begun, without any event. */
     readonly hasBegun: boolean;
 }
@@ -20,7 +21,7 @@
     readonly log: Logger;
     readonly metrics: Pick<ForwardingMetrics, "crashReports">;
     readonly protocol: EndpointProtocol;
-    readonly state: PartQuarantine;
+    readonly state: QuarantineState;
 }
 
 /** Reports the crash of an endpoint after a broken attempt. Resolves with whether it has crashed. */
--- a/packages/forwarding/src/quarantine/commands/createQuarantineStore.ts
+++ b/packages/forwarding/src/quarantine/commands/createQuarantineStore.ts
@@ -1,8 +1,8 @@
 /** Keeps the entries of the quarantine in the platform's store, so that they outlast the loss of all hosts. */
 import type Logger from "bunyan";
 import type { TableSource } from "../../ports/tableSource.js";
-import { createPartKey } from "../model/partKey.js";
 import type { QuarantineEntry } from "../model/quarantineEntry.js";
+import { createSuspectKey } from "../model/suspectKey.js";
 import { decodeQuarantineRow, encodeQuarantineRow } from "../queries/quarantineRowCodec.js";
 
 /** Interval between two tries to read or write while the store fails. */
@@ -30,7 +30,7 @@
     readonly shouldFollow: () => boolean;
     /** Receives the entries that the store has. */
     readonly onRead: (entries: readonly QuarantineEntry[]) => void;
-    /** Returns the current entry of the same part. */
+    /** Returns the current entry of the same suspect. */
     readonly getCurrent: (entry: QuarantineEntry) => QuarantineEntry | undefined;
 }
 
@@ -83,7 +83,7 @@
         }
         // Under a condition, because another host may have made a trial meanwhile of which this one has not heard.
         replace({ ...entry, revision: entry.revision - 1 }, entry).catch((error: unknown) => {
-            log.warn({ err: error, part: entry.part }, "quarantine: could not write the entry, retrying");
+            log.warn({ err: error, part: entry.suspect }, "quarantine: could not write the entry, retrying");
             schedule(RETRY_MS * (0.5 + Math.random()), () => write(entry));
         });
     };
@@ -92,7 +92,10 @@
         save: entry => schedule(MAX_WRITE_DELAY_MS * Math.random(), () => write(entry)),
         remove: entry => {
             source.removeRow(table, describeKey(entry)).catch((error: unknown) =>
-                log.warn({ err: error, part: entry.part }, "quarantine: could not remove the row of a forgotten entry")
+                log.warn(
+                    { err: error, part: entry.suspect },
+                    "quarantine: could not remove the row of a forgotten entry",
+                )
             );
         },
         replace,
@@ -100,4 +103,4 @@
     };
 }
 
-const describeKey = ({ service, part }: QuarantineEntry): string => createPartKey(service, part);
+const describeKey = ({ service, suspect }: QuarantineEntry): string => createSuspectKey(service, suspect);
--- a/packages/forwarding/src/quarantine/commands/createTrialAcquisition.ts
+++ b/packages/forwarding/src/quarantine/commands/createTrialAcquisition.ts
@@ -1,8 +1,8 @@
-/** Acquires the trials of isolated parts. */
+/** Acquires the trials of isolated suspects. */
 import type Logger from "bunyan";
-import { createPartKey, type PartKey } from "../model/partKey.js";
-import type { PartQuarantine } from "../model/partQuarantine.js";
 import type { QuarantineEntry } from "../model/quarantineEntry.js";
+import type { QuarantineState } from "../model/quarantineState.js";
+import { createSuspectKey, type SuspectKey } from "../model/suspectKey.js";
 import type { QuarantineStore } from "./createQuarantineStore.js";
 
 /** Time until a host asks for another trial, if another host has got it or the store did not answer. */
@@ -10,7 +10,7 @@
 
 export interface TrialAcquisitionOptions {
     readonly log: Logger;
-    readonly state: PartQuarantine;
+    readonly state: QuarantineState;
     readonly store: QuarantineStore;
 }
 
@@ -21,10 +21,10 @@
 export function createTrialAcquisition(
     { log, state, store }: TrialAcquisitionOptions,
 ): (entry: QuarantineEntry) => Promise<QuarantineEntry | undefined> {
-    const nextAtMs = new Map<PartKey, number>();
+    const nextAtMs = new Map<SuspectKey, number>();
     return async entry => {
         const nowMs = performance.now();
-        const key = createPartKey(entry.service, entry.part);
+        const key = createSuspectKey(entry.service, entry.suspect);
         if ((nextAtMs.get(key) ?? 0) > nowMs) {
             return undefined;
         }
@@ -32,15 +32,15 @@
         nextAtMs.set(key, nowMs + TRIAL_RETRY_MS);
         const trial = { ...entry, revision: entry.revision + 1, changedAtMs: nowMs, trials: entry.trials + 1 };
         try {
-            if (!await store.replace(entry, trial) || state.findIsolated(entry.service, [entry.part]) !== entry) {
+            if (!await store.replace(entry, trial) || state.findIsolated(entry.service, [entry.suspect]) !== entry) {
                 return undefined;
             }
         }
         catch (error) {
-            log.warn({ err: error, part: entry.part }, "quarantine: could not acquire a trial");
+            log.warn({ err: error, part: entry.suspect }, "quarantine: could not acquire a trial");
             return undefined;
         }
-        log.info({ service: entry.service, part: entry.part, trials: trial.trials }, "quarantine: trial");
+        log.info({ service: entry.service, part: entry.suspect, trials: trial.trials }, "quarantine: trial");
         state.change(entry, { changedAtMs: nowMs, trials: trial.trials });
         return trial;
     };
--- a/packages/forwarding/src/quarantine/commands/startQuarantine.ts
+++ b/packages/forwarding/src/quarantine/commands/startQuarantine.ts
@@ -5,10 +5,11 @@
 import type { ForwardingMetrics } from "../../model/forwardingMetrics.js";
 import type { EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { TableSource } from "../../ports/tableSource.js";
+import type { AttemptTracker, TrackedAttempt } from "../model/attemptTracker.js";
 import { describeCrash } from "../model/crashReport.js";
-import { createPartQuarantine, type PartQuarantine } from "../model/partQuarantine.js";
-import type { PromptTracker, TrackedPrompt } from "../model/promptTracker.js";
 import { getTrialAtMs, type QuarantineEntry } from "../model/quarantineEntry.js";
+import { createQuarantineState, type QuarantineState } from "../model/quarantineState.js";
+import type { SuspectId } from "../model/suspect.js";
 import type { Suspicion } from "../queries/findCulprits.js";
 import { type CrashReporter, createCrashReporter } from "./createCrashReporter.js";
 import { createQuarantineStore } from "./createQuarantineStore.js";
@@ -22,21 +23,21 @@
     | { readonly kind: "admitted"; }
     /** The prompt is the trial of an isolated part. It must not be sent a second time. */
     | { readonly kind: "trial"; readonly trial: QuarantineEntry; }
-    | { readonly kind: "isolated"; readonly part: string; readonly retryAfterMs: number; };
+    | { readonly kind: "isolated"; readonly suspect: SuspectId; readonly retryAfterMs: number; };
 
 export interface Quarantine {
     /** Decides whether a prompt may be sent. */
-    readonly admit: (service: ServiceId, parts: readonly string[]) => Promise<Admission>;
+    readonly admit: (service: ServiceId, parts: readonly SuspectId[]) => Promise<Admission>;
     /** Returns whether a part of a prompt is isolated. */
-    readonly isIsolated: (service: ServiceId, parts: readonly string[]) => boolean;
+    readonly isIsolated: (service: ServiceId, parts: readonly SuspectId[]) => boolean;
     /** Returns whether prompts with these parts may be sent no more, or not a second time. */
-    readonly isSuspect: (service: ServiceId, parts: readonly string[]) => boolean;
+    readonly isSuspect: (service: ServiceId, parts: readonly SuspectId[]) => boolean;
     /** Starts to follow an attempt. */
-    readonly track: (prompt: TrackedPrompt) => PromptTracker;
+    readonly track: (prompt: TrackedAttempt) => AttemptTracker;
     /** Checks whether the endpoint of a broken attempt has crashed, and reports that to all hosts. */
     readonly reportBreak: CrashReporter;
-    readonly share: PartQuarantine["share"];
-    readonly merge: PartQuarantine["merge"];
+    readonly share: QuarantineState["share"];
+    readonly merge: QuarantineState["merge"];
     /** Writes the entries to the store again, because it may have lost them. */
     readonly saveAll: () => void;
     readonly close: () => void;
@@ -57,7 +58,7 @@
 /** Starts the quarantine of a host. */
 export function startQuarantine(options: QuarantineOptions): Quarantine {
     const { log, metrics } = options;
-    const running = new Set<TrackedPrompt>();
+    const running = new Set<TrackedAttempt>();
     const updateGauge = (): void => metrics.isolatedParts.set(state.list().filter(each => each.isIsolated).length);
     const handleEntry = (entry: QuarantineEntry, suspicion?: Suspicion): void => {
         logEntry(log, entry, suspicion);
@@ -69,11 +70,11 @@
             abortUnanswered(running, entry);
         }
     };
-    const state = createPartQuarantine({
+    const state = createQuarantineState({
         getSettings: options.getSettings,
         onEntry: handleEntry,
         onForgotten: entry => {
-            log.info({ service: entry.service, part: entry.part }, "quarantine: entry forgotten");
+            log.info({ service: entry.service, part: entry.suspect }, "quarantine: entry forgotten");
             updateGauge();
             if (options.shouldFollowStore()) {
                 store.remove(entry);
@@ -87,7 +88,8 @@
         log,
         shouldFollow: options.shouldFollowStore,
         onRead: entries => state.merge({ reports: [], answers: [], entries }, performance.now()),
-        getCurrent: ({ service, part }) => state.list().find(each => each.service === service && each.part === part),
+        getCurrent: ({ service, suspect }) =>
+            state.list().find(each => each.service === service && each.suspect === suspect),
     });
     const acquireTrial = createTrialAcquisition({ log, state, store });
     const timer = setInterval(() => state.sweep(performance.now()), SWEEP_MS);
@@ -102,7 +104,7 @@
             return trial === undefined
                 ? {
                     kind: "isolated",
-                    part: entry.part,
+                    suspect: entry.suspect,
                     retryAfterMs: Math.max(TRIAL_RETRY_MS, trialAtMs - performance.now()),
                 }
                 : { kind: "trial", trial };
@@ -136,26 +138,26 @@
 }
 
 /** Aborts the attempts of prompts with an isolated part on which no answer has been written. */
-function abortUnanswered(running: ReadonlySet<TrackedPrompt>, { service, part }: QuarantineEntry): void {
+function abortUnanswered(running: ReadonlySet<TrackedAttempt>, { service, suspect }: QuarantineEntry): void {
     [...running]
-        .filter(prompt => prompt.trial === undefined && prompt.service === service && prompt.parts.includes(part))
+        .filter(prompt => prompt.trial === undefined && prompt.service === service && prompt.parts.includes(suspect))
         .forEach(prompt => prompt.abort());
 }
 
 /** Ends the isolation of a part whose trial has been answered. */
-function releaseAnswered(state: PartQuarantine, { service, trial }: TrackedPrompt): void {
-    const entry = trial === undefined ? undefined : state.findIsolated(service, [trial.part]);
+function releaseAnswered(state: QuarantineState, { service, trial }: TrackedAttempt): void {
+    const entry = trial === undefined ? undefined : state.findIsolated(service, [trial.suspect]);
     if (entry !== undefined) {
         state.change(entry, { isIsolated: false, changedAtMs: performance.now(), trials: 0 });
     }
 }
 
 function logEntry(log: Logger, entry: QuarantineEntry, suspicion?: Suspicion): void {
-    const { service, part, revision, trials } = entry;
+    const { service, suspect, revision, trials } = entry;
     log.info(
         {
             service,
-            part,
+            part: suspect,
             revision,
             trials,
             ...(suspicion === undefined ? {} : {
--- a/packages/forwarding/src/quarantine/model/crashReport.ts
+++ b/packages/forwarding/src/quarantine/model/crashReport.ts
@@ -1,4 +1,5 @@
 import type { ServiceId } from "@currantrill/protocol";
+import type { SuspectId } from "./suspect.js";
 
 /** The end of an endpoint's process while prompts were on it, merged from the reports of all hosts. */
 export interface CrashReport {
@@ -13,9 +14,9 @@
      * fails as it begins to write an answer is in this state for the prompt at fault; other prompts are in it for a few
      * milliseconds.
      */
-    readonly begunParts: readonly string[];
+    readonly begunParts: readonly SuspectId[];
     /** Shared parts of prompts whose response had not begun, or had one event. */
-    readonly waitingParts: readonly string[];
+    readonly waitingParts: readonly SuspectId[];
 }
 
 /** Returns a key that all hosts use for the same crash. */
@@ -23,7 +24,7 @@
     `${endpointId}@${processStartedAtMs}`;
 
 /** Lists the parts that may have caused the crash: those of responses that had begun, if any host has reported some. */
-export const listSuspects = ({ begunParts, waitingParts }: CrashReport): readonly string[] =>
+export const listSuspects = ({ begunParts, waitingParts }: CrashReport): readonly SuspectId[] =>
     begunParts.length > 0 ? begunParts : waitingParts;
 
 /** Merges two reports of the same crash. */
@@ -37,5 +38,5 @@
 /** Limit on the parts of a report. An endpoint runs up to 16 prompts at once, of which few have no event yet. */
 const MAX_PARTS = 32;
 
-const mergeParts = (known: readonly string[], added: readonly string[]): readonly string[] =>
+const mergeParts = (known: readonly SuspectId[], added: readonly SuspectId[]): readonly SuspectId[] =>
     [...new Set([...known, ...added])].slice(0, MAX_PARTS);
--- a/packages/forwarding/src/quarantine/model/quarantineEntry.ts
+++ b/packages/forwarding/src/quarantine/model/quarantineEntry.ts
@@ -1,12 +1,13 @@
 import type { ServiceId } from "@currantrill/protocol";
+import type { SuspectId } from "./suspect.js";
 
-/** A part of prompts that has been found to crash endpoints. */
+/** A suspect that has been found to crash endpoints. */
 export interface QuarantineEntry {
     readonly service: ServiceId;
-    readonly part: string;
-    /** Incremented with each change. Of two entries for a part, the one with the higher revision holds. */
+    readonly suspect: SuspectId;
+    /** Incremented with each change. Of two entries for a suspect, the one with the higher revision holds. */
     readonly revision: number;
-    /** Whether prompts with the part are refused. Once a trial has been answered, they are served again. */
+    /** Whether prompts with the suspect are refused. Once a trial has been answered, they are served again. */
     readonly isIsolated: boolean;
     /** Time of the isolation, or of the last trial since then, on the monotonic clock of this host. */
     readonly changedAtMs: number;
@@ -21,7 +22,7 @@
 export const getTrialAtMs = (entry: QuarantineEntry, retryAfterMs: number): number =>
     entry.changedAtMs + retryAfterMs * 2 ** Math.min(MAX_DOUBLINGS, entry.trials);
 
-/** Returns whether an entry replaces another one. Two hosts may isolate a part at the same time. */
+/** Returns whether an entry replaces another one. Two hosts may isolate a suspect at the same time. */
 export const isNewer = (entry: QuarantineEntry, known: QuarantineEntry | undefined): boolean =>
     known === undefined || entry.revision > known.revision
     || entry.revision === known.revision && entry.isIsolated && !known.isIsolated;
--- a/packages/forwarding/src/quarantine/model/partQuarantine.ts
+++ b/packages/forwarding/src/quarantine/model/quarantineState.ts
@@ -1,4 +1,4 @@
-/** State of the quarantine of one host: crashes, answers, and the parts of prompts that are isolated. */
+/** State of the quarantine of one host: crashes, answers, and what is isolated. */
 import type { ServiceId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import { type Evidence, findCulprits, findSuspects, type Suspicion } from "../queries/findCulprits.js";
@@ -6,9 +6,10 @@
 import { createCrashLog } from "./crashLog.js";
 import { type CrashReport, listSuspects } from "./crashReport.js";
 import { createEntryTable } from "./entryTable.js";
-import { createPartKey, type PartKey } from "./partKey.js";
 import { isNewer, type QuarantineEntry } from "./quarantineEntry.js";
 import type { SharedEvidence, SuspectAnswers } from "./sharedEvidence.js";
+import type { SuspectId } from "./suspect.js";
+import { createSuspectKey, type SuspectKey } from "./suspectKey.js";
 
 /** Time for which a crash is announced to peers, ten times the interval of their messages. */
 const SHARE_MS = 5_000;
@@ -16,9 +17,9 @@
 const MAX_SHARED_REPORTS = 16;
 const MAX_SHARED_ANSWERS = 128;
 
-export interface PartQuarantineOptions {
+export interface QuarantineStateOptions {
     readonly getSettings: () => ForwardingSettings["quarantine"];
-    /** Called when an entry is new or has changed. `suspicion` is set if this host has found the part. */
+    /** Called when an entry is new or has changed. `suspicion` is set if this host has found the suspect. */
     readonly onEntry: (entry: QuarantineEntry, suspicion?: Suspicion) => void;
     /** Called when an entry is dropped. */
     readonly onForgotten: (entry: QuarantineEntry) => void;
@@ -26,22 +27,22 @@
     readonly onNews: () => void;
 }
 
-export interface PartQuarantine {
-    /** Returns the entry of an isolated part of a prompt, if it has one. */
-    readonly findIsolated: (service: ServiceId, parts: readonly string[]) => QuarantineEntry | undefined;
+export interface QuarantineState {
+    /** Returns the entry of the first of the suspects that is isolated. */
+    readonly findIsolated: (service: ServiceId, suspects: readonly SuspectId[]) => QuarantineEntry | undefined;
     /**
-     * Returns whether a part is isolated, or prompts with it were on several endpoints that crashed and none has been
+     * Returns whether a suspect is isolated, or prompts with it were on several endpoints that crashed and none has been
      * answered since.
      */
-    readonly isSuspect: (service: ServiceId, parts: readonly string[], nowMs: number) => boolean;
-    readonly recordAnswer: (service: ServiceId, parts: readonly string[], beganAtMs: number) => void;
+    readonly isSuspect: (service: ServiceId, suspects: readonly SuspectId[], nowMs: number) => boolean;
+    readonly recordAnswer: (service: ServiceId, suspects: readonly SuspectId[], beganAtMs: number) => void;
     readonly recordCrash: (report: CrashReport, nowMs: number) => void;
     /** Replaces an entry by one with the next revision. */
     readonly change: (
         entry: QuarantineEntry,
         changes: Partial<Pick<QuarantineEntry, "isIsolated" | "changedAtMs" | "trials">>,
     ) => void;
-    /** Drops what is too old, and isolates parts that time has proved to be at fault. */
+    /** Drops what is too old, and isolates what time has proved to be at fault. */
     readonly sweep: (nowMs: number) => void;
     /** Lists what peers have to know. */
     readonly share: (nowMs: number) => SharedEvidence;
@@ -50,14 +51,14 @@
 }
 
 /** Creates an empty quarantine. */
-export function createPartQuarantine(options: PartQuarantineOptions): PartQuarantine {
+export function createQuarantineState(options: QuarantineStateOptions): QuarantineState {
     const answers = createAnswerLog();
     const crashes = createCrashLog();
     const entries = createEntryTable();
 
     const isExplained = (report: CrashReport): boolean =>
-        listSuspects(report).some(part => {
-            const entry = entries.get(report.service, part);
+        listSuspects(report).some(suspect => {
+            const entry = entries.get(report.service, suspect);
             return entry !== undefined && (entry.isIsolated || report.crashedAtMs <= entry.changedAtMs);
         });
     const buildEvidence = (nowMs: number): Evidence => ({
@@ -73,9 +74,9 @@
     };
     const evaluate = (nowMs: number): void => {
         for (const suspicion of findCulprits(buildEvidence(nowMs), options.getSettings().crashes)) {
-            const { service, part } = suspicion;
-            const revision = (entries.get(service, part)?.revision ?? 0) + 1;
-            put({ service, part, revision, isIsolated: true, changedAtMs: nowMs, trials: 0 }, suspicion);
+            const { service, suspect } = suspicion;
+            const revision = (entries.get(service, suspect)?.revision ?? 0) + 1;
+            put({ service, suspect, revision, isIsolated: true, changedAtMs: nowMs, trials: 0 }, suspicion);
         }
     };
     const addReports = (reports: readonly CrashReport[], nowMs: number): void => {
@@ -86,10 +87,10 @@
     };
     return {
         findIsolated: entries.findIsolated,
-        isSuspect: (service, parts, nowMs) =>
-            entries.findIsolated(service, parts) !== undefined
-            || parts.length > 0 && findSuspects(buildEvidence(nowMs)).some(each =>
-                    each.service === service && parts.includes(each.part)
+        isSuspect: (service, suspects, nowMs) =>
+            entries.findIsolated(service, suspects) !== undefined
+            || suspects.length > 0 && findSuspects(buildEvidence(nowMs)).some(each =>
+                    each.service === service && suspects.includes(each.suspect)
                 ),
         recordAnswer: answers.record,
         recordCrash: (report, nowMs) => addReports([report], nowMs),
@@ -108,11 +109,11 @@
             return { reports: recent, answers: listSuspectAnswers(recent, answers), entries: entries.list() };
         },
         merge: (shared, nowMs) => {
-            shared.answers.forEach(({ service, part, ...known }) => answers.merge(service, part, known));
+            shared.answers.forEach(({ service, suspect, ...known }) => answers.merge(service, suspect, known));
             const { forget_after_ms: forgetAfterMs } = options.getSettings();
             shared.entries
                 .filter(entry => nowMs - entry.changedAtMs <= forgetAfterMs)
-                .filter(entry => isNewer(entry, entries.get(entry.service, entry.part)))
+                .filter(entry => isNewer(entry, entries.get(entry.service, entry.suspect)))
                 .forEach(entry => put(entry));
             addReports(shared.reports, nowMs);
         },
@@ -120,16 +121,16 @@
     };
 }
 
-/** Lists the answers that are known on prompts with parts that the reports name. */
+/** Lists the answers that are known on the suspects that the reports name. */
 function listSuspectAnswers(reports: readonly CrashReport[], answers: AnswerLog): readonly SuspectAnswers[] {
-    const suspects = new Map<PartKey, SuspectAnswers>();
+    const listed = new Map<SuspectKey, SuspectAnswers>();
     for (const { service, begunParts, waitingParts } of reports) {
-        for (const part of [...begunParts, ...waitingParts]) {
-            const known = answers.get(service, part);
-            if (known !== undefined && suspects.size < MAX_SHARED_ANSWERS) {
-                suspects.set(createPartKey(service, part), { service, part, ...known });
+        for (const suspect of [...begunParts, ...waitingParts]) {
+            const known = answers.get(service, suspect);
+            if (known !== undefined && listed.size < MAX_SHARED_ANSWERS) {
+                listed.set(createSuspectKey(service, suspect), { service, suspect, ...known });
             }
         }
     }
-    return [...suspects.values()];
+    return [...listed.values()];
 }
--- a/packages/forwarding/src/quarantine/model/sharedEvidence.ts
+++ b/packages/forwarding/src/quarantine/model/sharedEvidence.ts
@@ -1,15 +1,16 @@
 import type { ServiceId } from "@currantrill/protocol";
-import type { PartAnswers } from "./answerLog.js";
+import type { KnownAnswers } from "./answerLog.js";
 import type { CrashReport } from "./crashReport.js";
 import type { QuarantineEntry } from "./quarantineEntry.js";
+import type { SuspectId } from "./suspect.js";
 
-/** Answers on prompts with a part that a recent crash report names. */
-export interface SuspectAnswers extends PartAnswers {
+/** Answers on a suspect that a recent crash report names. */
+export interface SuspectAnswers extends KnownAnswers {
     readonly service: ServiceId;
-    readonly part: string;
+    readonly suspect: SuspectId;
 }
 
-/** What hosts tell each other about parts of prompts that may crash endpoints. */
+/** What hosts tell each other about what may crash endpoints. */
 export interface SharedEvidence {
     readonly reports: readonly CrashReport[];
     readonly answers: readonly SuspectAnswers[];
--- a/packages/forwarding/src/quarantine/queries/evidenceCodec.ts
+++ b/packages/forwarding/src/quarantine/queries/evidenceCodec.ts
@@ -1,19 +1,20 @@
 /** Encoding of what hosts tell each other about crashes. Times are encoded as ages, because hosts share no clock. */
 import { toServiceId } from "@currantrill/protocol";
 import type { SharedEvidence } from "../model/sharedEvidence.js";
+import type { SuspectId } from "../model/suspect.js";
 
 type ReportRow = readonly [
     endpointId: string,
     processStartedAtMs: number,
     service: string,
     ageMs: number,
-    begunParts: readonly string[],
-    waitingParts: readonly string[],
+    begunParts: readonly SuspectId[],
+    waitingParts: readonly SuspectId[],
 ];
-type AnswersRow = readonly [service: string, part: string, count: number, ageMs: number];
+type AnswersRow = readonly [service: string, suspect: SuspectId, count: number, ageMs: number];
 type EntryRow = readonly [
     service: string,
-    part: string,
+    suspect: SuspectId,
     revision: number,
     isIsolated: boolean,
     ageMs: number,
@@ -39,10 +40,10 @@
             each.begunParts,
             each.waitingParts,
         ]),
-        answers.map(each => [each.service, each.part, each.count, getAge(each.lastAtMs)]),
+        answers.map(each => [each.service, each.suspect, each.count, getAge(each.lastAtMs)]),
         entries.map(each => [
             each.service,
-            each.part,
+            each.suspect,
             each.revision,
             each.isIsolated,
             getAge(each.changedAtMs),
@@ -62,15 +63,15 @@
             begunParts,
             waitingParts,
         })),
-        answers: answers.map(([service, part, count, ageMs]) => ({
+        answers: answers.map(([service, suspect, count, ageMs]) => ({
             service: toServiceId(service),
-            part,
+            suspect,
             count,
             lastAtMs: nowMs - ageMs,
         })),
-        entries: entries.map(([service, part, revision, isIsolated, ageMs, trials]) => ({
+        entries: entries.map(([service, suspect, revision, isIsolated, ageMs, trials]) => ({
             service: toServiceId(service),
-            part,
+            suspect,
             revision,
             isIsolated,
             changedAtMs: nowMs - ageMs,
--- a/packages/forwarding/src/quarantine/queries/findCulprits.ts
+++ b/packages/forwarding/src/quarantine/queries/findCulprits.ts
@@ -1,14 +1,15 @@
 /** Finds the parts of prompts that crash endpoints, from the crashes that no known culprit explains. */
 import type { ServiceId } from "@currantrill/protocol";
-import type { PartAnswers } from "../model/answerLog.js";
+import type { KnownAnswers } from "../model/answerLog.js";
 import { type CrashReport, listSuspects } from "../model/crashReport.js";
-import { createPartKey, type PartKey } from "../model/partKey.js";
+import type { SuspectId } from "../model/suspect.js";
+import { createSuspectKey, type SuspectKey } from "../model/suspectKey.js";
 
 /** What is known of crashes and answers. */
 export interface Evidence {
     /** Crashes that no isolated part explains. */
     readonly reports: readonly CrashReport[];
-    readonly getAnswers: (service: ServiceId, part: string) => PartAnswers | undefined;
+    readonly getAnswers: (service: ServiceId, suspect: SuspectId) => KnownAnswers | undefined;
     readonly getLastAnswer: (service: ServiceId) => number;
     readonly nowMs: number;
 }
@@ -16,7 +17,7 @@
 /** A part that may be at fault. */
 export interface Suspicion {
     readonly service: ServiceId;
-    readonly part: string;
+    readonly suspect: SuspectId;
     /** Crashes since the last answer on a prompt with the part, the earliest first. */
     readonly crashes: readonly CrashReport[];
     /** Those of them in which a response to a prompt with the part had begun. */
@@ -44,17 +45,17 @@
 
 /** Lists the suspicions by part. A part is no suspect as soon as a prompt with it has been answered after a crash. */
 function listSuspicions({ reports, getAnswers }: Evidence): readonly Suspicion[] {
-    const suspicions = new Map<PartKey, OpenSuspicion>();
+    const suspicions = new Map<SuspectKey, OpenSuspicion>();
     for (const report of [...reports].sort((a, b) => a.crashedAtMs - b.crashedAtMs)) {
         const { service } = report;
-        listSuspects(report).forEach((part, position) => {
-            const answers = getAnswers(service, part);
+        listSuspects(report).forEach((suspect, position) => {
+            const answers = getAnswers(service, suspect);
             if (report.crashedAtMs <= (answers?.lastAtMs ?? -Infinity)) {
                 return;
             }
-            const key = createPartKey(service, part);
+            const key = createSuspectKey(service, suspect);
             const suspicion = suspicions.get(key)
-                ?? { service, part, crashes: [], begunCrashes: [], answerCount: answers?.count ?? 0, position };
+                ?? { service, suspect, crashes: [], begunCrashes: [], answerCount: answers?.count ?? 0, position };
             suspicions.set(key, suspicion);
             suspicion.position = Math.max(position, suspicion.position);
             suspicion.crashes.push(report);
@@ -79,7 +80,7 @@
         return [];
     }
     const unexplained = evidence.reports.filter(report =>
-        report.service !== culprit.service || !listSuspects(report).includes(culprit.part)
+        report.service !== culprit.service || !listSuspects(report).includes(culprit.suspect)
     );
     return [culprit, ...findCulprits({ ...evidence, reports: unexplained }, minCrashes)];
 }
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -5,7 +5,7 @@
 import { markUnresponsive, recordFailure } from "../../endpoints/model/endpointHealth.js";
 import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
-import type { PromptTracker } from "../../quarantine/model/promptTracker.js";
+import type { AttemptTracker } from "../../quarantine/model/attemptTracker.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "../../streams/model/eventSplitter.js";
 import { getFirstEventLimits, getPauseLimits, type WaitLimits } from "../../streams/model/waitLimits.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
@@ -53,7 +53,7 @@
     readonly onStopWaiting: () => void;
     readonly resumeEndpointStream: () => void;
     readonly deadlineTimer: NodeJS.Timeout;
-    readonly tracker: PromptTracker;
+    readonly tracker: AttemptTracker;
     attempt: RunningAttempt | undefined;
     cancelStallCheck: () => void;
     errorResponse: ErrorResponse | undefined;
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -135,10 +135,10 @@
 function refuseIsolated(
     context: ForwardingContext,
     exchange: Exchange,
-    { part, retryAfterMs }: Extract<Admission, { kind: "isolated"; }>,
+    { suspect, retryAfterMs }: Extract<Admission, { kind: "isolated"; }>,
     mayHaveRun: boolean,
 ): string {
-    exchange.isolatedPart = part;
+    exchange.isolatedPart = suspect;
     const headers = context.callers.buildResponseHeaders(exchange.requestId);
     if (mayHaveRun) {
         sendRefusal(exchange.response, "crash_suspected", headers);
--- a/packages/forwarding/src/requests/model/exchange.ts
+++ b/packages/forwarding/src/requests/model/exchange.ts
@@ -5,6 +5,7 @@
 import type { Route, ServiceDefinition } from "../../configuration/model/servingConfiguration.js";
 import type { CallerHeaders } from "../../ports/callerProtocol.js";
 import type { RequestIdentity } from "../../quarantine/model/requestIdentity.js";
+import type { SuspectId } from "../../quarantine/model/suspect.js";
 import type { AttemptRecord } from "./attemptRecord.js";
 
 export interface Exchange {
@@ -18,7 +19,7 @@
     /** Values parsed from the caller's headers. */
     readonly callerMetadata: CallerHeaders;
     /** Shared parts of the prompt that the quarantine tracks. */
-    readonly trackedParts: readonly string[];
+    readonly trackedParts: readonly SuspectId[];
     readonly identity: RequestIdentity;
     readonly response: ServerResponse;
     /** Pays for what the host keeps of responses of endpoints, until the caller has received it. */
--- a/packages/forwarding/tests/peers/queries/peerStateCodec.test.ts
+++ b/packages/forwarding/tests/peers/queries/peerStateCodec.test.ts
@@ -4,6 +4,7 @@
 import type { PeerState } from "../../../src/peers/model/peerState.js";
 import { decodeMessage } from "../../../src/peers/queries/messageCodec.js";
 import { decodePeerState, encodePeerState } from "../../../src/peers/queries/peerStateCodec.js";
+import { toPartSuspect } from "../../../src/quarantine/model/suspect.js";
 import { createAssignment } from "../../engineFixture.js";
 
 const state = {
@@ -49,13 +50,13 @@
                 processStartedAtMs: 7,
                 service: toServiceId("pool"),
                 crashedAtMs: 900,
-                begunParts: ["a"],
-                waitingParts: ["b"],
+                begunParts: [toPartSuspect("a")],
+                waitingParts: [toPartSuspect("b")],
             }],
-            answers: [{ service: toServiceId("pool"), part: "b", count: 3, lastAtMs: 950 }],
+            answers: [{ service: toServiceId("pool"), suspect: toPartSuspect("b"), count: 3, lastAtMs: 950 }],
             entries: [{
                 service: toServiceId("pool"),
-                part: "c",
+                suspect: toPartSuspect("c"),
                 revision: 2,
                 isIsolated: true,
                 changedAtMs: 100,
--- a/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
+++ b/packages/forwarding/tests/quarantine/commands/isolatedPart.test.ts
@@ -2,6 +2,7 @@
 import { request } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import type { QuarantineEntry } from "../../../src/quarantine/model/quarantineEntry.js";
+import { toPartSuspect } from "../../../src/quarantine/model/suspect.js";
 import {
     beginStream,
     createRoute,
@@ -25,13 +26,16 @@
 
 const entry: QuarantineEntry = {
     service: toServiceId("desk"),
-    part: "bad",
+    suspect: toPartSuspect("bad"),
     revision: 4,
     isIsolated: true,
     changedAtMs: 0,
     trials: 0,
 };
 
+/** The entry as it is stored. */
+const row = { service: "desk", part: "bad", revision: 4, isIsolated: true, trials: 0 };
+
 interface System {
     readonly host: TestHost;
     readonly endpoints: readonly TestEndpoint[];
@@ -64,7 +68,7 @@
             }),
         );
     }
-    store.put("quarantine", "desk bad", { ...entry, changedAtMs: undefined });
+    store.put("quarantine", "desk bad", row);
     store.put("quarantine", "another row", { what: "is this" });
     const host = await startTestHost(
         [createRoute({ kind: "stream", canResume: true, attempts: 3 })],
@@ -122,7 +126,7 @@
         system.host.host.context.quarantine.merge({
             reports: [],
             answers: [],
-            entries: [{ ...entry, part: "queued", changedAtMs: performance.now() }],
+            entries: [{ ...entry, suspect: toPartSuspect("queued"), changedAtMs: performance.now() }],
         }, performance.now());
         expect(await reply).toMatchObject({ status: 502, code: "crash_suspected" });
         await waitUntil(() =>
@@ -140,7 +144,7 @@
                 processStartedAtMs: 1,
                 service: entry.service,
                 crashedAtMs: nowMs,
-                begunParts: ["suspect"],
+                begunParts: [toPartSuspect("suspect")],
                 waitingParts: [],
             })),
             answers: [],
@@ -166,14 +170,14 @@
         await new Promise(resolve => setTimeout(resolve, 350));
         expect((await send(system, "bad")).status).toBe(200);
         expect((await send(system, "bad")).status).toBe(200);
-        expect(system.host.host.context.quarantine.isIsolated(entry.service, ["bad"])).toBe(false);
+        expect(system.host.host.context.quarantine.isIsolated(entry.service, [toPartSuspect("bad")])).toBe(false);
     });
     // Guards against a trial by a host that does not know that another one has just made it.
     it("is not tried if the row in the store has changed", async () => {
         const system = await startSystem({ retry_after_ms: 300 });
         // The host writes what it has read within a second, reads the row for that, and would know of a change before.
         await new Promise(resolve => setTimeout(resolve, 1_100));
-        system.host.store.put("quarantine", "desk bad", { ...entry, revision: 9 });
+        system.host.store.put("quarantine", "desk bad", { ...row, revision: 9 });
         await new Promise(resolve => setTimeout(resolve, 350));
         expect((await send(system, "bad")).status).toBe(503);
         expect(countReceived(system)).toBe(0);
--- a/packages/forwarding/tests/quarantine/model/partQuarantine.test.ts
+++ b/packages/forwarding/tests/quarantine/model/quarantineState.test.ts
@@ -1,14 +1,15 @@
 import { toServiceId } from "@currantrill/protocol";
 import { describe, expect, it } from "vitest";
-import { createPartQuarantine, type PartQuarantine } from "../../../src/quarantine/model/partQuarantine.js";
 import type { QuarantineEntry } from "../../../src/quarantine/model/quarantineEntry.js";
+import { createQuarantineState, type QuarantineState } from "../../../src/quarantine/model/quarantineState.js";
+import { toPartSuspect } from "../../../src/quarantine/model/suspect.js";
 import { decodeEvidence, encodeEvidence } from "../../../src/quarantine/queries/evidenceCodec.js";
 
 const service = toServiceId("pool");
 const FORGET_MS = 60_000;
 
 interface TestHost {
-    readonly state: PartQuarantine;
+    readonly state: QuarantineState;
     readonly entries: QuarantineEntry[];
     readonly forgotten: QuarantineEntry[];
     news: number;
@@ -19,7 +20,7 @@
         entries: [],
         forgotten: [],
         news: 0,
-        state: createPartQuarantine({
+        state: createQuarantineState({
             getSettings: () => ({ crashes: 3, retry_after_ms: 30_000, forget_after_ms: FORGET_MS }),
             onEntry: entry => host.entries.push(entry),
             onForgotten: entry => host.forgotten.push(entry),
@@ -34,7 +35,14 @@
 /** Reports a crash of an endpoint while the response to a prompt with the parts had begun. */
 const crash = ({ state }: TestHost, endpointId: string, atMs: number, parts: readonly string[]): void =>
     state.recordCrash(
-        { endpointId, processStartedAtMs: 1, service, crashedAtMs: atMs, begunParts: parts, waitingParts: [] },
+        {
+            endpointId,
+            processStartedAtMs: 1,
+            service,
+            crashedAtMs: atMs,
+            begunParts: parts.map(toPartSuspect),
+            waitingParts: [],
+        },
         atMs,
     );
 
@@ -48,7 +56,7 @@
 
 const isolate = (host: TestHost): void => [0, 400, 800].forEach(atMs => crash(host, `e${atMs}`, atMs, ["bad"]));
 
-describe("createPartQuarantine", () => {
+describe("createQuarantineState", () => {
     // Guards against evidence that each host keeps to itself: no two such prompts meet at one host.
     it("finds the part from crashes that different hosts have seen", () => {
         const hosts = [createHost(), createHost(), createHost()] as const;
@@ -59,7 +67,7 @@
         crash(hosts[1], "e3", 1_200, ["common", "bad"]);
         send(hosts[0], hosts[1], 1_210);
         hosts[1].state.merge(hosts[2].state.share(1_210), 1_210);
-        expect(hosts[1].state.findIsolated(service, ["bad"])?.isIsolated).toBe(true);
+        expect(hosts[1].state.findIsolated(service, [toPartSuspect("bad")])?.isIsolated).toBe(true);
     });
     // Guards against the blame of a part that is answered on other hosts only.
     it("acquits a part that another host announces as answered", () => {
@@ -67,11 +75,11 @@
         crash(first, "e0", 0, ["popular"]);
         crash(first, "e1", 400, ["popular"]);
         send(first, second, 410);
-        second.state.recordAnswer(service, ["popular"], 450);
+        second.state.recordAnswer(service, [toPartSuspect("popular")], 450);
         send(second, first, 460);
         crash(first, "e2", 800, ["popular"]);
         expect(first.entries).toEqual([]);
-        expect(first.state.isSuspect(service, ["popular"], 800)).toBe(false);
+        expect(first.state.isSuspect(service, [toPartSuspect("popular")], 800)).toBe(false);
     });
     // Guards against a proof by one crash that many hosts have seen.
     it("counts a crash once that several hosts report", () => {
@@ -85,11 +93,11 @@
     it("suspects a part after two crashes", () => {
         const host = createHost();
         crash(host, "e0", 0, ["bad"]);
-        expect(host.state.isSuspect(service, ["bad"], 1)).toBe(false);
+        expect(host.state.isSuspect(service, [toPartSuspect("bad")], 1)).toBe(false);
         crash(host, "e1", 400, ["bad"]);
-        expect(host.state.isSuspect(service, ["bad"], 401)).toBe(true);
-        expect(host.state.isSuspect(service, ["other"], 401)).toBe(false);
-        expect(host.state.isSuspect(toServiceId("other"), ["bad"], 401)).toBe(false);
+        expect(host.state.isSuspect(service, [toPartSuspect("bad")], 401)).toBe(true);
+        expect(host.state.isSuspect(service, [toPartSuspect("other")], 401)).toBe(false);
+        expect(host.state.isSuspect(toServiceId("other"), [toPartSuspect("bad")], 401)).toBe(false);
     });
     // Guards against prompts that are given up because a rack fails with several of them on its endpoints.
     it("does not suspect a part that waits on endpoints which crash at the same moment", () => {
@@ -102,12 +110,12 @@
                     service,
                     crashedAtMs: index,
                     begunParts: [],
-                    waitingParts: ["popular"],
+                    waitingParts: [toPartSuspect("popular")],
                 },
                 index,
             )
         );
-        expect(host.state.isSuspect(service, ["popular"], 3)).toBe(false);
+        expect(host.state.isSuspect(service, [toPartSuspect("popular")], 3)).toBe(false);
     });
     // Guards against a host that has just started, or was cut off, and pays for the same knowledge again.
     it("adopts the entries of a peer, and releases what the peer has released", () => {
@@ -115,13 +123,13 @@
         isolate(first);
         send(first, second, 40_000);
         const [entry] = second.entries;
-        expect(entry).toMatchObject({ part: "bad", isIsolated: true });
+        expect(entry).toMatchObject({ suspect: "bad", isIsolated: true });
         first.state.change(first.entries[0]!, { isIsolated: false, changedAtMs: 41_000 });
         send(first, second, 41_000);
-        expect(second.state.findIsolated(service, ["bad"])).toBeUndefined();
+        expect(second.state.findIsolated(service, [toPartSuspect("bad")])).toBeUndefined();
         // An older message that arrives late changes nothing.
         second.state.merge({ reports: [], answers: [], entries: [entry!] }, 41_001);
-        expect(second.state.findIsolated(service, ["bad"])).toBeUndefined();
+        expect(second.state.findIsolated(service, [toPartSuspect("bad")])).toBeUndefined();
     });
     // Guards against a part that is never found again, or is isolated again by its old crashes.
     it("isolates a released part again after further crashes, not by those before", () => {
@@ -129,9 +137,9 @@
         isolate(host);
         host.state.change(host.entries[0]!, { isIsolated: false, changedAtMs: 5_000 });
         host.state.sweep(5_001);
-        expect(host.state.findIsolated(service, ["bad"])).toBeUndefined();
+        expect(host.state.findIsolated(service, [toPartSuspect("bad")])).toBeUndefined();
         [6_000, 6_400, 6_800].forEach(atMs => crash(host, `f${atMs}`, atMs, ["bad"]));
-        expect(host.state.findIsolated(service, ["bad"])?.revision).toBe(3);
+        expect(host.state.findIsolated(service, [toPartSuspect("bad")])?.revision).toBe(3);
     });
     // Guards against entries that stay for ever because hosts pass them on to each other.
     it("forgets an entry that has not changed for long, and ignores it from peers", () => {
@@ -160,7 +168,7 @@
     // Guards against hosts that tell each other the same answer, and take it for a later one each time.
     it("does not make an answer later by telling it back and forth", () => {
         const [first, second] = [createHost(), createHost()];
-        first.state.recordAnswer(service, ["bad"], 0);
+        first.state.recordAnswer(service, [toPartSuspect("bad")], 0);
         crash(first, "e0", 100, ["bad"]);
         for (let nowMs = 110; nowMs < 4_000; nowMs += 20) {
             send(first, second, nowMs, 8);
--- a/packages/forwarding/tests/quarantine/model/requestIdentity.test.ts
+++ b/packages/forwarding/tests/quarantine/model/requestIdentity.test.ts
@@ -2,14 +2,13 @@
 import { describe, expect, it } from "vitest";
 import { createRequestIdentity, type IdentifiedRequest } from "../../../src/quarantine/model/requestIdentity.js";
 
-const request: IdentifiedRequest = {
+const anonymous: IdentifiedRequest = {
     method: "POST",
     authority: "desk.example",
     target: "/r/x?a=1",
-    workspace: toWorkspaceId("w1"),
     body: Buffer.from("{\"a\":1}"),
 };
-const { workspace: _workspace, ...anonymous } = request;
+const request: IdentifiedRequest = { ...anonymous, workspace: toWorkspaceId("w1") };
 
 /** Requests that are not the same, and whether their heads are. */
 const others: readonly (readonly [string, IdentifiedRequest, boolean])[] = [
--- a/packages/forwarding/tests/quarantine/queries/findCulprits.test.ts
+++ b/packages/forwarding/tests/quarantine/queries/findCulprits.test.ts
@@ -1,6 +1,7 @@
 import { toServiceId } from "@currantrill/protocol";
 import { describe, expect, it } from "vitest";
 import type { CrashReport } from "../../../src/quarantine/model/crashReport.js";
+import { toPartSuspect } from "../../../src/quarantine/model/suspect.js";
 import { type Evidence, findCulprits } from "../../../src/quarantine/queries/findCulprits.js";
 
 const service = toServiceId("pool");
@@ -17,8 +18,8 @@
     processStartedAtMs: 1,
     service,
     crashedAtMs: atMs,
-    begunParts: begun,
-    waitingParts: waiting,
+    begunParts: begun.map(toPartSuspect),
+    waitingParts: waiting.map(toPartSuspect),
 });
 
 /** Crashes at intervals, with the parts that the function lists for each. */
@@ -137,6 +138,6 @@
             getLastAnswer: () => lastAnswerMs ?? -Infinity,
             nowMs: nowMs ?? Math.max(...crashes.map(crash => crash.atMs)),
         };
-        expect(findCulprits(evidence, MIN_CRASHES).map(culprit => culprit.part).sort()).toEqual(expected);
+        expect(findCulprits(evidence, MIN_CRASHES).map(culprit => culprit.suspect).sort()).toEqual(expected);
     });
 });
