Split the quarantine's attempts from its start

Change: the attempts in progress are in createAttemptRegistry; two queries of the state are functions of their own. No behaviour.

--- a/packages/forwarding/src/quarantine/commands/startQuarantine.ts
+++ b/packages/forwarding/src/quarantine/commands/startQuarantine.ts
@@ -2,13 +2,11 @@
  * Finds parts of prompts and whole requests that crash endpoints, refuses requests with them on all hosts, and tries them
  * again later.
  */
-import type { ServiceId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
 import type { ForwardingMetrics } from "../../model/forwardingMetrics.js";
 import type { EndpointProtocol } from "../../ports/endpointProtocol.js";
 import type { TableSource } from "../../ports/tableSource.js";
-import type { AttemptTracker, TrackedAttempt } from "../model/attemptTracker.js";
 import { describeCrash } from "../model/crashReport.js";
 import { getTrialAtMs, type QuarantineEntry } from "../model/quarantineEntry.js";
 import { createQuarantineState, type QuarantineState } from "../model/quarantineState.js";
@@ -16,10 +14,10 @@
 import type { TrackedRequest } from "../model/trackedRequest.js";
 import { describeSuspect } from "../queries/describeSuspect.js";
 import type { Suspicion } from "../queries/findCulprits.js";
+import { type AttemptRegistry, createAttemptRegistry } from "./createAttemptRegistry.js";
 import { type CrashReporter, createCrashReporter } from "./createCrashReporter.js";
 import { createQuarantineStore } from "./createQuarantineStore.js";
 import { createTrialAcquisition, TRIAL_RETRY_MS } from "./createTrialAcquisition.js";
-import { createTurnQueue } from "./createTurnQueue.js";
 
 /** Interval at which suspects are isolated that time has proved to be at fault, and old entries are dropped. */
 const SWEEP_MS = 250;
@@ -43,8 +41,7 @@
     readonly isSuspect: (request: TrackedRequest) => boolean;
     /** Counts the crashes under a whole request since the last answer to it. */
     readonly countCrashes: (request: TrackedRequest) => number;
-    /** Starts to follow an attempt. */
-    readonly track: (attempt: TrackedAttempt) => AttemptTracker;
+    readonly track: AttemptRegistry["track"];
     /** Checks whether the endpoint of a broken attempt has crashed, and reports that to all hosts. */
     readonly reportBreak: CrashReporter;
     /** Returns a trial that no endpoint has run. */
@@ -71,12 +68,8 @@
 /** Starts the quarantine of a host. */
 export function startQuarantine(options: QuarantineOptions): Quarantine {
     const { log, metrics } = options;
-    const running = new Set<TrackedAttempt>();
     const gauges = { part: metrics.isolatedParts, request: metrics.isolatedRequests } as const;
-    const updateGauge = (kind: SuspectKind): void =>
-        gauges[kind].set(
-            state.list().filter(({ suspect, isIsolated }) => isIsolated && getSuspectKind(suspect) === kind).length,
-        );
+    const updateGauge = (kind: SuspectKind): void => gauges[kind].set(countIsolated(state.list(), kind));
     const handleEntry = (entry: QuarantineEntry, suspicion?: Suspicion): void => {
         logEntry(log, entry, suspicion);
         updateGauge(getSuspectKind(entry.suspect));
@@ -84,7 +77,7 @@
             store.save(entry);
         }
         if (entry.isIsolated) {
-            abortUnanswered(state, running, entry);
+            attempts.abort(entry);
         }
     };
     const state = createQuarantineState({
@@ -109,7 +102,7 @@
             state.list().find(each => each.service === service && each.suspect === suspect),
     });
     const trials = createTrialAcquisition({ log, state, store });
-    const turns = createTurnQueue({ state, running });
+    const attempts = createAttemptRegistry(state);
     const timer = setInterval(() => state.sweep(performance.now()), SWEEP_MS);
     const findIsolated = (request: TrackedRequest): QuarantineEntry | undefined =>
         state.findIsolated(request.service, state.listSuspects(request));
@@ -119,7 +112,7 @@
     };
     return {
         admit: async request => {
-            await turns.wait(request);
+            await attempts.waitForCopies(request);
             const entry = findIsolated(request);
             if (entry === undefined) {
                 return { kind: "admitted" };
@@ -137,25 +130,7 @@
         isIsolated: request => findIsolated(request) !== undefined,
         isSuspect: request => state.isSuspect(request.service, state.listSuspects(request), performance.now()),
         countCrashes: request => state.countCrashes(request, performance.now()),
-        track: attempt => {
-            running.add(attempt);
-            let isAnswered = false;
-            const end = (): void => {
-                running.delete(attempt);
-                turns.wake();
-            };
-            return {
-                recordAnswer: beganAtMs => {
-                    if (!isAnswered) {
-                        isAnswered = true;
-                        state.recordAnswer(attempt.request, beganAtMs);
-                        releaseAnswered(state, attempt);
-                    }
-                    end();
-                },
-                end,
-            };
-        },
+        track: attempts.track,
         reportBreak: createCrashReporter({ ...options, state }),
         releaseTrial: trials.release,
         share: state.share,
@@ -168,26 +143,8 @@
     };
 }
 
-/** Aborts the attempts of requests with an isolated suspect on which no answer has been written. */
-function abortUnanswered(
-    state: QuarantineState,
-    running: ReadonlySet<TrackedAttempt>,
-    { service, suspect }: QuarantineEntry,
-): void {
-    [...running]
-        .filter(({ request, trial }) =>
-            trial === undefined && request.service === service && state.listSuspects(request).includes(suspect)
-        )
-        .forEach(attempt => attempt.abort());
-}
-
-/** Ends the isolation of a suspect whose trial has been answered. */
-function releaseAnswered(state: QuarantineState, { request, trial }: TrackedAttempt): void {
-    const entry = trial === undefined ? undefined : state.findIsolated(request.service, [trial.suspect]);
-    if (entry !== undefined) {
-        state.change(entry, { isIsolated: false, changedAtMs: performance.now(), trials: 0 });
-    }
-}
+const countIsolated = (entries: readonly QuarantineEntry[], kind: SuspectKind): number =>
+    entries.filter(({ suspect, isIsolated }) => isIsolated && getSuspectKind(suspect) === kind).length;
 
 /** Log texts by kind and by whether the suspect is isolated. */
 const entryTexts: Readonly<Record<SuspectKind, readonly [isolated: string, released: string]>> = {
--- a/packages/forwarding/src/quarantine/model/quarantineState.ts
+++ b/packages/forwarding/src/quarantine/model/quarantineState.ts
@@ -81,9 +81,8 @@
         nowMs,
     });
     const put = (entry: QuarantineEntry, suspicion?: Suspicion): void => {
-        const dropped = entries.put(entry);
         index = undefined;
-        dropped.forEach(options.onForgotten);
+        entries.put(entry).forEach(options.onForgotten);
         options.onEntry(entry, suspicion);
         options.onNews();
     };
@@ -111,11 +110,7 @@
                 ),
         countCrashes: (request, nowMs) => {
             const suspect = getIndex().find(request);
-            return suspect === undefined
-                ? 0
-                : listSuspicions(buildEvidence(nowMs)).find(each =>
-                    each.service === request.service && each.suspect === suspect
-                )?.crashes.length ?? 0;
+            return suspect === undefined ? 0 : countCrashesUnder(request.service, suspect, buildEvidence(nowMs));
         },
         recordAnswer: (request, beganAtMs) => answers.record(request.service, listRequestSuspects(request), beganAtMs),
         recordCrash: (report, nowMs) => addReports([report], nowMs),
@@ -125,14 +120,13 @@
             entries.expire(nowMs - options.getSettings().forget_after_ms).forEach(options.onForgotten);
             index = undefined;
             // Time only proves what has happened a moment ago; the rest has been evaluated before.
-            if (crashes.list().some(report => nowMs - report.crashedAtMs < SHARE_MS)) {
+            if (listRecent(crashes.list(), nowMs).length > 0) {
                 evaluate(nowMs);
             }
         },
         share: nowMs => {
-            const recent = crashes.list().filter(report => nowMs - report.crashedAtMs < SHARE_MS)
-                .slice(-MAX_SHARED_REPORTS);
-            return { reports: recent, answers: listSuspectAnswers(recent, answers), entries: entries.list() };
+            const reports = listRecent(crashes.list(), nowMs).slice(-MAX_SHARED_REPORTS);
+            return { reports, answers: listSuspectAnswers(reports, answers), entries: entries.list() };
         },
         merge: (shared, nowMs) => {
             shared.answers.forEach(({ service, suspect, ...known }) => answers.merge(service, suspect, known));
@@ -147,6 +141,12 @@
     };
 }
 
+const listRecent = (reports: readonly CrashReport[], nowMs: number): readonly CrashReport[] =>
+    reports.filter(report => nowMs - report.crashedAtMs < SHARE_MS);
+
+const countCrashesUnder = (service: ServiceId, suspect: SuspectId, evidence: Evidence): number =>
+    listSuspicions(evidence).find(each => each.service === service && each.suspect === suspect)?.crashes.length ?? 0;
+
 /** Lists the answers that are known on the suspects that the reports name. */
 function listSuspectAnswers(reports: readonly CrashReport[], answers: AnswerLog): readonly SuspectAnswers[] {
     const listed = new Map<SuspectKey, SuspectAnswers>();
