--- a/packages/cli/src/queries/traceRequest.ts
+++ b/packages/cli/src/queries/traceRequest.ts
@@ -46,8 +46,8 @@
 
 /**
  * Selects the trace of a request, sorted by time: its own lines, and the lines in its time range about its endpoints on
- * any host or about the hosts that logged it, and all earlier lines about a part of the prompt for which it was
- * refused. Empty if no line names the request.
+ * any host or about the hosts that logged it, and all earlier lines about what it was refused for: a part of its prompt, or
+ * the request as a whole under any id. Empty if no line names the request.
  */
 export function traceRequest(lines: readonly LogLine[], request: string, options: TraceOptions = {}): LogLine[] {
     const { lookbackMs } = { ...defaultOptions, ...options };
@@ -59,22 +59,28 @@
     const endMs = Math.max(...requestLines.map(getTime));
     const startMs = Math.min(...requestLines.map(line => getTime(line) - getDuration(line))) - lookbackMs;
     const hosts = new Set<unknown>(requestLines.map(line => line.host));
-    const isolatedParts = new Set<unknown>(
-        requestLines.map(line => line["isolatedPart"]).filter(part => part !== undefined),
-    );
+    const isolatedParts = collectValues(requestLines, "isolatedPart");
+    const digests = new Set([
+        ...collectValues(requestLines, "isolatedRequest"),
+        ...collectValues(requestLines, "requestDigest"),
+    ]);
     return lines
         .filter(line => {
             const timeMs = getTime(line);
             const isInTimeRange = timeMs >= startMs && timeMs <= endMs;
             const isAboutEndpoint = endpoints.has(String(line["endpoint"]));
             const isAboutHost = hosts.has(line.host) && line["request"] === undefined && line["endpoint"] === undefined;
-            // A part may have been isolated long before the request that was refused for it.
-            const isAboutPart = timeMs <= endMs && isolatedParts.has(line["part"]);
-            return line["request"] === request || isAboutPart || isInTimeRange && (isAboutEndpoint || isAboutHost);
+            // A suspect may have been isolated long before the request that was refused for it.
+            const isAboutSuspect = timeMs <= endMs
+                && (isolatedParts.has(line["part"]) || digests.has(line["requestDigest"]));
+            return line["request"] === request || isAboutSuspect || isInTimeRange && (isAboutEndpoint || isAboutHost);
         })
         .sort((a, b) => getTime(a) - getTime(b));
 }
 
+const collectValues = (lines: readonly LogLine[], field: string): ReadonlySet<unknown> =>
+    new Set(lines.map(line => line[field]).filter(value => value !== undefined));
+
 const getTime = (line: LogLine): number => Date.parse(line.time);
 const getDuration = (line: LogLine): number => typeof line["durationMs"] === "number" ? line["durationMs"] : 0;
 
--- a/packages/cli/tests/traceRequest.test.ts
+++ b/packages/cli/tests/traceRequest.test.ts
@@ -46,6 +46,22 @@
             "requests: ended",
         ]);
     });
+    // Guards against a refusal whose cause is an earlier copy of the request, under another id and at another host.
+    it("selects the earlier copies of a request and why it was isolated", () => {
+        const lines = parseLogLines([
+            line(1, "h2", "requests: ended", { request: "q0", requestDigest: "d1", attempts: [{ endpoint: "e1" }] }),
+            line(1, "h2", "quarantine: endpoint crashed", { requestDigest: "d1", endpoint: "e1" }),
+            line(2, "h3", "quarantine: request isolated", { requestDigest: "d1", crashes: ["e1@1", "e2@1", "e3@1"] }),
+            line(2, "h3", "requests: ended", { request: "q5", requestDigest: "d2", attempts: [] }),
+            line(40, "h1", "requests: ended", { request: "q1", isolatedRequest: "d1", attempts: [] }),
+        ].join("\n"));
+        expect(traceRequest(lines, "q1").map(found => found.msg)).toEqual([
+            "requests: ended",
+            "quarantine: endpoint crashed",
+            "quarantine: request isolated",
+            "requests: ended",
+        ]);
+    });
     it("returns no lines for a request that no line names", () => {
         expect(traceRequest(parseLogLines(text), "q9")).toEqual([]);
     });
