Isolate a request in each service to which its route may be moved

Cause: found by reading. The quarantine of a request belongs to one service. A change of the configuration that moves its route lets it crash three endpoints of the next one. A trial that endpoints refused was returned and repeated without end, at a host each, and each of them reached an endpoint.

Change: a request that is isolated in one service is so in the others until they have answered it. A trial is returned only if it was not sent.

--- a/packages/forwarding/src/quarantine/commands/createTrialAcquisition.ts
+++ b/packages/forwarding/src/quarantine/commands/createTrialAcquisition.ts
@@ -18,7 +18,7 @@
 export interface TrialAcquisition {
     /** Acquires a trial. Resolves with the entry that counts it, or `undefined` if there is none now. */
     readonly acquire: (entry: QuarantineEntry) => Promise<QuarantineEntry | undefined>;
-    /** Returns a trial that no endpoint has run, so that it does not count. */
+    /** Returns a trial that was not sent to an endpoint, so that it does not count. */
     readonly release: (trial: QuarantineEntry) => void;
 }
 
@@ -59,7 +59,7 @@
             const current = state.findIsolated(service, [suspect]);
             const before = entriesBefore.get(trial);
             if (current !== undefined && before !== undefined && current.revision === trial.revision) {
-                log.info({ service, ...describeSuspect(suspect) }, "quarantine: trial was not run");
+                log.info({ service, ...describeSuspect(suspect) }, "quarantine: trial was not sent");
                 state.change(current, { changedAtMs: before.changedAtMs, trials: before.trials });
             }
         },
--- a/packages/forwarding/src/quarantine/commands/startQuarantine.ts
+++ b/packages/forwarding/src/quarantine/commands/startQuarantine.ts
@@ -44,7 +44,7 @@
     readonly track: AttemptRegistry["track"];
     /** Checks whether the endpoint of a broken attempt has crashed, and reports that to all hosts. */
     readonly reportBreak: CrashReporter;
-    /** Returns a trial that no endpoint has run. */
+    /** Returns a trial that was not sent to an endpoint. */
     readonly releaseTrial: (trial: QuarantineEntry) => void;
     readonly share: QuarantineState["share"];
     readonly merge: QuarantineState["merge"];
--- a/packages/forwarding/src/quarantine/model/quarantineState.ts
+++ b/packages/forwarding/src/quarantine/model/quarantineState.ts
@@ -5,11 +5,11 @@
 import { type AnswerLog, createAnswerLog } from "./answerLog.js";
 import { createCrashLog } from "./crashLog.js";
 import { type CrashReport, listAllSuspects, listSuspects } from "./crashReport.js";
-import { createEntryTable } from "./entryTable.js";
+import { createEntryTable, type EntryTable } from "./entryTable.js";
 import { isNewer, type QuarantineEntry } from "./quarantineEntry.js";
 import { createRequestIndex, type RequestIndex } from "./requestIndex.js";
 import type { SharedEvidence, SuspectAnswers } from "./sharedEvidence.js";
-import type { SuspectId } from "./suspect.js";
+import { getSuspectKind, type SuspectId } from "./suspect.js";
 import { createSuspectKey, type SuspectKey } from "./suspectKey.js";
 import type { TrackedRequest } from "./trackedRequest.js";
 
@@ -32,7 +32,10 @@
 export interface QuarantineState {
     /** Lists the parts of a request, and its id as a whole if it may be a suspected one. */
     readonly listSuspects: (request: TrackedRequest) => readonly SuspectId[];
-    /** Returns the entry of the first of the suspects that is isolated. */
+    /**
+     * Returns the entry of the first of the suspects that is isolated. A request that is isolated in another service is
+     * so in this one, too, until this one has answered it: a change of the configuration may have moved its route.
+     */
     readonly findIsolated: (service: ServiceId, suspects: readonly SuspectId[]) => QuarantineEntry | undefined;
     /**
      * Returns whether a suspect is isolated, or requests with it were on several endpoints that crashed and none has
@@ -69,13 +72,11 @@
         const suspect = getIndex().find(request);
         return suspect === undefined ? request.parts : [...request.parts, suspect];
     };
-    const isExplained = (report: CrashReport): boolean =>
-        listSuspects(report).some(suspect => {
-            const entry = entries.get(report.service, suspect);
-            return entry !== undefined && (entry.isIsolated || report.crashedAtMs <= entry.changedAtMs);
-        });
+    const findIsolated: QuarantineState["findIsolated"] = (service, suspects) =>
+        entries.findIsolated(service, suspects)
+            ?? suspects.map(suspect => findIsolatedElsewhere(service, suspect, { answers, entries })).find(Boolean);
     const buildEvidence = (nowMs: number): Evidence => ({
-        reports: crashes.list().filter(report => !isExplained(report)),
+        reports: crashes.list().filter(report => !isExplained(report, entries)),
         getAnswers: answers.get,
         getLastAnswer: answers.getLastOfService,
         nowMs,
@@ -102,9 +103,9 @@
     };
     return {
         listSuspects: listRequestSuspects,
-        findIsolated: entries.findIsolated,
+        findIsolated,
         isSuspect: (service, suspects, nowMs) =>
-            entries.findIsolated(service, suspects) !== undefined
+            findIsolated(service, suspects) !== undefined
             || suspects.length > 0 && findSuspects(buildEvidence(nowMs)).some(each =>
                     each.service === service && suspects.includes(each.suspect)
                 ),
@@ -144,6 +145,24 @@
 const listRecent = (reports: readonly CrashReport[], nowMs: number): readonly CrashReport[] =>
     reports.filter(report => nowMs - report.crashedAtMs < SHARE_MS);
 
+/** Returns whether a suspect that is or was isolated is to blame for a crash. */
+const isExplained = (report: CrashReport, entries: EntryTable): boolean =>
+    listSuspects(report).some(suspect => {
+        const entry = entries.get(report.service, suspect);
+        return entry !== undefined && (entry.isIsolated || report.crashedAtMs <= entry.changedAtMs);
+    });
+
+/** Finds the entry of a whole request that is isolated in another service, if this one has not answered it. */
+function findIsolatedElsewhere(
+    service: ServiceId,
+    suspect: SuspectId,
+    { answers, entries }: { readonly answers: AnswerLog; readonly entries: EntryTable; },
+): QuarantineEntry | undefined {
+    return getSuspectKind(suspect) === "part" || answers.get(service, suspect) !== undefined
+        ? undefined
+        : entries.list().find(entry => entry.suspect === suspect && entry.service !== service && entry.isIsolated);
+}
+
 const countCrashesUnder = (service: ServiceId, suspect: SuspectId, evidence: Evidence): number =>
     listSuspicions(evidence).find(each => each.service === service && each.suspect === suspect)?.crashes.length ?? 0;
 
--- a/packages/forwarding/src/requests/commands/admitExchange.ts
+++ b/packages/forwarding/src/requests/commands/admitExchange.ts
@@ -12,7 +12,7 @@
     request: "request_isolated",
 };
 
-/** Asks the quarantine before an attempt. A trial is remembered, so that it can be returned if no endpoint runs it. */
+/** Asks the quarantine before an attempt. A trial is remembered, so that it can be returned if it is not sent. */
 export async function admitExchange({ quarantine }: ForwardingContext, exchange: Exchange): Promise<Admission> {
     const admission = await quarantine.admit(exchange.tracked);
     if (admission.kind === "trial") {
@@ -21,9 +21,9 @@
     return admission;
 }
 
-/** Returns the trial of a request that has ended without an endpoint having run it. */
+/** Returns the trial of a request that has ended without having been sent. One that an endpoint refuses counts. */
 export function releaseUnusedTrial({ quarantine }: ForwardingContext, { trial, attempts }: Exchange): void {
-    if (trial !== undefined && !hasPossiblyRun({ attempts: attempts.slice(trial.attemptsBefore) })) {
+    if (trial !== undefined && !attempts.slice(trial.attemptsBefore).some(({ wasSent }) => wasSent)) {
         quarantine.releaseTrial(trial.entry);
     }
 }
--- a/packages/forwarding/tests/quarantine/model/quarantineState.test.ts
+++ b/packages/forwarding/tests/quarantine/model/quarantineState.test.ts
@@ -260,6 +260,20 @@
         host.state.recordAnswer(large, 10);
         expect(reads).toBe(0);
     });
+    // Guards against a request that ends the endpoints of each service to which its route is moved, and against the blame
+    // of one that another service answers.
+    it("isolates a whole request in services that have not answered it", () => {
+        const host = createHost();
+        const bad = createRequest("/bad");
+        const elsewhere = { ...bad, service: toServiceId("new") };
+        const findElsewhere = (): QuarantineEntry | undefined =>
+            host.state.findIsolated(elsewhere.service, host.state.listSuspects(elsewhere));
+        [0, 100, 200].forEach(atMs => crashUnder(host, `e${atMs}`, atMs, bad));
+        expect(findElsewhere()).toMatchObject({ service, suspect: toSuspect(bad) });
+        host.state.recordAnswer(elsewhere, 300);
+        expect(findElsewhere()).toBeUndefined();
+        expect(host.state.findIsolated(service, host.state.listSuspects(bad))).toBeDefined();
+    });
     // Guards against messages that grow with the number of requests on endpoints that crash.
     it("keeps and shares a bounded number of requests for each crash", () => {
         const host = createHost();
