Wait for a silent endpoint that has not begun its response, if no other one can take the stream

Cause: when an endpoint did not answer a probe, a stream without a response was given up whether or not another endpoint could take it. A sound endpoint that is silent for a second or so made the host answer 502 some 0.6 s after the request was sent, although the answer came within its time limit.

Ruled out: calls. An attempt of a call is aborted only with the call itself (state.finish in serveCall.ts), so that a hedge which is refused or fails does not end the one that waits.

Change: the attempt goes on until another endpoint can take the stream, as it does after the response has begun. An endpoint that has answered nothing for 2 s after the failed probe counts as gone, and the stream is refused, so that callers do not wait for it until their time limit.

Evidence: silentEndpoints.test.ts, "is complete if the endpoint goes on" failed before. "is refused before its time limit if the endpoint stays silent" passed before, too, and limits the change.

Conclusion: holds for a stream without another endpoint. One that is given up for another endpoint, which then refuses, is not covered.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -20,6 +20,12 @@
 /** Interval at which a stalled attempt is checked again for which there is no other one now. */
 const RETRY_CHECK_MS = 200;
 
+/**
+ * Silence of an endpoint, from its first failed probe, after which a stream without a response is given up although no other
+ * endpoint can take it. A sound endpoint may be silent for 2 s.
+ */
+const MAX_SOUND_SILENCE_MS = 2_000;
+
 /** Time for the body of an error response, which is a few hundred bytes long. */
 const ERROR_BODY_TIMEOUT_MS = 1_000;
 
@@ -63,6 +69,8 @@
     /** Whether reading waits for the caller. */
     isPaused: boolean;
     isSettled: boolean;
+    /** When the endpoint did not respond to a probe. */
+    probeFailedAtMs: number | undefined;
 }
 
 export function runStreamAttempt(
@@ -102,6 +110,7 @@
             bytesWithoutProgress: 0,
             isPaused: false,
             isSettled: false,
+            probeFailedAtMs: undefined,
         };
         exchange.onDisconnect = () => abortRun(run, { kind: "caller_gone" }, "caller disconnected");
         exchange.onStop = () => abortRun(run, { kind: "stopped" }, "the host stops");
@@ -166,7 +175,10 @@
     });
 }
 
-/** Aborts the attempt at once if the endpoint did not respond to the probe, otherwise after `abortAfterMs`. */
+/**
+ * Aborts the attempt at once if the endpoint did not respond to the probe, otherwise after `abortAfterMs`, and only if
+ * another one can take its place.
+ */
 function handleStall(run: StreamRun, limits: WaitLimits, isResponsive: boolean): void {
     const { endpoint } = run.plan;
     if (isResponsive) {
@@ -177,9 +189,10 @@
         );
         return;
     }
-    endpoint.health = markUnresponsive(endpoint.health, performance.now());
+    run.probeFailedAtMs = performance.now();
+    endpoint.health = markUnresponsive(endpoint.health, run.probeFailedAtMs);
     const reason = "no event, and the endpoint did not respond to a probe";
-    if (!run.progress.hasSentHeaders || canReplace(run)) {
+    if (canReplace(run)) {
         abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, reason);
         return;
     }
@@ -197,11 +210,16 @@
         firstEventMs: plan.placement.firstEventMs,
     });
 
-/** Aborts the attempt after a time, as soon as another one can take its place. */
+/** Returns whether an endpoint without a response has not responded to anything for longer than a sound one may be silent. */
+const isGone = ({ progress, plan, probeFailedAtMs = Infinity }: StreamRun): boolean =>
+    !progress.hasSentHeaders && plan.endpoint.health.lastResponseAtMs < probeFailedAtMs
+    && performance.now() - probeFailedAtMs >= MAX_SOUND_SILENCE_MS;
+
+/** Aborts the attempt after a time, as soon as another one can take its place or its endpoint has gone. */
 function scheduleStallAbort(run: StreamRun, delayMs: number, reason: string): void {
     const { endpoint } = run.plan;
     run.cancelStallCheck = startTimeout(delayMs, () => {
-        if (!canReplace(run)) {
+        if (!canReplace(run) && !isGone(run)) {
             scheduleStallAbort(run, RETRY_CHECK_MS, reason);
             return;
         }
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -174,6 +174,8 @@
     closed: number;
     /** Header lines that are added to reports. */
     reportHeaders: string;
+    /** Whether requests for reports are not answered. */
+    isSilent: boolean;
     readonly close: () => void;
 }
 
@@ -191,6 +193,9 @@
             for (let next = takeRequest(text); next !== undefined; next = takeRequest(text)) {
                 text = next.rest;
                 if (next.request.target === "/report") {
+                    if (endpoint.isSilent) {
+                        continue;
+                    }
                     socket.write(`HTTP/1.1 200 OK\r\n${endpoint.reportHeaders}content-length: 2\r\n\r\n{}`);
                     continue;
                 }
@@ -210,6 +215,7 @@
         received: [],
         closed: 0,
         reportHeaders: "",
+        isSilent: false,
         close: () => {
             sockets.forEach(socket => socket.destroy());
             server.close();
--- a/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
+++ b/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
@@ -8,6 +8,8 @@
     formatEvent,
     startEndpoint,
     startTestHost,
+    type TestEndpoint,
+    type TestHost,
     waitUntil,
     writeChunk,
 } from "../../hostFixture.js";
@@ -74,3 +76,66 @@
         expect(received, attempts).toBe(expected);
     });
 });
+
+/** The longest silence of a sound endpoint. */
+const SOUND_SILENCE_MS = 2_000;
+
+/** Starts an endpoint that is silent for `SOUND_SILENCE_MS` after `eventsBefore` events, and then completes its stream of three. */
+async function startSilentEndpoint(eventsBefore: number, isProbed: boolean): Promise<TestEndpoint> {
+    const silent = await startEndpoint("silent", (prompt, socket) => {
+        silent.isSilent = !isProbed;
+        const writeEvents = (from: number, to: number): void => {
+            if (from === 0 && to > 0) {
+                beginStream(socket, prompt);
+            }
+            for (let id = from + 1; id <= to; id += 1) {
+                writeChunk(socket, formatEvent(id));
+            }
+        };
+        writeEvents(0, eventsBefore);
+        setTimeout(() => {
+            silent.isSilent = false;
+            writeEvents(eventsBefore, 3);
+            endStream(socket);
+        }, SOUND_SILENCE_MS);
+    });
+    closers.push(silent.close);
+    return silent;
+}
+
+const resumableRoute = createRoute({ kind: "stream", canResume: true, timeoutMs: 8_000, targetPauseMs: 250 });
+
+/** Sends a stream to a host that knows only the silent endpoint at first. `addOther` runs when it is there. */
+async function sendToSilent(silent: TestEndpoint, addOther: (host: TestHost) => unknown): Promise<unknown> {
+    const host = await startTestHost([resumableRoute], [silent]);
+    closers.push(() => host.host.drain());
+    const replied = request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q", "t-parts": "p" } });
+    await waitUntil(() => silent.received.length === 1);
+    await addOther(host);
+    const text = await replied.then(reply => reply.body.text()).catch((error: unknown) => String(error));
+    await waitUntil(() => host.logged.some(line => line["msg"] === "requests: ended"));
+    const ended = host.logged.find(line => line["msg"] === "requests: ended");
+    return { text, outcome: ended?.["outcome"], attempts: (ended?.["attempts"] as unknown[]).length };
+}
+
+const wholeText = formatEvent(1) + formatEvent(2) + formatEvent(3);
+
+describe("a stream whose endpoint falls silent before its response, and there is no other one", () => {
+    // Guards against a refusal because of a silence alone: the endpoint was given up when it did not answer a probe.
+    it("is complete if the endpoint goes on", async () => {
+        const silent = await startSilentEndpoint(0, false);
+        expect(await sendToSilent(silent, () => undefined))
+            .toEqual({ text: wholeText, outcome: "complete", attempts: 1 });
+    });
+
+    // Guards against a caller that waits until its time limit for an endpoint that has gone without closing its connections.
+    it("is refused before its time limit if the endpoint stays silent", async () => {
+        const silent = await startEndpoint("silent", () => {
+            silent.isSilent = true;
+        });
+        closers.push(silent.close);
+        const startedAtMs = performance.now();
+        expect(await sendToSilent(silent, () => undefined)).toMatchObject({ outcome: "outcome_unknown", attempts: 1 });
+        expect(performance.now() - startedAtMs).toBeLessThan(resumableRoute.timeoutMs - 1_000);
+    });
+});
