Give up a silent endpoint only for an attempt that the placement would make

Cause: canContinueElsewhere and the placement that follows it asked different questions. A stream that had begun was aborted at its silent endpoint, and then no attempt was made: because a part of its prompt is suspect or isolated, because the other endpoint does not respond and refuses the connection, or because the permit that was left has to be kept for longer prompts. The connection was closed after 0.9 to 1.5 s of silence, without a whole answer, although the silent endpoint would have gone on.

Ruled out: a budget of retries that others use up between the two questions. The abort, the admission and spend run in microtasks of one timer, before any other stream's timer (runStreamAttempt.ts, serveStream.ts); only a trial or a crash report waits in between, and neither follows a stall.

Change: the check knows the quarantine as the retry does, leaves out endpoints that do not respond, and leaves as many permits as the placement. countLeft is moved to a file of its own.

Evidence: silentEndpoints.test.ts, "and that no other one can take": its four cases failed before.

Conclusion: what is known at the time of the check no longer ends a stream. An attempt that is refused or fails after the check still does.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -199,11 +199,18 @@
     scheduleStallAbort(run, RETRY_CHECK_MS, reason);
 }
 
+/** Returns whether the prompt may be sent to another endpoint, as far as the quarantine is concerned. */
+function canBeSentAgain({ quarantine }: ForwardingContext, { attempts, tracked }: Exchange): boolean {
+    const hasAnswer = attempts.some(({ events = 0 }) => events >= ANSWER_EVENTS);
+    return !(hasAnswer ? quarantine.isIsolated(tracked) : quarantine.isSuspect(tracked));
+}
+
 /** Returns whether another attempt can take the place of one whose endpoint is silent. Until then that one may still go on. */
 const canReplace = (
     { context, exchange, plan, progress, startedAtMs, lastEventAtMs = startedAtMs }: StreamRun,
 ): boolean =>
     context.retryBudget.canSpend(exchange.service.name, performance.now())
+    && canBeSentAgain(context, exchange)
     && canContinueElsewhere(context, exchange, {
         hasSentHeaders: progress.hasSentHeaders,
         lastProgressAtMs: lastEventAtMs,
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -4,7 +4,6 @@
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import { isServiceEvacuated } from "../../evacuation/queries/isServiceEvacuated.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
-import { countPermitsLeft } from "../../permits/queries/countPermitsLeft.js";
 import { defaultPlacementWeights } from "../../placement/model/placementWeights.js";
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import { buildAssignedWork } from "../../placement/queries/buildAssignedWork.js";
@@ -20,6 +19,7 @@
 import type { Exchange } from "../model/exchange.js";
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
+import { countLeft, DEFAULT_PROMPT_TOKENS } from "../queries/countLeft.js";
 import { getRetrySeconds } from "../queries/getRetrySeconds.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
@@ -35,8 +35,6 @@
 const MAX_RESERVATION_ATTEMPTS = 3;
 /** Number of placements for which permits are requested. After that only endpoints without a rate limit are used. */
 const MAX_PERMIT_ATTEMPTS = 3;
-/** Assumed prompt length in tokens if the caller does not state it. */
-const DEFAULT_PROMPT_TOKENS = 1_000;
 
 interface ChosenEndpoints {
     readonly endpoint: Endpoint;
@@ -146,9 +144,6 @@
     return reason;
 }
 
-const countLeft = ({ service, callerMetadata }: Exchange): number =>
-    countPermitsLeft(service.engine, callerMetadata.promptTokens ?? DEFAULT_PROMPT_TOKENS);
-
 /** Refuses a request for which there is no endpoint, and which has not run. */
 function refuseUnplaced(context: ForwardingContext, exchange: Exchange, wasTried: boolean): string {
     const retrySeconds = getRetrySeconds(context, exchange.service.name, countLeft(exchange));
--- a/packages/forwarding/src/requests/queries/canContinueElsewhere.ts
+++ b/packages/forwarding/src/requests/queries/canContinueElsewhere.ts
@@ -1,6 +1,7 @@
 import type { ForwardingContext } from "../../model/forwardingContext.js";
 import type { Exchange } from "../model/exchange.js";
 import { canBeAnswered, estimateAnswerMs } from "./canAnswerInTime.js";
+import { countLeft } from "./countLeft.js";
 import { isAvailable } from "./isAvailable.js";
 import { listLoads } from "./listLoads.js";
 
@@ -14,8 +15,9 @@
 }
 
 /**
- * Returns whether a stream whose endpoint is silent can go on at another one: one takes requests now, and on a stopping host
- * the rest of the answer is expected there before the stop. Otherwise only the silent endpoint may still finish it.
+ * Returns whether a stream whose endpoint is silent can go on at another one: one that responds takes
+ * the prompt now, and on a stopping host the rest of the answer is expected there before the stop. Otherwise only the silent
+ * endpoint may still finish it.
  */
 export function canContinueElsewhere(
     context: ForwardingContext,
@@ -24,8 +26,10 @@
 ): boolean {
     const tried = new Set(exchange.attempts.map(({ endpoint }) => endpoint));
     const nowMs = performance.now();
-    return listLoads(context, exchange.service.name, nowMs)
-        .some(load => !tried.has(load.id) && isAvailable(context, load, 0))
+    const permitsLeft = countLeft(exchange);
+    return listLoads(context, exchange.service.name, nowMs).some(load =>
+        !tried.has(load.id) && !load.isUnresponsive && isAvailable(context, load, permitsLeft)
+    )
         && hasTimeFor(context, exchange, attempt, nowMs);
 }
 
--- a/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
+++ b/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
@@ -1,6 +1,12 @@
 /** Streams whose endpoint falls silent, and goes on later. */
+import { toServiceId } from "@currantrill/protocol";
 import { request } from "undici";
-import { afterEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { createEndpointHealth, markUnresponsive } from "../../../src/endpoints/model/endpointHealth.js";
+import type { CrashReport } from "../../../src/quarantine/model/crashReport.js";
+import type { QuarantineEntry } from "../../../src/quarantine/model/quarantineEntry.js";
+import { toPartSuspect } from "../../../src/quarantine/model/suspect.js";
+import { engine } from "../../engineFixture.js";
 import {
     beginStream,
     createRoute,
@@ -109,6 +115,10 @@
 async function sendToSilent(silent: TestEndpoint, addOther: (host: TestHost) => unknown): Promise<unknown> {
     const host = await startTestHost([resumableRoute], [silent]);
     closers.push(() => host.host.drain());
+    host.configure({ services: [{ name: toServiceId("desk"), engine }] });
+    await waitUntil(() =>
+        host.host.context.getConfiguration()?.services.get(toServiceId("desk"))?.engine !== undefined
+    );
     const replied = request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": "q", "t-parts": "p" } });
     await waitUntil(() => silent.received.length === 1);
     await addOther(host);
@@ -139,3 +149,72 @@
         expect(performance.now() - startedAtMs).toBeLessThan(resumableRoute.timeoutMs - 1_000);
     });
 });
+
+describe("a stream whose endpoint falls silent, and that no other one can take", () => {
+    const report = (endpointId: string): CrashReport => ({
+        endpointId,
+        processStartedAtMs: 1,
+        service: toServiceId("desk"),
+        crashedAtMs: performance.now(),
+        begunParts: [toPartSuspect("p")],
+        waitingParts: [],
+        requests: [],
+    });
+    const isolated: QuarantineEntry = {
+        service: toServiceId("desk"),
+        suspect: toPartSuspect("p"),
+        revision: 1,
+        isIsolated: true,
+        changedAtMs: 0,
+        trials: 0,
+    };
+
+    // Guards against a stream that is broken off in favour of an attempt which is then not made.
+    it.each<{ name: string; eventsBefore: number; change: (host: TestHost, other: TestEndpoint) => unknown; }>([
+        {
+            name: "a part of its prompt is suspect",
+            eventsBefore: 1,
+            change: ({ host }) =>
+                host.context.quarantine.merge(
+                    { reports: [report("x1"), report("x2")], answers: [], entries: [] },
+                    performance.now(),
+                ),
+        },
+        {
+            name: "a part of its prompt is isolated",
+            eventsBefore: 2,
+            change: ({ host }) =>
+                host.context.quarantine.merge(
+                    { reports: [], answers: [], entries: [{ ...isolated, changedAtMs: performance.now() }] },
+                    performance.now(),
+                ),
+        },
+        {
+            name: "the other one does not respond",
+            eventsBefore: 1,
+            change: ({ host }, other) => {
+                other.close();
+                const known = host.context.directory.get(other.id);
+                Object.assign(known ?? {}, { health: markUnresponsive(createEndpointHealth(0), performance.now()) });
+            },
+        },
+        {
+            name: "the last permit of the other one is kept",
+            eventsBefore: 1,
+            change: ({ host }) => {
+                vi.spyOn(host.context.permits, "hasRoom").mockImplementation((_endpoint, left) => left === 0);
+            },
+        },
+    ])("is complete: $name", async ({ eventsBefore, change }) => {
+        const silent = await startSilentEndpoint(eventsBefore, true);
+        const other = await startEndpoint("other", () => undefined);
+        closers.push(other.close);
+        const result = await sendToSilent(silent, async host => {
+            host.publish(other);
+            await waitUntil(() => host.host.context.directory.get(other.id) !== undefined);
+            change(host, other);
+        });
+        expect(result).toEqual({ text: wholeText, outcome: "complete", attempts: 1 });
+        expect(other.received).toEqual([]);
+    });
+});
