List a stream that is given up at a silent endpoint before its next attempt has an event

Cause: serveStream aborts the silent attempt and then sends the next one. If that one is refused (503, not run), fails (500) or loses its connection, and the attempts of the route are used up, the caller's connection is closed without a whole answer, or the caller gets 502 if the response had not begun. The silent endpoint would have gone on. This is the path on which a silence of 1.5 to 2 s alone, or of 0.9 s if a probe fails, and one refusal end an answer that had begun.

Change: none.

Conclusion: open.

--- a/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
+++ b/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
@@ -10,6 +10,7 @@
 import {
     beginStream,
     createRoute,
+    type EndpointScript,
     endStream,
     formatEvent,
     startEndpoint,
@@ -17,6 +18,7 @@
     type TestEndpoint,
     type TestHost,
     waitUntil,
+    writeAnswer,
     writeChunk,
 } from "../../hostFixture.js";
 
@@ -218,3 +220,25 @@
         expect(other.received).toEqual([]);
     });
 });
+
+describe("a stream whose endpoint falls silent, and that the next one does not serve", () => {
+    const refuse: EndpointScript = (prompt, socket) => writeAnswer(socket, prompt, 503, "", "t-not-run: 1\r\n");
+    const fail: EndpointScript = (prompt, socket) => writeAnswer(socket, prompt, 500, "{}");
+    const reset: EndpointScript = (_prompt, socket) => void socket.resetAndDestroy();
+
+    // Guards against a stream that is broken off in favour of an attempt before that one has got an event: if it is
+    // refused or fails, only the silent endpoint can still finish the answer, as it does here.
+    it.each([
+        { name: "it refuses", script: refuse, isProbed: true, eventsBefore: 1 },
+        { name: "it refuses, probes fail", script: refuse, isProbed: false, eventsBefore: 1 },
+        { name: "it refuses, no event before", script: refuse, isProbed: false, eventsBefore: 0 },
+        { name: "it fails", script: fail, isProbed: true, eventsBefore: 1 },
+        { name: "it resets its connection", script: reset, isProbed: true, eventsBefore: 1 },
+    ])("goes on: $name", async ({ script, isProbed, eventsBefore }) => {
+        const silent = await startSilentEndpoint(eventsBefore, isProbed);
+        const other = await startEndpoint("other", script);
+        closers.push(other.close);
+        expect(await sendToSilent(silent, host => host.publish(other)))
+            .toMatchObject({ text: wholeText, outcome: "complete" });
+    });
+});
