Go on with a silent endpoint if the next attempt does not serve the stream

Cause: the silent attempt was aborted before the next one had an event. If that one was refused, failed or lost its connection, and the attempts of the route were used up, nothing was left that could finish the answer. The class: a silence ends an answer sooner.

Change: an attempt at a silent endpoint goes on beside the next one. The first event of either ends the other; if the next one fails, the silent one is the last attempt and gets no further stall checks.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -10,8 +10,8 @@
 import { getFirstEventLimits, getPauseLimits, type WaitLimits } from "../../streams/model/waitLimits.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
-import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
-import { canContinueElsewhere } from "../queries/canContinueElsewhere.js";
+import type { SilentAttempt, StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
+import { canReplace, isGone } from "../queries/canReplaceSilent.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
 import { ANSWER_EVENTS } from "./checkCrash.js";
 import { clearWhenClosed } from "./clearWhenClosed.js";
@@ -21,12 +21,6 @@
 /** Interval at which a stalled attempt is checked again for which there is no other one now. */
 const RETRY_CHECK_MS = 200;
 
-/**
- * Silence of an endpoint, from its first failed probe, after which a stream without a response is given up although no other
- * endpoint can take it. A sound endpoint may be silent for 2 s.
- */
-const MAX_SOUND_SILENCE_MS = 2_000;
-
 /** Time for the body of an error response, which is a few hundred bytes long. */
 const ERROR_BODY_TIMEOUT_MS = 1_000;
 
@@ -41,7 +35,7 @@
     readonly cancelTimeout: () => void;
 }
 
-interface StreamRun {
+export interface StreamRun {
     readonly context: ForwardingContext;
     readonly exchange: Exchange;
     readonly progress: StreamProgress;
@@ -49,7 +43,7 @@
     readonly record: AttemptRecord;
     readonly splitter: EventSplitter;
     readonly startedAtMs: number;
-    readonly resolve: (end: StreamAttemptResult) => void;
+    resolve: (end: StreamAttemptResult) => void;
     /** What a stop of the host does while no attempt runs. */
     readonly onStopWaiting: () => void;
     readonly resumeEndpointStream: () => void;
@@ -64,6 +58,10 @@
     /** Whether reading waits for the caller. */
     isPaused: boolean;
     isSettled: boolean;
+    /** Whether the endpoint is silent, and the next attempt has no event yet. */
+    isSilent: boolean;
+    /** Whether no other attempt can follow. */
+    isLast: boolean;
     /** When the endpoint did not respond to a probe. */
     probeFailedAtMs: number | undefined;
 }
@@ -105,10 +103,11 @@
             bytesWithoutProgress: 0,
             isPaused: false,
             isSettled: false,
+            isSilent: false,
+            isLast: plan.isFinalAttempt,
             probeFailedAtMs: undefined,
         };
-        exchange.onDisconnect = () => abortRun(run, { kind: "caller_gone" }, "caller disconnected");
-        exchange.onStop = () => abortRun(run, { kind: "stopped" }, "the host stops");
+        watchCaller(run);
         exchange.response.on("drain", run.resumeEndpointStream);
         run.attempt = runAttempt(context, exchange, {
             endpoint: plan.endpoint,
@@ -127,10 +126,19 @@
                     mayBeCrash: failure === "broken" && outcome === "unknown",
                 }),
         });
+        plan.onStarted(() =>
+            abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, "the silent endpoint goes on")
+        );
         scheduleStallCheck(run, getFirstEventLimits(plan.placement.firstEventMs));
     });
 }
 
+/** Lets the attempt react to the caller and to a stop of the host. */
+function watchCaller(run: StreamRun): void {
+    run.exchange.onDisconnect = () => abortRun(run, { kind: "caller_gone" }, "caller disconnected");
+    run.exchange.onStop = () => abortRun(run, { kind: "stopped" }, "the host stops");
+}
+
 function finishRun(run: StreamRun, end: StreamAttemptResult): void {
     if (run.isSettled) {
         return;
@@ -142,12 +150,72 @@
     clearTimeout(run.deadlineTimer);
     run.errorResponse?.cancelTimeout();
     run.errorResponse?.body.clear();
-    run.exchange.onDisconnect = undefined;
-    run.exchange.onStop = run.onStopWaiting;
+    if (!run.isSilent) {
+        stopWatchingCaller(run);
+    }
     run.exchange.response.off("drain", run.resumeEndpointStream);
     run.resolve(end);
 }
 
+function stopWatchingCaller(run: StreamRun): void {
+    run.exchange.onDisconnect = undefined;
+    run.exchange.onStop = run.onStopWaiting;
+}
+
+/**
+ * Lets another attempt be made. This one goes on meanwhile, if it may, since the next one may be refused or fail: the first
+ * event of either ends the other.
+ */
+function releaseSilent(run: StreamRun, reason: string): void {
+    const end = { kind: "broken", wasSent: run.record.wasSent } as const;
+    if (!run.plan.mayGoOnSilent || !run.record.wasSent) {
+        abortRun(run, end, reason);
+        return;
+    }
+    run.isSilent = true;
+    run.record.outcome = "silent";
+    stopWatchingCaller(run);
+    const { resolve } = run;
+    const ended = new Promise<StreamAttemptResult>(resolveEnd => {
+        run.resolve = resolveEnd;
+    });
+    const attempt: SilentAttempt = {
+        ended,
+        resumeAlone: () => resumeAlone(run),
+        abort: () => abortRun(run, end, reason),
+    };
+    resolve({ kind: "silent", wasSent: true, attempt });
+}
+
+function resumeAlone(run: StreamRun): void {
+    if (run.isSilent && !run.isSettled) {
+        run.isSilent = false;
+        run.isLast = true;
+        run.record.outcome = "pending";
+        watchCaller(run);
+        scheduleGoneCheck(run);
+    }
+}
+
+/** Ends the only attempt of a stream that has not begun if its endpoint has gone. */
+function scheduleGoneCheck(run: StreamRun): void {
+    run.cancelStallCheck = startTimeout(RETRY_CHECK_MS, () => {
+        if (isGone(run)) {
+            abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, "the endpoint does not respond");
+            return;
+        }
+        scheduleGoneCheck(run);
+    });
+}
+
+/** Ends the next attempt in favour of this one, whose endpoint goes on. */
+function resumeSilent(run: StreamRun): void {
+    if (run.isSilent) {
+        run.plan.onGoesOn();
+        resumeAlone(run);
+    }
+}
+
 function abortRun(run: StreamRun, end: StreamAttemptResult, reason: string): void {
     finishRun(run, end);
     run.attempt?.abort(reason);
@@ -156,7 +224,7 @@
 /** If no event arrives in time, probes the endpoint and handles the stall. Not done for the final attempt. */
 function scheduleStallCheck(run: StreamRun, limits: WaitLimits): void {
     run.cancelStallCheck();
-    if (run.plan.isFinalAttempt || run.isSettled || run.isPaused) {
+    if (run.isLast || run.isSettled || run.isPaused || run.isSilent) {
         return;
     }
     const { events } = run.progress;
@@ -187,44 +255,26 @@
     endpoint.health = markUnresponsive(endpoint.health, run.probeFailedAtMs);
     const reason = "no event, and the endpoint did not respond to a probe";
     if (canReplace(run)) {
-        abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, reason);
+        releaseSilent(run, reason);
         return;
     }
     scheduleStallAbort(run, RETRY_CHECK_MS, reason);
 }
 
-/** Returns whether the prompt may be sent to another endpoint, as far as the quarantine is concerned. */
-function canBeSentAgain({ quarantine }: ForwardingContext, { attempts, tracked }: Exchange): boolean {
-    const hasAnswer = attempts.some(({ events = 0 }) => events >= ANSWER_EVENTS);
-    return !(hasAnswer ? quarantine.isIsolated(tracked) : quarantine.isSuspect(tracked));
-}
-
-/** Returns whether another attempt can take the place of one whose endpoint is silent. Until then that one may still go on. */
-const canReplace = (
-    { context, exchange, plan, progress, startedAtMs, lastEventAtMs = startedAtMs }: StreamRun,
-): boolean =>
-    context.retryBudget.canSpend(exchange.service.name, performance.now())
-    && canBeSentAgain(context, exchange)
-    && canContinueElsewhere(context, exchange, {
-        hasSentHeaders: progress.hasSentHeaders,
-        lastProgressAtMs: lastEventAtMs,
-        firstEventMs: plan.placement.firstEventMs,
-    });
-
-/** Returns whether an endpoint without a response has not responded to anything for longer than a sound one may be silent. */
-const isGone = ({ progress, plan, probeFailedAtMs = Infinity }: StreamRun): boolean =>
-    !progress.hasSentHeaders && plan.endpoint.health.lastResponseAtMs < probeFailedAtMs
-    && performance.now() - probeFailedAtMs >= MAX_SOUND_SILENCE_MS;
-
 /** Aborts the attempt after a time, as soon as another one can take its place or its endpoint has gone. */
 function scheduleStallAbort(run: StreamRun, delayMs: number, reason: string): void {
     const { endpoint } = run.plan;
     run.cancelStallCheck = startTimeout(delayMs, () => {
-        if (!canReplace(run) && !isGone(run)) {
+        const isReplaceable = canReplace(run);
+        if (!isReplaceable && !isGone(run)) {
             scheduleStallAbort(run, RETRY_CHECK_MS, reason);
             return;
         }
         endpoint.health = recordFailure(endpoint.health, performance.now());
+        if (isReplaceable) {
+            releaseSilent(run, reason);
+            return;
+        }
         abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, reason);
     });
 }
@@ -276,6 +326,9 @@
     if (events === undefined) {
         return false;
     }
+    if (events.some(event => event.hasContent && isNew(run.progress, event))) {
+        resumeSilent(run);
+    }
     const forwarded = forwardEvents(run, events);
     // Comments and empty lines are forwarded, but an endpoint that sends nothing else has stalled.
     if (events.some(event => event.hasContent)) {
@@ -377,6 +430,7 @@
         finishRun(run, { kind: "broken", wasSent: true, mayBeCrash: true });
         return;
     }
+    resumeSilent(run);
     if (run.record.firstAfterMs !== undefined) {
         run.tracker.recordAnswer(run.exchange.startedAtMs + run.record.firstAfterMs);
     }
@@ -387,7 +441,8 @@
 
 /** Forwards an error response if nothing has been sent to the caller and no other endpoint may be tried. */
 function resolveErrorResponse(run: StreamRun, errorResponse: ErrorResponse): StreamAttemptResult {
-    const canTryAnother = !run.plan.isFinalAttempt && errorResponse.status >= MIN_SERVER_ERROR_STATUS;
+    const canTryAnother = (!run.plan.isFinalAttempt || run.plan.hasSilentAttempt)
+        && errorResponse.status >= MIN_SERVER_ERROR_STATUS;
     if (run.progress.hasSentHeaders || canTryAnother) {
         return { kind: "broken", wasSent: true };
     }
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -17,6 +17,7 @@
 import { createStallCheck } from "../../reservations/model/stallCheck.js";
 import { selectWarm } from "../../warmup/queries/selectWarm.js";
 import type { Exchange } from "../model/exchange.js";
+import { createSilentAttempts, type SilentAttempts } from "../model/silentAttempts.js";
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
 import { countLeft, DEFAULT_PROMPT_TOKENS } from "../queries/countLeft.js";
@@ -51,6 +52,17 @@
 
 /** Serves a stream. Resolves with the outcome when the caller has the complete response or can no longer get it. */
 export async function serveStream(context: ForwardingContext, exchange: Exchange): Promise<string> {
+    const silent = createSilentAttempts();
+    try {
+        return await runAttempts(context, exchange, silent);
+    }
+    finally {
+        silent.end();
+    }
+}
+
+async function runAttempts(context: ForwardingContext, exchange: Exchange, silent: SilentAttempts): Promise<string> {
+    const finish = (refuse: () => string): Promise<string> => finishOrContinue(context, exchange, silent, refuse);
     const progress: StreamProgress = {
         lastEventId: exchange.callerMetadata.lastEventId,
         hasSentHeaders: false,
@@ -63,22 +75,24 @@
     for (;;) {
         const admission = await admitExchange(context, exchange);
         if (admission.kind === "isolated") {
-            return refuseIsolated(context, exchange, admission);
+            return finish(() => refuseIsolated(context, exchange, admission));
         }
         if (attemptsSent > 0 && !context.retryBudget.spend(exchange.service.name, performance.now())) {
             context.log.warn({ request: exchange.requestId }, "requests: retry budget exhausted");
-            return finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run");
+            return finish(() => finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run"));
         }
         const chosen = await chooseEndpoints(context, exchange, tried);
-        if (exchange.hasEnded || !progress.hasSentHeaders && !canBeAnswered(context, exchange)) {
+        if (exchange.hasEnded || silent.hasGoneOn() || !progress.hasSentHeaders && !canBeAnswered(context, exchange)) {
             chosen?.reservedMemory?.release();
             chosen?.settle();
-            return exchange.hasEnded ? "caller_gone" : finishAtStop(context, exchange);
+            return exchange.hasEnded ? "caller_gone" : finish(() => finishAtStop(context, exchange));
         }
         if (chosen === undefined) {
-            return mayHaveRun
-                ? finishWithRefusal(context, exchange, "outcome_unknown")
-                : refuseUnplaced(context, exchange, tried.size > 0);
+            return finish(() =>
+                mayHaveRun
+                    ? finishWithRefusal(context, exchange, "outcome_unknown")
+                    : refuseUnplaced(context, exchange, tried.size > 0)
+            );
         }
         if (admission.kind === "admitted" && context.quarantine.isIsolated(exchange.tracked)) {
             chosen.reservedMemory?.release();
@@ -88,19 +102,24 @@
         tried.add(chosen.endpoint);
         const isFinalAttempt = attemptsSent + 1 >= exchange.route.attempts || !exchange.route.canResume
             || admission.kind === "trial";
-        const end = await runWithAssignments(context, exchange, progress, chosen, { isFinalAttempt });
-        if (end.kind === "stopped") {
-            return finishAtStop(context, exchange);
-        }
+        const end = await runWithAssignments(context, exchange, progress, chosen, {
+            isFinalAttempt,
+            ...silent.plan(chosen.reservedMemory === undefined),
+        });
         if (!("wasSent" in end)) {
-            const reason = fatalReasons[end.kind];
-            return reason === undefined ? end.kind : finishWithRefusal(context, exchange, reason);
+            return finishEnded(context, exchange, end);
+        }
+        if (silent.hasGoneOn()) {
+            return finish(() => finishWithRefusal(context, exchange, "outcome_unknown"));
+        }
+        if (end.kind === "silent") {
+            silent.add(end.attempt);
         }
         const isBroken = end.kind === "broken";
         if (isBroken && await isCrashSuspected(context, exchange, chosen.endpoint, end.mayBeCrash === true)) {
-            return finishWithRefusal(context, exchange, "crash_suspected");
+            return finish(() => finishWithRefusal(context, exchange, "crash_suspected"));
         }
-        mayHaveRun ||= isBroken;
+        mayHaveRun ||= end.kind !== "not_run";
         if (end.wasSent) {
             attemptsSent += 1;
         }
@@ -112,11 +131,35 @@
             && attemptsSent < exchange.route.attempts
             && connectFailures < MAX_CONNECT_FAILURES;
         if (!canRetry) {
-            return finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run");
+            return finish(() => finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run"));
         }
     }
 }
 
+/** Refuses a stream for which no other attempt can be made, unless one at a silent endpoint serves it. */
+async function finishOrContinue(
+    context: ForwardingContext,
+    exchange: Exchange,
+    silent: SilentAttempts,
+    refuse: () => string,
+): Promise<string> {
+    const end = exchange.hasEnded ? undefined : await silent.resumeAlone();
+    return end === undefined || "wasSent" in end ? refuse() : finishEnded(context, exchange, end);
+}
+
+/** Finishes a stream after an attempt that was not replaced. */
+function finishEnded(
+    context: ForwardingContext,
+    exchange: Exchange,
+    { kind }: Exclude<StreamAttemptResult, { wasSent: boolean; }>,
+): string {
+    if (kind === "stopped") {
+        return finishAtStop(context, exchange);
+    }
+    const reason = fatalReasons[kind];
+    return reason === undefined ? kind : finishWithRefusal(context, exchange, reason);
+}
+
 /** Refusals of attempts after which no other endpoint is tried. */
 const fatalReasons: Readonly<Partial<Record<StreamAttemptResult["kind"], RefusalReason>>> = {
     out_of_time: "out_of_time",
@@ -313,7 +356,10 @@
     exchange: Exchange,
     progress: StreamProgress,
     chosen: ChosenEndpoints,
-    options: Pick<StreamAttemptPlan, "isFinalAttempt">,
+    options: Pick<
+        StreamAttemptPlan,
+        "isFinalAttempt" | "mayGoOnSilent" | "hasSilentAttempt" | "onFirstEvent" | "onGoesOn" | "onStarted"
+    >,
 ): Promise<StreamAttemptResult> {
     const nowMs = performance.now();
     const prompt = describePrompt(exchange, nowMs);
@@ -334,10 +380,12 @@
                     ...(reservation === undefined ? {} : { reservationId: reservation.id }),
                 };
             }),
-            onFirstEvent: () =>
+            onFirstEvent: () => {
+                options.onFirstEvent();
                 assignments.forEach(assignment =>
                     context.assignmentRegistry.markPrefilled(assignment.id, performance.now())
-                ),
+                );
+            },
         });
     }
     finally {
--- a/packages/forwarding/src/requests/model/attemptRecord.ts
+++ b/packages/forwarding/src/requests/model/attemptRecord.ts
@@ -1,6 +1,8 @@
 /** Record of one attempt. It is written to the request log line, so its fields and values keep their names. */
 export type AttemptOutcome =
     | "pending"
+    /** The endpoint is silent. It may still go on while the next attempt has no event. */
+    | "silent"
     | "answered"
     /** No byte of the request was sent, or the endpoint stated that it did not run the request. */
     | "not_run"
--- a/packages/forwarding/src/requests/model/streamAttempt.ts
+++ b/packages/forwarding/src/requests/model/streamAttempt.ts
@@ -25,9 +25,20 @@
         /** Whether the endpoint closed the connection before the end of its answer, and may have crashed. */
         readonly mayBeCrash?: boolean;
     }
+    /** The endpoint is silent. The attempt goes on beside the next one until either of them has an event. */
+    | { readonly kind: "silent"; readonly wasSent: true; readonly attempt: SilentAttempt; }
     /** The request or a part of it was isolated while the endpoint had not written an answer. */
     | { readonly kind: "isolated"; };
 
+/** An attempt whose endpoint is silent. */
+export interface SilentAttempt {
+    /** Resolves with the result once the attempt has ended. */
+    readonly ended: Promise<StreamAttemptResult>;
+    /** Makes it the only attempt: it reacts to the caller and to a stop of the host. */
+    readonly resumeAlone: () => void;
+    readonly abort: () => void;
+}
+
 /** Endpoints of an attempt and the estimate of the placement that chose them. */
 export interface StreamAttemptPlan {
     readonly endpoint: Endpoint;
@@ -39,4 +50,12 @@
     /** Endpoints that prefill further shards of the prompt. */
     readonly shardTargets: readonly PrefillShard[];
     readonly onFirstEvent: () => void;
+    /** Whether the attempt may go on while its endpoint is silent and another attempt is made. */
+    readonly mayGoOnSilent: boolean;
+    /** Called when a silent endpoint goes on. */
+    readonly onGoesOn: () => void;
+    /** Whether an attempt at a silent endpoint may still serve the stream if this one does not. */
+    readonly hasSilentAttempt: boolean;
+    /** Receives the function that ends this attempt in favour of the one at the silent endpoint. */
+    readonly onStarted: (abort: () => void) => void;
 }
--- a/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
+++ b/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
@@ -241,4 +241,46 @@
         expect(await sendToSilent(silent, host => host.publish(other)))
             .toMatchObject({ text: wholeText, outcome: "complete" });
     });
+
+    // Guards against a caller that waits until its time limit because the first of two endpoints has gone and the other is full.
+    it("is refused before its time limit if the silent endpoint has gone", async () => {
+        const silent = await startEndpoint("silent", () => {
+            silent.isSilent = true;
+        });
+        const other = await startEndpoint("other", refuse);
+        closers.push(silent.close, other.close);
+        const startedAtMs = performance.now();
+        expect(await sendToSilent(silent, host => host.publish(other))).toMatchObject({ outcome: "outcome_unknown" });
+        expect(performance.now() - startedAtMs).toBeLessThan(resumableRoute.timeoutMs - 1_000);
+    });
+    // Guards against two endpoints that both write into one response.
+    it("takes the events of the endpoint that has the next one first", async () => {
+        const silent = await startSilentEndpoint(1, true);
+        const other = await startEndpoint("other", (prompt, socket) => {
+            beginStream(socket, prompt);
+            setTimeout(() => {
+                [2, 3].forEach(id => writeChunk(socket, formatEvent(id)));
+                endStream(socket);
+            }, SOUND_SILENCE_MS);
+        });
+        closers.push(other.close);
+        expect(await sendToSilent(silent, host => host.publish(other)))
+            .toEqual({ text: wholeText, outcome: "complete", attempts: 2 });
+    });
+    // Guards against an endpoint that is given up for a second silence although no other attempt can follow.
+    it("goes on after a second silence", async () => {
+        const silent = await startEndpoint("silent", (prompt, socket) => {
+            beginStream(socket, prompt);
+            writeChunk(socket, formatEvent(1));
+            setTimeout(() => writeChunk(socket, formatEvent(2)), SOUND_SILENCE_MS);
+            setTimeout(() => {
+                writeChunk(socket, formatEvent(3));
+                endStream(socket);
+            }, 2 * SOUND_SILENCE_MS);
+        });
+        const others = await Promise.all(["o1", "o2"].map(id => startEndpoint(id, refuse)));
+        closers.push(silent.close, ...others.map(other => other.close));
+        const result = await sendToSilent(silent, host => others.forEach(other => host.publish(other)));
+        expect(result).toMatchObject({ text: wholeText, outcome: "complete" });
+    });
 });
