Refuse a stream with an unknown outcome if its silent endpoint goes on and then breaks

Cause: found by reading. If the silent endpoint went on while the next one was being chosen, and then broke off, the stream was finished as at a stop of the host.

Change: the outcome is unknown in this case; the endpoints that were chosen are released in one place.

Evidence: the tests of silent endpoints, evacuation and streams pass.

--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -82,10 +82,16 @@
             return finish(() => finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run"));
         }
         const chosen = await chooseEndpoints(context, exchange, tried);
-        if (exchange.hasEnded || silent.hasGoneOn() || !progress.hasSentHeaders && !canBeAnswered(context, exchange)) {
-            chosen?.reservedMemory?.release();
-            chosen?.settle();
-            return exchange.hasEnded ? "caller_gone" : finish(() => finishAtStop(context, exchange));
+        const hasGoneOn = silent.hasGoneOn();
+        if (exchange.hasEnded || hasGoneOn || !progress.hasSentHeaders && !canBeAnswered(context, exchange)) {
+            releaseChosen(chosen);
+            return exchange.hasEnded
+                ? "caller_gone"
+                : finish(() =>
+                    hasGoneOn
+                        ? finishWithRefusal(context, exchange, "outcome_unknown")
+                        : finishAtStop(context, exchange)
+                );
         }
         if (chosen === undefined) {
             return finish(() =>
@@ -95,8 +101,7 @@
             );
         }
         if (admission.kind === "admitted" && context.quarantine.isIsolated(exchange.tracked)) {
-            chosen.reservedMemory?.release();
-            chosen.settle();
+            releaseChosen(chosen);
             continue;
         }
         tried.add(chosen.endpoint);
@@ -136,6 +141,12 @@
     }
 }
 
+/** Releases endpoints to which the stream is not sent. */
+function releaseChosen(chosen: ChosenEndpoints | undefined): void {
+    chosen?.reservedMemory?.release();
+    chosen?.settle();
+}
+
 /** Refuses a stream for which no other attempt can be made, unless one at a silent endpoint serves it. */
 async function finishOrContinue(
     context: ForwardingContext,
