--- a/packages/forwarding/src/quarantine/commands/createAttemptRegistry.ts
+++ b/packages/forwarding/src/quarantine/commands/createAttemptRegistry.ts
@@ -27,6 +27,7 @@
         track: attempt => {
             running.add(attempt);
             const { request } = attempt;
+            let isSound = false;
             // The turn of the request goes on: whether its endpoint has crashed is not known yet.
             const end = (): void => void running.delete(attempt);
             return {
@@ -35,7 +36,11 @@
                     releaseAnswered(state, attempt, "part");
                     end();
                 },
-                recordWholeAnswer: () => {
+                recordSoundAnswer: () => {
+                    if (isSound) {
+                        return;
+                    }
+                    isSound = true;
                     state.recordAnswer(request, "request", performance.now());
                     releaseAnswered(state, attempt, "request");
                     end();
--- a/packages/forwarding/src/quarantine/model/attemptTracker.ts
+++ b/packages/forwarding/src/quarantine/model/attemptTracker.ts
@@ -14,8 +14,8 @@
 export interface AttemptTracker {
     /** Records that the endpoint has begun to write an answer, at `beganAtMs`: the parts of the prompt are sound. */
     readonly recordAnswer: (beganAtMs: number) => void;
-    /** Records that the endpoint has written a whole answer: the request is sound. */
-    readonly recordWholeAnswer: () => void;
+    /** Records that the endpoint has written a whole answer, or for long enough: the request is sound. */
+    readonly recordSoundAnswer: () => void;
     /** Ends the tracking. */
     readonly end: () => void;
 }
--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -24,6 +24,12 @@
 /** Time for the body of an error response, which is a few hundred bytes long. */
 const ERROR_BODY_TIMEOUT_MS = 1_000;
 
+/**
+ * Time for which an endpoint writes an answer until the request is not at fault. A request that crashes endpoints does so as
+ * they begin to run it; long streams would rarely clear a request while endpoints end one after the other.
+ */
+const MIN_SOUND_WRITING_MS = 200;
+
 const MIN_UNSUCCESSFUL_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -402,6 +408,10 @@
         if (record.events === ANSWER_EVENTS) {
             run.tracker.recordAnswer(exchange.startedAtMs + record.firstAfterMs);
         }
+        const writtenMs = performance.now() - exchange.startedAtMs - record.firstAfterMs;
+        if (record.events >= ANSWER_EVENTS && writtenMs >= MIN_SOUND_WRITING_MS) {
+            run.tracker.recordSoundAnswer();
+        }
     }
 }
 
@@ -419,7 +429,7 @@
         return;
     }
     if (run.errorResponse !== undefined) {
-        run.tracker.recordWholeAnswer();
+        run.tracker.recordSoundAnswer();
         finishRun(run, resolveErrorResponse(run, run.errorResponse));
         return;
     }
@@ -434,7 +444,7 @@
     if (run.record.firstAfterMs !== undefined) {
         run.tracker.recordAnswer(run.exchange.startedAtMs + run.record.firstAfterMs);
     }
-    run.tracker.recordWholeAnswer();
+    run.tracker.recordSoundAnswer();
     run.exchange.response.end();
     finishRun(run, { kind: "complete" });
 }
--- a/packages/forwarding/src/requests/commands/serveCall.ts
+++ b/packages/forwarding/src/requests/commands/serveCall.ts
@@ -231,7 +231,7 @@
         },
         onData: collector.append,
         onEnd: () => {
-            tracker.recordWholeAnswer();
+            tracker.recordSoundAnswer();
             releaseAttempt();
             // The body occupies memory until the caller has received it.
             clearWhenClosed(exchange.response, collector);
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -105,7 +105,7 @@
             isSuspect: () => false,
             countCrashes: () => 0,
             reportBreak: () => Promise.resolve(false),
-            track: () => ({ recordAnswer: () => undefined, recordWholeAnswer: () => undefined, end: () => undefined }),
+            track: () => ({ recordAnswer: () => undefined, recordSoundAnswer: () => undefined, end: () => undefined }),
         },
         retryBudget: { canSpend: () => true, spend: () => true, recordRequest: () => undefined },
         createReservationId: () => `r${lastReservation += 1}`,
--- a/packages/forwarding/tests/quarantine/commands/requestEvidence.test.ts
+++ b/packages/forwarding/tests/quarantine/commands/requestEvidence.test.ts
@@ -163,7 +163,7 @@
         first.change(entry, { changedAtMs: 3_300, trials: 1 });
         const registry: AttemptRegistry = createAttemptRegistry(first, () => 3);
         const trial = findIsolated(first, moved)!;
-        registry.track({ ...createAttempt(moved), trial }).recordWholeAnswer();
+        registry.track({ ...createAttempt(moved), trial }).recordSoundAnswer();
         expect(findIsolated(first, moved)).toBeUndefined();
         send(first, second, 3_410, 1);
         expect(findIsolated(second, moved)).toBeUndefined();
