--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -10,8 +10,9 @@
 import { getFirstEventLimits, getPauseLimits, type WaitLimits } from "../../streams/model/waitLimits.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
-import type { SilentAttempt, StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
+import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
 import { canReplace, isGone } from "../queries/canReplaceSilent.js";
+import { getMediaType } from "../queries/getMediaType.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
 import { ANSWER_EVENTS } from "./checkCrash.js";
 import { clearWhenClosed } from "./clearWhenClosed.js";
@@ -174,10 +175,11 @@
  */
 function releaseSilent(run: StreamRun, reason: string): void {
     const end = { kind: "broken", wasSent: run.record.wasSent } as const;
-    if (!run.plan.mayGoOnSilent || !run.record.wasSent) {
+    if (!run.plan.mayGoOnSilent() || !run.record.wasSent) {
         abortRun(run, end, reason);
         return;
     }
+    run.cancelStallCheck();
     run.isSilent = true;
     run.record.outcome = "silent";
     stopWatchingCaller(run);
@@ -185,12 +187,8 @@
     const ended = new Promise<StreamAttemptResult>(resolveEnd => {
         run.resolve = resolveEnd;
     });
-    const attempt: SilentAttempt = {
-        ended,
-        resumeAlone: () => resumeAlone(run),
-        abort: () => abortRun(run, end, reason),
-    };
-    resolve({ kind: "silent", wasSent: true, attempt });
+    const abort = (): void => abortRun(run, end, reason);
+    resolve({ kind: "silent", wasSent: true, attempt: { ended, resumeAlone: () => resumeAlone(run), abort } });
 }
 
 function resumeAlone(run: StreamRun): void {
@@ -236,7 +234,7 @@
     const { events } = run.progress;
     run.cancelStallCheck = startTimeout(limits.probeAfterMs, () => {
         void probeEndpoint(run.plan.endpoint, run.context.protocol).then(report => {
-            if (!run.isSettled && run.progress.events === events) {
+            if (!run.isSettled && !run.isSilent && !run.isLast && run.progress.events === events) {
                 handleStall(run, limits, report !== undefined);
             }
         });
@@ -317,9 +315,6 @@
     }
 }
 
-const getMediaType = (headers: ResponseHeaders): string =>
-    String(headers["content-type"] ?? "").split(";")[0]?.trim().toLowerCase() ?? "";
-
 /** Handles a part of the body. Returns `false` if the endpoint sends too much without an event. */
 function handleData(run: StreamRun, chunk: Buffer): boolean {
     if (run.isSettled) {
@@ -451,11 +446,12 @@
 
 /** Forwards an error response if nothing has been sent to the caller and no other endpoint may be tried. */
 function resolveErrorResponse(run: StreamRun, errorResponse: ErrorResponse): StreamAttemptResult {
-    const canTryAnother = (!run.plan.isFinalAttempt || run.plan.hasSilentAttempt)
+    const canTryAnother = (!run.plan.isFinalAttempt || run.plan.hasSilentAttempt())
         && errorResponse.status >= MIN_SERVER_ERROR_STATUS;
     if (run.progress.hasSentHeaders || canTryAnother) {
         return { kind: "broken", wasSent: true };
     }
+    resumeSilent(run);
     const body = errorResponse.body.read();
     run.exchange.response.writeHead(errorResponse.status, {
         ...errorResponse.headers,
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -22,6 +22,7 @@
 import { canBeAnswered } from "../queries/canAnswerInTime.js";
 import { countLeft, DEFAULT_PROMPT_TOKENS } from "../queries/countLeft.js";
 import { getRetrySeconds } from "../queries/getRetrySeconds.js";
+import { hasPossiblyRun } from "../queries/hasPossiblyRun.js";
 import { isAvailable } from "../queries/isAvailable.js";
 import { listLoads } from "../queries/listLoads.js";
 import { admitExchange, refuseIsolated } from "./admitExchange.js";
@@ -79,7 +80,7 @@
         }
         if (attemptsSent > 0 && !context.retryBudget.spend(exchange.service.name, performance.now())) {
             context.log.warn({ request: exchange.requestId }, "requests: retry budget exhausted");
-            return finish(() => finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run"));
+            return finish(() => refuseUnfinished(context, exchange));
         }
         const chosen = await chooseEndpoints(context, exchange, tried);
         const hasGoneOn = silent.hasGoneOn();
@@ -136,7 +137,7 @@
             && attemptsSent < exchange.route.attempts
             && connectFailures < MAX_CONNECT_FAILURES;
         if (!canRetry) {
-            return finish(() => finishWithRefusal(context, exchange, mayHaveRun ? "outcome_unknown" : "not_run"));
+            return finish(() => refuseUnfinished(context, exchange));
         }
     }
 }
@@ -193,6 +194,9 @@
     return reason;
 }
 
+const refuseUnfinished = (context: ForwardingContext, exchange: Exchange): string =>
+    finishWithRefusal(context, exchange, hasPossiblyRun(exchange) ? "outcome_unknown" : "not_run");
+
 /** Refuses a request for which there is no endpoint, and which has not run. */
 function refuseUnplaced(context: ForwardingContext, exchange: Exchange, wasTried: boolean): string {
     const retrySeconds = getRetrySeconds(context, exchange.service.name, countLeft(exchange));
--- a/packages/forwarding/src/requests/model/silentAttempts.ts
+++ b/packages/forwarding/src/requests/model/silentAttempts.ts
@@ -26,12 +26,17 @@
     };
     return {
         plan: mayGoOnSilent => {
-            const hasSilentAttempt = silent !== undefined;
+            const earlier = silent;
+            const hasSilentAttempt = earlier !== undefined;
             return {
                 // One at a time: the endpoints of all further attempts are given up as soon as they are silent.
-                mayGoOnSilent: mayGoOnSilent && !hasSilentAttempt,
-                hasSilentAttempt,
-                onFirstEvent: hasSilentAttempt ? end : () => undefined,
+                mayGoOnSilent: () => mayGoOnSilent && silent === undefined,
+                hasSilentAttempt: () => silent !== undefined,
+                onFirstEvent: () => {
+                    if (earlier !== undefined && silent === earlier) {
+                        end();
+                    }
+                },
                 onGoesOn: () => {
                     hasGoneOn = true;
                     abortNext();
@@ -43,6 +48,12 @@
         },
         add: attempt => {
             silent = attempt;
+            abortNext = () => undefined;
+            void attempt.ended.then(result => {
+                if (silent === attempt && "wasSent" in result) {
+                    silent = undefined;
+                }
+            });
         },
         hasGoneOn: () => hasGoneOn,
         resumeAlone: async () => {
--- a/packages/forwarding/src/requests/model/streamAttempt.ts
+++ b/packages/forwarding/src/requests/model/streamAttempt.ts
@@ -51,11 +51,11 @@
     readonly shardTargets: readonly PrefillShard[];
     readonly onFirstEvent: () => void;
     /** Whether the attempt may go on while its endpoint is silent and another attempt is made. */
-    readonly mayGoOnSilent: boolean;
+    readonly mayGoOnSilent: () => boolean;
     /** Called when a silent endpoint goes on. */
     readonly onGoesOn: () => void;
     /** Whether an attempt at a silent endpoint may still serve the stream if this one does not. */
-    readonly hasSilentAttempt: boolean;
+    readonly hasSilentAttempt: () => boolean;
     /** Receives the function that ends this attempt in favour of the one at the silent endpoint. */
     readonly onStarted: (abort: () => void) => void;
 }
