Define the number of crashes of a suspect once

Change: one exported constant. No behaviour.

Evidence: the tests of the quarantine's models, queries and turn queue pass.

--- a/packages/forwarding/src/quarantine/commands/createTurnQueue.ts
+++ b/packages/forwarding/src/quarantine/commands/createTurnQueue.ts
@@ -1,9 +1,8 @@
 import type { TrackedAttempt } from "../model/attemptTracker.js";
 import type { QuarantineState } from "../model/quarantineState.js";
 import type { TrackedRequest } from "../model/trackedRequest.js";
+import { SUSPECT_CRASHES } from "../queries/findCulprits.js";
 
-/** Crashes from which on a request runs once at a time, so that its copies do not end several endpoints at once. */
-const MIN_CRASHES = 2;
 /** Longest wait of a request for which enough crashes are known: the time to settle, and one more check after it. */
 const MAX_VERDICT_WAIT_MS = 900;
 
@@ -43,7 +42,7 @@
     const mustWait = (request: TrackedRequest, verdictAtMs: number): boolean => {
         const crashes = state.countCrashes(request);
         return crashes >= getProofCrashes() && performance.now() < verdictAtMs
-            || crashes >= MIN_CRASHES && hasCopy(request);
+            || crashes >= SUSPECT_CRASHES && hasCopy(request);
     };
     const wakeIf = (isSelected: (request: TrackedRequest) => boolean): void => {
         for (const [request, resolve] of [...waiting]) {
@@ -59,7 +58,7 @@
             while (mustWait(request, verdictAtMs)) {
                 await new Promise<void>(resolve => waiting.set(request, resolve));
             }
-            if (state.countCrashes(request) >= MIN_CRASHES) {
+            if (state.countCrashes(request) >= SUSPECT_CRASHES) {
                 admitted.add(request);
             }
         },
--- a/packages/forwarding/src/quarantine/queries/findCulprits.ts
+++ b/packages/forwarding/src/quarantine/queries/findCulprits.ts
@@ -68,8 +68,8 @@
 const REQUEST_SETTLE_MS = 600;
 /** Crashes needed beyond the usual number while another request was on each of the endpoints as well. */
 const EXTRA_SHARED_CRASHES = 1;
-/** Crashes from which on a suspect gets no second attempt. */
-const SUSPECT_CRASHES = 2;
+/** Crashes from which on a suspect gets no second attempt, and a request runs once at a time on each host. */
+export const SUSPECT_CRASHES = 2;
 
 const suspectRules: Readonly<Record<SuspectKind, SuspectRules>> = {
     part: {
--- a/packages/forwarding/src/requests/commands/checkCrash.ts
+++ b/packages/forwarding/src/requests/commands/checkCrash.ts
@@ -1,14 +1,12 @@
 import type { Endpoint } from "../../endpoints/model/endpointDirectory.js";
 import type { ForwardingContext } from "../../model/forwardingContext.js";
+import { SUSPECT_CRASHES } from "../../quarantine/queries/findCulprits.js";
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 
 /** Events from which on an endpoint has written an answer. One that crashes as it begins to write may still send the first. */
 export const ANSWER_EVENTS = 2;
 
-/** Crashes from which on a request gets no second attempt. */
-const SUSPECT_CRASHES = 2;
-
 /** An attempt that broke off before its endpoint had written a whole answer. */
 export interface BrokenAttemptReport {
     readonly endpoint: Endpoint;
