Let the silent endpoint of a test go on once the next attempt has begun

Change: the silent endpoint goes on when the other one has the request; the test demands the same text, outcome and number of attempts.

--- a/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
+++ b/packages/forwarding/tests/requests/commands/silentEndpoints.test.ts
@@ -253,17 +253,23 @@
         expect(await sendToSilent(silent, host => host.publish(other))).toMatchObject({ outcome: "outcome_unknown" });
         expect(performance.now() - startedAtMs).toBeLessThan(resumableRoute.timeoutMs - 1_000);
     });
-    // Guards against two endpoints that both write into one response.
+    // Guards against two endpoints that both write into one response. The silent one goes on once the next attempt has begun.
     it("takes the events of the endpoint that has the next one first", async () => {
-        const silent = await startSilentEndpoint(1, true);
-        const other = await startEndpoint("other", (prompt, socket) => {
+        let goOn = (): void => undefined;
+        const silent = await startEndpoint("silent", (prompt, socket) => {
             beginStream(socket, prompt);
-            setTimeout(() => {
+            writeChunk(socket, formatEvent(1));
+            goOn = () => {
                 [2, 3].forEach(id => writeChunk(socket, formatEvent(id)));
                 endStream(socket);
-            }, SOUND_SILENCE_MS);
+            };
         });
-        closers.push(other.close);
+        const other = await startEndpoint("other", (prompt, socket) => {
+            beginStream(socket, prompt);
+            goOn();
+            setTimeout(() => writeChunk(socket, formatEvent(2)), SOUND_SILENCE_MS);
+        });
+        closers.push(silent.close, other.close);
         expect(await sendToSilent(silent, host => host.publish(other)))
             .toEqual({ text: wholeText, outcome: "complete", attempts: 2 });
     });
