Log and measure a host that is behind its peers, and entries that are missing after an outage

The logs could not tell a fetch that does not end from announcements that do not arrive, nor an endpoint that is kept without its entry from one whose removal is unknown.

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -20,6 +20,8 @@
     readonly peers: Peers;
     readonly placePrompt: Coordination["placePrompt"];
     readonly permits: Permits;
+    /** Returns for how long peers have known of a change that this host does not have, in milliseconds by table. */
+    readonly getBehindMs: TableSynchronization["getBehindMs"];
     readonly close: () => Promise<void>;
 }
 
@@ -61,6 +63,7 @@
         peers,
         placePrompt: coordination.placePrompt,
         permits,
+        getBehindMs: synchronization.getBehindMs,
         close: async () => {
             peers.close();
             coordination.close();
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -22,7 +22,7 @@
 import { createRouteDurations } from "../requests/model/routeDurations.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
 import { createWarmup, type Warmup } from "../warmup/commands/createWarmup.js";
-import { connectFleet } from "./connectFleet.js";
+import { connectFleet, type FleetConnection } from "./connectFleet.js";
 import { createCallerBudget, resourceKinds } from "./createCallerBudget.js";
 import { drainForwarding } from "./drainForwarding.js";
 import { type ForwardingServers, serveForwarding } from "./serveForwarding.js";
@@ -126,7 +126,7 @@
     const fleet = await connectFleet(context, sharedTables, () => tables.isStoreUnavailable(), bindAddress);
     isConnected = true;
     const { peers } = fleet;
-    const upkeep = startUpkeep(context, options, source, peers);
+    const upkeep = startUpkeep(context, options, source, fleet);
     const tracked = { configuration, directory, evacuations, sharedTables };
     const tables = trackTables({ rows, source, log, peers, onRestored: upkeep.restoreWrites, ...tracked });
     log.info({ settings: settings.listen, failureDomain: settings.failure_domain }, "host: started");
@@ -182,7 +182,7 @@
     context: ForwardingContext,
     { settings, log, protocol, rows }: ForwardingOptions,
     source: TableSource,
-    { fleet }: Peers,
+    { peers: { fleet }, getBehindMs }: FleetConnection,
 ): Upkeep {
     const publication = publishHost({
         source,
@@ -198,7 +198,7 @@
         log,
         listMonitored: () => listMonitoredEndpoints(context, fleet.listLocalDomain(), settings.listen.peers),
     });
-    const gaugeTimer = setInterval(() => updateGauges(context, fleet.countHosts()), GAUGE_INTERVAL_MS);
+    const gaugeTimer = setInterval(() => updateGauges(context, fleet.countHosts(), getBehindMs()), GAUGE_INTERVAL_MS);
     const stopReport = startProcessReport({
         log,
         describeState: () => ({ inFlight: context.exchanges.size, waitingFor: describeMissing(context) }),
@@ -268,8 +268,13 @@
     };
 }
 
-function updateGauges(context: ForwardingContext, hostCount: number): void {
+function updateGauges(
+    context: ForwardingContext,
+    hostCount: number,
+    behindMs: Readonly<Record<string, number>>,
+): void {
     const all = context.directory.listAll();
+    Object.entries(behindMs).forEach(([table, ms]) => context.metrics.tableBehindSeconds.set({ table }, ms / 1_000));
     context.metrics.peers.set(hostCount - 1);
     resourceKinds.forEach(kind => context.metrics.callerBytes.set({ kind }, context.resourceBudget.getUsed(kind)));
     context.metrics.endpoints.set({ state: "silent" }, all.filter(endpoint => endpoint.health.isUnresponsive).length);
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -102,6 +102,7 @@
     const applyRow = (row: TableRow, afterOutage: boolean): void => {
         if (row.value === undefined) {
             if (afterOutage) {
+                log.info({ endpoint: row.key }, "endpoints: entry is missing after an outage");
                 expirations.schedule(row.key);
                 return;
             }
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -16,6 +16,7 @@
     readonly placementQueries: Counter<"outcome">;
     readonly permits: Counter<"outcome">;
     readonly tableFetches: Counter<"outcome">;
+    readonly tableBehindSeconds: Gauge<"table">;
     readonly crashReports: Counter<"state">;
     readonly isolatedParts: Gauge;
     readonly isolatedRequests: Gauge;
@@ -202,7 +203,10 @@
 /** Creates the metrics of the exchange with other hosts. */
 function createPeerMetrics(
     registers: Registry[],
-): Pick<ForwardingMetrics, "datagrams" | "placementQueries" | "permits" | "tableFetches" | "peers"> {
+): Pick<
+    ForwardingMetrics,
+    "datagrams" | "placementQueries" | "permits" | "tableFetches" | "tableBehindSeconds" | "peers"
+> {
     return {
         datagrams: new Counter({
             name: "currantrill_peer_datagrams_total",
@@ -228,6 +232,12 @@
             labelNames: ["outcome"],
             registers,
         }),
+        tableBehindSeconds: new Gauge({
+            name: "currantrill_table_behind_seconds",
+            help: "Time for which peers have known of a change of a table that this host does not have.",
+            labelNames: ["table"],
+            registers,
+        }),
         peers: new Gauge({ name: "currantrill_peers", help: "Hosts heard within the last seconds.", registers }),
     };
 }
