Reproduce a change that one host learns of seconds late

Hypothesis 2: the copy is asked from a host that has just lost power.

Ruled out: a silent feed at the host itself, a store that refuses it or answers with old reads: these cases hold within 1 s.

--- a/packages/http/tests/requestJson.test.ts
+++ b/packages/http/tests/requestJson.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { gzipSync } from "node:zlib";
+import { Pool } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import { requestJson } from "../src/index.js";
 
@@ -26,6 +27,8 @@
     }
 }
 
+const describeError = (error: unknown): string => (error as Error).name;
+
 describe("requestJson", () => {
     // Guards against a store or a peer that fills the memory of a host with a body that has no end.
     it.each([
@@ -43,6 +46,16 @@
         await expect(requestJson(url, { timeoutMs: 5_000, maxBodyBytes: 100_000 })).rejects.toThrow();
         expect(performance.now() - startedAtMs).toBeLessThan(4_000);
     });
+    // Guards against calls that last until a host without power is back: undici does not abort a request whose connection
+    // is still being set up.
+    it("ends at its time limit although no connection is established", async () => {
+        const dispatcher = new Pool("http://127.0.0.1:9", { connect: () => undefined });
+        const outcome = await Promise.race([
+            requestJson("http://127.0.0.1:9/", { timeoutMs: 100, dispatcher }).then(() => "response", describeError),
+            new Promise<string>(resolve => setTimeout(() => resolve("still waiting"), 5_000)),
+        ]);
+        expect(outcome).toBe("TimeoutError");
+    });
     it("reads compressed and other bodies", async () => {
         const plain = await startServer(response => void response.end("{\"a\":1}"));
         const compressed = await startServer(response => {
