End a JSON call at its time limit also while its connection is set up

Cause: undici's request notices its abort signal only once the request has a connection. To a host that has lost power a connection takes until the host is back, or 10 s. The time limit of 0.8 s of a copy, and each limit of requestJson, was void until then, and no other peer is asked while a copy is in progress. The class of fault: a time limit on a whole exchange that does not cover one of its phases.

Ruled out: a signal that is collected as garbage, responses that stop after their head or in their body, reused connections: 20 of 20 trials ended at 0.80 s before the change, too.

Change: requestJson rejects when the signal aborts, whatever undici does. All its users are covered: copies, calls to the store, orders and reports of the older interface.

--- a/packages/http/src/requestJson.ts
+++ b/packages/http/src/requestJson.ts
@@ -36,11 +36,24 @@
  */
 export async function requestJson(url: string, options: RequestJsonOptions = {}): Promise<JsonResponse> {
     const settings = { ...defaultOptions, ...options };
+    const signal = AbortSignal.timeout(settings.timeoutMs);
+    return await Promise.race([fetchJson(url, settings, signal), rejectOnAbort(signal)]);
+}
+
+/** undici notices the signal only once the request has a connection, which takes up to 10 s to an unreachable address. */
+const rejectOnAbort = (signal: AbortSignal): Promise<never> =>
+    new Promise((_resolve, reject) => {
+        signal.addEventListener("abort", () => reject(signal.reason as Error), { once: true });
+    });
+
+type RequestJsonSettings = RequestJsonOptions & Required<Pick<RequestJsonOptions, keyof typeof defaultOptions>>;
+
+async function fetchJson(url: string, settings: RequestJsonSettings, signal: AbortSignal): Promise<JsonResponse> {
     const response = await request(url, {
         method: settings.method,
         headers: { "content-type": "application/json", ...settings.headers },
         body: settings.body === undefined ? null : JSON.stringify(settings.body),
-        signal: AbortSignal.timeout(settings.timeoutMs),
+        signal,
         ...(settings.dispatcher === undefined ? {} : { dispatcher: settings.dispatcher }),
     });
     const body = await readBody(response.body, settings.maxBodyBytes);
