Ask another peer for a copy if the first one does not answer within 0.2 s

Cause: one fetch of a table at a time, from the peer whose announcement came first, and all other announcements were ignored until it had ended. The first announcer of a change is the host that an on-call drill or a crash hits right after it. A peer that announces and gives no copy was chosen again at each heartbeat.

Ruled out: longer or shorter time limits alone: two hanging peers in a row still add up to more than the platform's 2 s.

Change: the peers with a newer table are kept until the host has it. The wait for the store counts from the first announcement, and is 0.6 s instead of 0.8 s, so that it and one hanging peer fit into 1 s.

Conclusion: a copying host needs two failures of peers within 0.4 s of each other before it is later than 1 s.

--- a/packages/forwarding/src/peers/commands/createTableFetcher.ts
+++ b/packages/forwarding/src/peers/commands/createTableFetcher.ts
@@ -4,14 +4,20 @@
 import type { TableChanges } from "../../ports/tableSource.js";
 import type { SharedTable } from "../../replicas/model/sharedTable.js";
 import type { TableReplica } from "../../replicas/model/tableReplica.js";
+import { createCopySources } from "../model/copySources.js";
 import type { TableCopy } from "../model/tableCopy.js";
 import { createTableLags, type TableLags } from "../model/tableLags.js";
 
 /**
  * Time in which a host that follows the store receives a change from it, including the pause after an earlier change.
  */
-const STORE_GRACE_MS = 800;
+const STORE_GRACE_MS = 600;
 const FETCH_TIMEOUT_MS = 800;
+/**
+ * A copy takes a few milliseconds, or some tens for a large configuration. After this time another peer is asked as well:
+ * the host that announces a change first may be the one that has failed since.
+ */
+const NEXT_PEER_DELAY_MS = 200;
 
 /**
  * Hosts that copy from peers fetch within this time after an announcement, so that not all query the same peer at once.
@@ -28,6 +34,7 @@
 }
 
 export interface TableFetcherOptions {
+    /** Tables by name. More of them may be added while the host starts. */
     readonly tables: ReadonlyMap<string, SharedTable>;
     readonly log: Logger;
     /** Called with the outcome of each fetch, for metrics. */
@@ -42,54 +49,93 @@
 } satisfies Partial<TableFetcherOptions>;
 
 export function createTableFetcher({ tables, log, ...options }: TableFetcherOptions): TableFetcher {
-    const onFetch = options.onFetch ?? defaultOptions.onFetch;
-    const request = options.request ?? defaultOptions.request;
     const lags = createTableLags(tables, log);
-    const fetching = new Set<string>();
-    const fetchedAtMs = new Map<string, number>();
-    const fetch = async (name: string, table: SharedTable, peer: string): Promise<void> => {
-        fetchedAtMs.set(name, performance.now());
+    const fetchesByName = new Map<string, Fetches>();
+    const getFetches = (name: string, table: SharedTable): Fetches => {
+        const fetches = fetchesByName.get(name) ?? createFetches({ name, table, log, ...options });
+        fetchesByName.set(name, fetches);
+        return fetches;
+    };
+    return {
+        synchronizeWith: (peer, lastChangeVersions) => {
+            for (const [name, table] of tables) {
+                const fetches = getFetches(name, table);
+                const version = lastChangeVersions[name] ?? -1;
+                lags.record(name, { peer, version, isFetching: fetches.isFetching() });
+                fetches.recordAnnouncement(peer, version);
+            }
+        },
+        getBehindMs: lags.getBehindMs,
+    };
+}
+
+/** Fetches of one table. */
+interface Fetches {
+    readonly isFetching: () => boolean;
+    /** Schedules a fetch if the peer has a newer version. */
+    readonly recordAnnouncement: (peer: string, version: number) => void;
+}
+
+type FetchesOptions = Omit<TableFetcherOptions, "tables"> & { readonly name: string; readonly table: SharedTable; };
+
+function createFetches(options: FetchesOptions): Fetches {
+    const { name, table, log, onFetch = defaultOptions.onFetch, request = defaultOptions.request } = options;
+    const sources = createCopySources();
+    let timer: NodeJS.Timeout | undefined;
+    let startedAtMs = -Infinity;
+    /** Time since which a peer is known to be ahead; `undefined` if none is. */
+    let behindSinceMs: number | undefined;
+    const fetch = async (peer: string): Promise<void> => {
+        startedAtMs = performance.now();
+        let isCopied = false;
         try {
-            const after = table.getReplica().version;
-            const url = `http://${peer}/tables/${name}?after=${after}`;
+            const url = `http://${peer}/tables/${name}?after=${table.getReplica().version}`;
             const reply = await request(url, { timeoutMs: FETCH_TIMEOUT_MS });
             const copy = reply.body as TableCopy | undefined;
-            if (reply.status === 200 && Array.isArray(copy?.rows)) {
+            isCopied = reply.status === 200 && Array.isArray(copy?.rows);
+            if (copy !== undefined && isCopied) {
                 table.adoptFromPeer(toChanges(copy, table.getReplica()), copy.isAfterOutage);
             }
-            onFetch(reply.status === 200 ? "copied" : "refused");
+            onFetch(isCopied ? "copied" : "refused");
         }
         catch (error) {
             onFetch("failed");
             log.warn({ err: error, peer, table: name }, "peers: could not fetch a table");
         }
-        finally {
-            fetching.delete(name);
+        sources.recordEnd(peer, isCopied);
+        scheduleNext();
+    };
+    const computeDelayMs = (nowMs: number): number => {
+        if (sources.countInProgress() > 0) {
+            return startedAtMs + NEXT_PEER_DELAY_MS - nowMs;
+        }
+        return table.isFollowing()
+            ? (behindSinceMs ?? nowMs) + STORE_GRACE_MS - nowMs
+            : Math.max(startedAtMs + FETCH_INTERVAL_MS - nowMs, Math.random() * FETCH_JITTER_MS);
+    };
+    const scheduleNext = (): void => {
+        const nowMs = performance.now();
+        const isBehind = sources.hasNewer(table.getReplica().version);
+        behindSinceMs = isBehind ? behindSinceMs ?? nowMs : undefined;
+        if (isBehind && timer === undefined && sources.choose() !== undefined) {
+            timer = setTimeout(fetchNext, Math.max(0, computeDelayMs(nowMs)));
+        }
+    };
+    const fetchNext = (): void => {
+        timer = undefined;
+        const peer = sources.hasNewer(table.getReplica().version) ? sources.choose() : undefined;
+        if (peer !== undefined) {
+            sources.recordStart(peer);
+            void fetch(peer);
         }
+        scheduleNext();
     };
     return {
-        synchronizeWith: (peer, lastChangeVersions) => {
-            for (const [name, table] of tables) {
-                const peerVersion = lastChangeVersions[name] ?? -1;
-                lags.record(name, { peer, version: peerVersion, isFetching: fetching.has(name) });
-                if (peerVersion <= table.getReplica().version || fetching.has(name)) {
-                    continue;
-                }
-                fetching.add(name);
-                const sinceFetchMs = performance.now() - (fetchedAtMs.get(name) ?? -Infinity);
-                const waitMs = table.isFollowing()
-                    ? STORE_GRACE_MS
-                    : Math.max(FETCH_INTERVAL_MS - sinceFetchMs, Math.random() * FETCH_JITTER_MS);
-                setTimeout(() => {
-                    if (peerVersion <= table.getReplica().version) {
-                        fetching.delete(name);
-                        return;
-                    }
-                    void fetch(name, table, peer);
-                }, waitMs);
-            }
+        isFetching: () => sources.countInProgress() > 0,
+        recordAnnouncement: (peer, version) => {
+            sources.recordAnnouncement(peer, version);
+            scheduleNext();
         },
-        getBehindMs: lags.getBehindMs,
     };
 }
 
