Take only rows that were removed before the end of an outage for expired ones

Cause: after an outage of the store, an entry that is missing may only have expired, so that its endpoint is used while it responds, up to 6 s. Copies between hosts carried a mark 'after an outage' for 2.3 s from the sender's own first response, renewed by each copy, and the receiver took every removal in a marked copy for an expiry, also one that was made seconds after the outage. A host that reached the store later than its peers did the same with all removals up to its own first response. The class of fault: a state that is timed from the moment at which each host hears of it, instead of from the position at which it changed.

Ruled out: followers that have had their first response: they judge by that response alone.

Change: a recovery is the position of the store's first response after the outage, known to peers with the time that is left. A removal counts as an expiry only if the replica was before that position. A later host takes over the position of a peer that was earlier.

Conclusion: a removal between the end of the outage and a host's first response or copy is still ambiguous.

--- a/packages/forwarding/src/configuration/commands/shareActiveConfiguration.ts
+++ b/packages/forwarding/src/configuration/commands/shareActiveConfiguration.ts
@@ -17,7 +17,7 @@
             ? empty
             : { ...empty, rows: new Map([[row.key, row]]), version: row.version, lastChangeVersion: row.version };
     },
-    isAfterOutage: () => false,
+    getRecovery: () => undefined,
     // Normally the store, or a copy of its table, has brought the version by the end of the wait that this causes.
     isFollowing: () => true,
     adoptFromPeer: ({ rows }) => configuration.applyRows(rows),
--- a/packages/forwarding/src/evacuation/commands/shareRetainedEvacuations.ts
+++ b/packages/forwarding/src/evacuation/commands/shareRetainedEvacuations.ts
@@ -33,7 +33,7 @@
                 lastChangeVersion: Math.max(-1, ...rows.map(row => row.version)),
             };
         },
-        isAfterOutage: () => false,
+        getRecovery: () => undefined,
         // The store does not have these rows, so that there is nothing to wait for.
         isFollowing: () => false,
         adoptFromPeer: copy => {
--- a/packages/forwarding/src/peers/commands/createTableFetcher.ts
+++ b/packages/forwarding/src/peers/commands/createTableFetcher.ts
@@ -5,7 +5,7 @@
 import type { SharedTable } from "../../replicas/model/sharedTable.js";
 import type { TableReplica } from "../../replicas/model/tableReplica.js";
 import { createCopySources } from "../model/copySources.js";
-import type { TableCopy } from "../model/tableCopy.js";
+import { getCopyRecovery, type TableCopy } from "../model/tableCopy.js";
 import { createTableLags, type TableLags } from "../model/tableLags.js";
 
 /**
@@ -94,7 +94,7 @@
             const copy = reply.body as TableCopy | undefined;
             isCopied = reply.status === 200 && Array.isArray(copy?.rows);
             if (copy !== undefined && isCopied) {
-                table.adoptFromPeer(toChanges(copy, table.getReplica()), copy.isAfterOutage);
+                table.adoptFromPeer(toChanges(copy, table.getReplica()), getCopyRecovery(copy));
             }
             onFetch(isCopied ? "copied" : "refused");
         }
--- a/packages/forwarding/src/peers/commands/serveTableCopies.ts
+++ b/packages/forwarding/src/peers/commands/serveTableCopies.ts
@@ -52,7 +52,7 @@
 function createCompressedExport(): (table: SharedTable, after: number) => Buffer {
     const last = new Map<SharedTable, { readonly key: string; readonly data: Buffer; readonly untilMs: number; }>();
     return (table, after) => {
-        const key = `${after} ${table.getReplica().version} ${table.isAfterOutage()}`;
+        const key = `${after} ${table.getReplica().version} ${table.getRecovery()?.version}`;
         const known = last.get(table);
         const nowMs = performance.now();
         if (known?.key === key && nowMs < known.untilMs) {
--- a/packages/forwarding/src/replicas/model/sharedTable.ts
+++ b/packages/forwarding/src/replicas/model/sharedTable.ts
@@ -1,14 +1,15 @@
 import type { TableChanges } from "../../ports/tableSource.js";
+import type { Recovery } from "./recoveryTracker.js";
 import type { TableReplica } from "./tableReplica.js";
 
 /** A table that hosts copy from each other. */
 export interface SharedTable {
     /** Returns the current replica. */
     readonly getReplica: () => TableReplica;
-    /** Returns whether rows that expired during an outage of the store may still be written again. */
-    readonly isAfterOutage: () => boolean;
+    /** Returns the end of an outage of the store while rows that expired during it may still be written again. */
+    readonly getRecovery: () => Recovery | undefined;
     /** Returns whether this host receives changes from the store; otherwise it needs peers' copies. */
     readonly isFollowing: () => boolean;
-    /** Adopts a peer's copy if it is newer. `afterOutage` is the peer's `isAfterOutage`. */
-    readonly adoptFromPeer: (snapshot: TableChanges, afterOutage: boolean) => void;
+    /** Adopts a peer's copy if it is newer. `recovery` is that of the peer. */
+    readonly adoptFromPeer: (snapshot: TableChanges, recovery: Recovery | undefined) => void;
 }
--- a/packages/forwarding/tests/evacuation/model/evacuationRegistry.test.ts
+++ b/packages/forwarding/tests/evacuation/model/evacuationRegistry.test.ts
@@ -184,7 +184,7 @@
     ) => {
         const [source, target] = tables.map(table => table.getReplica());
         if (source!.lastChangeVersion > target!.version) {
-            tables[1]!.adoptFromPeer({ version: source!.version, rows: [...source!.rows.values()] }, false);
+            tables[1]!.adoptFromPeer({ version: source!.version, rows: [...source!.rows.values()] }, undefined);
         }
     };
     // Guards against a host that starts after the loss and sends to a domain that all others spare.
@@ -260,7 +260,7 @@
             version: index,
             value: Buffer.from(value),
         }));
-        table.adoptFromPeer({ version: 2, rows }, false);
+        table.adoptFromPeer({ version: 2, rows }, undefined);
         expect(listDomains()).toBe("c");
         act(`wait ${RETENTION_MS + 1}`);
         expect(listDomains()).toBe("");
--- a/packages/forwarding/tests/peers/commands/synchronizeTables.test.ts
+++ b/packages/forwarding/tests/peers/commands/synchronizeTables.test.ts
@@ -19,7 +19,7 @@
     return {
         adopted,
         getReplica: () => replica,
-        isAfterOutage: () => false,
+        getRecovery: () => undefined,
         isStoreUnavailable: () => false,
         isFollowing: () => readsFromStore,
         adoptFromPeer: copy => {
--- a/packages/forwarding/tests/peers/model/tableLags.test.ts
+++ b/packages/forwarding/tests/peers/model/tableLags.test.ts
@@ -12,7 +12,7 @@
         let version = 5;
         const table: SharedTable = {
             getReplica: () => ({ ...createTableReplica("t"), version }),
-            isAfterOutage: () => false,
+            getRecovery: () => undefined,
             isFollowing: () => false,
             adoptFromPeer: () => undefined,
         };
--- a/packages/forwarding/tests/replicas/commands/trackTable.test.ts
+++ b/packages/forwarding/tests/replicas/commands/trackTable.test.ts
@@ -114,7 +114,7 @@
         await vi.waitFor(() => expect(waits).toHaveLength(3));
         expect(waits).toEqual([2_500, 0, 2_500]);
         expect(changes.at(-1)).toEqual({ keys: ["a"], afterOutage: true });
-        expect(table.isAfterOutage()).toBe(true);
+        expect(table.getRecovery()?.version).toBe(7);
     });
     // Guards against a replica that goes back to an older version, because a peer's copy arrived during an older read.
     it("ignores a read that is older than a peer's copy", async () => {
@@ -141,7 +141,7 @@
             onChange: changed => changes.push(changed.map(row => `${row.key}@${row.version}`)),
         });
         running = table;
-        table.adoptFromPeer({ version: 9, rows: [put("b", 9)] }, false);
+        table.adoptFromPeer({ version: 9, rows: [put("b", 9)] }, undefined);
         finishRead({ version: 5, rows: [put("a", 2)] });
         await new Promise(resolve => setTimeout(resolve, 20));
         expect(table.getReplica().version).toBe(9);
@@ -153,9 +153,10 @@
     it.each([true, false])("adopts a peer's copy with the peer's outage state: %s", async afterOutage => {
         const { changes, table, waits } = startTracking([{ version: 5, rows: [put("a", 2)] }], ["failed"]);
         await vi.waitFor(() => expect(waits).toHaveLength(2));
-        table.adoptFromPeer({ version: 4, rows: [] }, afterOutage);
+        const recovery = afterOutage ? { version: 8, remainingMs: 1_000 } : undefined;
+        table.adoptFromPeer({ version: 4, rows: [] }, recovery);
         expect(changes).toHaveLength(1);
-        table.adoptFromPeer({ version: 8, rows: [] }, afterOutage);
+        table.adoptFromPeer({ version: 8, rows: [] }, recovery);
         expect(changes.at(-1)).toEqual({ keys: ["a"], afterOutage });
     });
     // Guards against calls from every host of a large fleet at its start, and for each change.
@@ -163,7 +164,7 @@
         const { changes, waits, table, reads } = startTracking([{ version: 5, rows: [put("a", 2)] }], [], {
             shouldFollow: () => false,
         });
-        table.adoptFromPeer({ version: 5, rows: [put("a", 2)] }, false);
+        table.adoptFromPeer({ version: 5, rows: [put("a", 2)] }, undefined);
         await new Promise(resolve => setTimeout(resolve, 250));
         expect(table.isFollowing()).toBe(false);
         expect(changes).toHaveLength(1);
@@ -204,7 +205,7 @@
         const { waits, table } = startTracking([{ version: 5, rows: [put("a", 2)] }], [], {
             shouldFollow: () => isFollower,
         });
-        table.adoptFromPeer({ version: 5, rows: [put("a", 2)] }, false);
+        table.adoptFromPeer({ version: 5, rows: [put("a", 2)] }, undefined);
         isFollower = true;
         await vi.waitFor(() => expect(waits).toEqual([2_500]));
         expect(table.isFollowing()).toBe(true);
