--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -5,8 +5,13 @@
 import type Logger from "bunyan";
 import { setImmediate } from "node:timers/promises";
 import { createConfigurationManager } from "../configuration/model/configurationManager.js";
+import { connectSocket, type SocketConnector } from "../endpoints/commands/connectSocket.js";
 import { startProbing } from "../endpoints/commands/startProbing.js";
-import { createEndpointDirectory } from "../endpoints/model/endpointDirectory.js";
+import {
+    createEndpointDirectory,
+    type EndpointDirectory,
+    type EndpointDirectoryOptions,
+} from "../endpoints/model/endpointDirectory.js";
 import { createEndpointObservationTable } from "../endpoints/model/endpointObservation.js";
 import { listMonitoredEndpoints } from "../endpoints/queries/listMonitoredEndpoints.js";
 import { createEvacuationRegistry, type EvacuationRegistry } from "../evacuation/model/evacuationRegistry.js";
@@ -50,6 +55,8 @@
     readonly rows: PlatformRows;
     /** Creates the access to the platform's store. */
     readonly createSource: CreateTableSource;
+    /** Connects to endpoints directly. Tests replace it. */
+    readonly connect?: SocketConnector;
 }
 
 export interface RunningForwarding {
@@ -81,11 +88,8 @@
     const sharedTables = new Map<string, SharedTable>();
     const registry = createAssignmentRegistry(change => peers.announce(change));
     const evacuations = startEvacuations(options, metrics, () => context.warmup);
-    const directory = createEndpointDirectory({
-        hostFailureDomain: toFailureDomainId(settings.failure_domain),
-        rows,
+    const directory = createHostDirectory(options, {
         isEvacuated: evacuations.isEvacuated,
-        log,
         onConnect: () => metrics.connections.inc(),
         onNotice: source => peers.announceNotice(source),
         getColdPolicy: service => configuration.get()?.services.get(service)?.cold,
@@ -218,6 +222,18 @@
     };
 }
 
+const createHostDirectory = (
+    { settings, log, rows, connect = connectSocket }: ForwardingOptions,
+    more: Omit<EndpointDirectoryOptions, "hostFailureDomain" | "log" | "rows" | "connect">,
+): EndpointDirectory =>
+    createEndpointDirectory({
+        hostFailureDomain: toFailureDomainId(settings.failure_domain),
+        log,
+        rows,
+        connect,
+        ...more,
+    });
+
 const startEvacuations = (
     { log, rows }: ForwardingOptions,
     metrics: ForwardingMetrics,
--- a/packages/forwarding/src/endpoints/model/connectionPool.ts
+++ b/packages/forwarding/src/endpoints/model/connectionPool.ts
@@ -1,18 +1,12 @@
 /** Pool of HTTP/1.1 connections to one endpoint. Each connection carries one request at a time, without pipelining. */
 import type { Socket } from "node:net";
-import { buildConnector, Client } from "undici";
+import { Client } from "undici";
+import { connectSocket, type SocketConnector } from "../commands/connectSocket.js";
 
-/**
- * Endpoints accept a connection within a few milliseconds. A full accept queue drops the first packet, which has to be
- * retransmitted.
- */
-const CONNECT_TIMEOUT_MS = 500;
 /** Idle time after which a connection is closed if the endpoint does not announce a keep-alive timeout. */
 const IDLE_TIMEOUT_MS = 4_000;
 /** Idle connections are closed this long before the keep-alive timeout that the endpoint announced. */
 const IDLE_MARGIN_MS = 1_000;
-/** Time without data after which the operating system sends TCP keep-alive probes. */
-const KEEP_ALIVE_DELAY_MS = 1_000;
 /** Limit on the header lines, or the trailer lines, of a response. Responses of endpoints have a few hundred bytes. */
 export const MAX_HEAD_BYTES = 32_768;
 
@@ -47,8 +41,20 @@
     close(): void;
 }
 
-/** Creates a pool for `address`, an IP address and port. `onConnect` is called for each established connection. */
-export function createConnectionPool(address: string, onConnect: () => void): ConnectionPool {
+export interface ConnectionPoolOptions {
+    /** Called for each established connection. */
+    readonly onConnect?: () => void;
+    readonly connect?: SocketConnector;
+}
+
+const defaultOptions = {
+    onConnect: () => undefined,
+    connect: connectSocket,
+} satisfies ConnectionPoolOptions;
+
+/** Creates a pool for `address`, an IP address and port. */
+export function createConnectionPool(address: string, options: ConnectionPoolOptions = {}): ConnectionPool {
+    const { onConnect, connect } = { ...defaultOptions, ...options };
     let idle: Connection[] = [];
     let isClosed = false;
     const discard = (connection: Connection): void => {
@@ -57,13 +63,6 @@
         void connection.client.destroy();
     };
     const openConnection = (): Connection => {
-        const connector = buildConnector({
-            timeout: CONNECT_TIMEOUT_MS,
-            keepAlive: true,
-            keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
-            // Keeps the socket writable after the peer has ended its side, which `detectReset` needs.
-            allowHalfOpen: true,
-        });
         const connection: Connection = {
             socket: undefined,
             hasSocketError: false,
@@ -78,21 +77,14 @@
                 headersTimeout: 0,
                 bodyTimeout: 0,
                 maxHeaderSize: MAX_HEAD_BYTES,
-                connect: (options, callback) =>
-                    connector(options, (...result) => {
-                        const [error, socket] = result;
-                        if (error === null) {
-                            connection.socket = socket;
-                            // Prepended, because the client's own listener may treat a reset as the end of a body.
-                            socket.prependListener("error", () => {
-                                connection.hasSocketError = true;
-                            });
-                            // Also before the client's own listener, which fails if the response is still paused.
-                            socket.on("end", () => connection.onEnd?.());
-                            socket.on("readable", () => connection.onBytesReceived?.(socket.bytesRead));
-                        }
-                        callback(...result);
-                    }),
+                connect: (_options, callback) =>
+                    void connect(address).connected.then(
+                        socket => {
+                            watchSocket(connection, socket);
+                            callback(null, socket);
+                        },
+                        (error: unknown) => callback(error as Error, null),
+                    ),
             }),
         };
         connection.client.on("connect", onConnect);
@@ -122,6 +114,17 @@
     };
 }
 
+function watchSocket(connection: Connection, socket: Socket): void {
+    connection.socket = socket;
+    // Prepended, because the client's own listener may treat a reset as the end of a body.
+    socket.prependListener("error", () => {
+        connection.hasSocketError = true;
+    });
+    // Also before the client's own listener, which fails if the response is still paused.
+    socket.on("end", () => connection.onEnd?.());
+    socket.on("readable", () => connection.onBytesReceived?.(socket.bytesRead));
+}
+
 /**
  * Detects whether a connection that has ended was reset. Node.js reports a reset that arrives together with data as an
  * ordinary end, but a subsequent write fails. The write is an empty line, which HTTP servers ignore before a request.
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -7,6 +7,7 @@
 import type { TableRow } from "../../ports/tableSource.js";
 import { createEndpointWarmth, type EndpointWarmth } from "../../warmup/model/endpointWarmth.js";
 import { createWarmupLog, type WarmupLog } from "../../warmup/model/warmupLog.js";
+import { connectSocket, type SocketConnector } from "../commands/connectSocket.js";
 import { type ConnectionPool, createConnectionPool } from "./connectionPool.js";
 import { createEndpointHealth, type EndpointHealth } from "./endpointHealth.js";
 import { createExpirations } from "./expirations.js";
@@ -51,6 +52,8 @@
     readonly log: Logger;
     /** Called for each connection established to an endpoint. */
     readonly onConnect: () => void;
+    /** Connects to endpoints; directly by default. */
+    readonly connect?: SocketConnector;
     /** Called when a notice of an endpoint changes. */
     readonly onNotice: (source: NoticeSource) => void;
     /** Returns how cold endpoints of a service are treated; without it none is cold. */
@@ -149,7 +152,7 @@
 
 /** Creates the endpoint of an entry. If its process was known before, what it has said still holds. */
 function createEndpoint(
-    { log, onConnect, onNotice, getColdPolicy }: EndpointDirectoryOptions,
+    { log, onConnect, connect = connectSocket, onNotice, getColdPolicy }: EndpointDirectoryOptions,
     entry: EndpointEntry,
     former: FormerEndpoint | undefined,
     { hasJustStarted, warmupLog }: NewProcess,
@@ -157,7 +160,7 @@
     const nowMs = performance.now();
     return {
         entry: { ...entry, isDraining: former?.entry.isDraining === true || entry.isDraining },
-        pool: createConnectionPool(entry.address, onConnect),
+        pool: createConnectionPool(entry.address, { onConnect, connect }),
         bias: Math.random(),
         health: createEndpointHealth(nowMs),
         notices: former?.notices ?? createEndpointNotices({ endpointId: entry.id, log, onChange: onNotice }),
--- a/packages/forwarding/tests/endpoints/commands/requestEndpoint.test.ts
+++ b/packages/forwarding/tests/endpoints/commands/requestEndpoint.test.ts
@@ -8,7 +8,7 @@
 
 async function createPool(script: EndpointScript): Promise<ReturnType<typeof createConnectionPool>> {
     const endpoint = await startEndpoint("e0", script);
-    const pool = createConnectionPool(endpoint.address, () => undefined);
+    const pool = createConnectionPool(endpoint.address);
     closers.push(() => pool.close(), endpoint.close);
     return pool;
 }
--- a/packages/forwarding/tests/endpoints/commands/sendAttempt.test.ts
+++ b/packages/forwarding/tests/endpoints/commands/sendAttempt.test.ts
@@ -10,7 +10,7 @@
     // Guards against a request that a process sends after a pause, although its time or its permission has run out.
     it("sends nothing if the request may no longer be sent once the connection is established", async () => {
         const endpoint = await startEndpoint("e0", (received, socket) => writeAnswer(socket, received, 200, "whole"));
-        const pool = createConnectionPool(endpoint.address, () => undefined);
+        const pool = createConnectionPool(endpoint.address);
         closers.push(() => pool.close(), endpoint.close);
         let wasSent = false;
         const failure = await new Promise<AttemptFailure>(resolve =>
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo } from "node:net";
 import { type RunningForwarding, startForwarding } from "../src/commands/startForwarding.js";
 import type { EndpointEntry, Route, ServingConfiguration } from "../src/configuration/model/servingConfiguration.js";
+import type { SocketConnector } from "../src/endpoints/commands/connectSocket.js";
 import type {
     DecodedEvacuation,
     EndpointProtocol,
@@ -295,6 +296,8 @@
     readonly quarantine?: Partial<ForwardingSettings["quarantine"]>;
     /** File descriptors that the host may use. */
     readonly fileDescriptors?: number;
+    /** Connects to endpoints directly. */
+    readonly connect?: SocketConnector;
     /** Peer port, which must be the same for hosts that are to discover each other. */
     readonly peerPort?: number;
 }
@@ -396,6 +399,7 @@
             decodeEvacuation: decodeTestEvacuation,
         },
         createSource: () => store,
+        ...(options.connect === undefined ? {} : { connect: options.connect }),
     });
     await waitUntil(() => store.isDown || host.context.directory.listAll().length >= endpoints.length);
     await waitUntil(() => store.isDown || host.context.getConfiguration() !== undefined);
