Connect to endpoints through a peer while the host's own paths are lost

Cause: a host has one way to an endpoint. Without it, it takes each endpoint for unresponsive, and each request waits for connections that hang or are refused. The class of fault: the loss of the own path is booked to the other end.

Ruled out: observations that mislead the peers.

The HTTP server can hand over the connection of a CONNECT request. detectReset takes a socket.

--- a/packages/forwarding/src/commands/connectFleet.ts
+++ b/packages/forwarding/src/commands/connectFleet.ts
@@ -41,6 +41,7 @@
             startTableSynchronization(address, sharedTables, log, {
                 onFetch: outcome => metrics.tableFetches.inc({ outcome }),
                 ...createServerGuard(context, "peers"),
+                handleTunnel: context.links.relays.handleTunnel,
             }),
     );
     const socket = await bindAddress(
@@ -88,8 +89,11 @@
 function startHostPeers(options: HostPeersOptions): Peers {
     const { context, synchronization } = options;
     const { settings, directory, assignmentRegistry: registry, log, peerObservations: observations } = context;
+    // What a host without paths of its own observes says nothing about the endpoints.
     const getObservations = (): readonly EndpointObservation[] =>
-        listEndpointObservations(directory, context.evacuations.isEvacuated, performance.now());
+        context.links.isStranded()
+            ? []
+            : listEndpointObservations(directory, context.evacuations.isEvacuated, performance.now());
     const mergeEvidence = ({ evidence }: PeerHeader): void => {
         if (evidence !== undefined) {
             context.quarantine.merge(evidence, performance.now());
--- a/packages/forwarding/src/commands/startForwarding.ts
+++ b/packages/forwarding/src/commands/startForwarding.ts
@@ -3,8 +3,9 @@
 import { readClocks, toFailureDomainId } from "@currantrill/protocol";
 import type { ForwardingSettings } from "@currantrill/settings";
 import type Logger from "bunyan";
-import { setImmediate } from "node:timers/promises";
+import { setImmediate, setTimeout as sleep } from "node:timers/promises";
 import { createConfigurationManager } from "../configuration/model/configurationManager.js";
+import type { ServingConfiguration } from "../configuration/model/servingConfiguration.js";
 import { connectSocket, type SocketConnector } from "../endpoints/commands/connectSocket.js";
 import { startProbing } from "../endpoints/commands/startProbing.js";
 import {
@@ -23,6 +24,7 @@
 import type { CallerProtocol, CreateTableSource, EndpointProtocol, PlatformRows, TableSource } from "../ports/index.js";
 import { type Quarantine, type QuarantineOptions, startQuarantine } from "../quarantine/commands/startQuarantine.js";
 import { describeMissing } from "../queries/describeMissing.js";
+import { createEndpointLinks, type EndpointLinks } from "../relays/commands/createEndpointLinks.js";
 import type { SharedTable } from "../replicas/model/sharedTable.js";
 import { createRouteDurations } from "../requests/model/routeDurations.js";
 import { createSharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
@@ -43,6 +45,8 @@
  */
 const ADDRESS_TIMEOUT_MS = 10_000;
 const GAUGE_INTERVAL_MS = 1_000;
+/** Interval at which a stopping host checks whether peers still use connections that it relays. */
+const RELAY_POLL_MS = 20;
 const BYTES_PER_MB = 1_048_576;
 
 /** Settings of a host, and the platform's protocols, rows and store. */
@@ -78,17 +82,15 @@
     const configuration = createConfigurationManager({
         rows,
         log,
-        onChange: index => {
-            metrics.configurationVersion.set(index.configuration.version);
-            servers.applyLimits(index.configuration.limits);
-            context.warmup.reportInvalid(index.configuration);
-        },
+        onChange: index => applyConfiguration(context, servers, index.configuration),
     });
     let isConnected = false;
     const sharedTables = new Map<string, SharedTable>();
     const registry = createAssignmentRegistry(change => peers.announce(change));
     const evacuations = startEvacuations(options, metrics, () => context.warmup);
-    const directory = createHostDirectory(options, {
+    const listServing = (): readonly string[] => isConnected ? peers.fleet.listServing() : [];
+    const links = createHostLinks(options, metrics, listServing, () => context);
+    const directory = createHostDirectory(options, links, {
         isEvacuated: evacuations.isEvacuated,
         onConnect: () => metrics.connections.inc(),
         onNotice: source => peers.announceNotice(source),
@@ -108,6 +110,7 @@
         callers: options.callers,
         protocol: options.protocol,
         directory,
+        links,
         evacuations,
         warmup: createWarmup({ log, listEndpoints: directory.listAll }),
         assignmentRegistry: registry,
@@ -138,7 +141,7 @@
     const stop = async (delayMs: number): Promise<void> => {
         await drainAmongPeers(context, servers, peers, delayMs);
         [tables, upkeep].forEach(each => each.stop());
-        [quarantine, directory, evacuations].forEach(each => each.close());
+        closeParts(context);
         await fleet.close();
         log.info("host: stopped");
     };
@@ -149,6 +152,19 @@
     };
 }
 
+function applyConfiguration(
+    { metrics, warmup }: ForwardingContext,
+    servers: ForwardingServers,
+    configuration: ServingConfiguration,
+): void {
+    metrics.configurationVersion.set(configuration.version);
+    servers.applyLimits(configuration.limits);
+    warmup.reportInvalid(configuration);
+}
+
+const closeParts = ({ quarantine, directory, evacuations, links }: ForwardingContext): void =>
+    [quarantine, directory, evacuations, links].forEach(each => each.close());
+
 /** Drains the host, and announces the drain and its end to peers. */
 async function drainAmongPeers(
     context: ForwardingContext,
@@ -158,6 +174,7 @@
 ): Promise<void> {
     peers.announceLeaving();
     await drainForwarding(context, servers, delayMs);
+    await waitForRelays(context);
     // Requests that were stopped at the end release their work in this turn.
     await setImmediate();
     // Without this message, peers count the work until this host has been silent for some time.
@@ -165,6 +182,14 @@
     await setImmediate();
 }
 
+/** Waits until peers have closed the connections that this host relays, at most until the requests in flight would end. */
+async function waitForRelays({ links, shutdown }: ForwardingContext): Promise<void> {
+    const endsAtMs = shutdown?.stopsAtMs ?? 0;
+    while (links.relays.countOpen() > 0 && performance.now() < endsAtMs) {
+        await sleep(RELAY_POLL_MS);
+    }
+}
+
 /** Returns whether a table has been read, from the store or from a peer. */
 const hasBeenRead = (sharedTables: ReadonlyMap<string, SharedTable>, table: string): boolean =>
     (sharedTables.get(table)?.getReplica().version ?? -1) >= 0;
@@ -222,15 +247,32 @@
     };
 }
 
+const createHostLinks = (
+    { log, connect = connectSocket }: ForwardingOptions,
+    metrics: ForwardingMetrics,
+    listServing: () => readonly string[],
+    getContext: () => ForwardingContext,
+): EndpointLinks =>
+    createEndpointLinks({
+        log,
+        metrics,
+        connectDirect: connect,
+        listServing,
+        getDirectory: () => getContext().directory,
+        isStopping: () => getContext().shutdown !== undefined,
+    });
+
 const createHostDirectory = (
-    { settings, log, rows, connect = connectSocket }: ForwardingOptions,
-    more: Omit<EndpointDirectoryOptions, "hostFailureDomain" | "log" | "rows" | "connect">,
+    { settings, log, rows }: ForwardingOptions,
+    { connect, isReusable }: EndpointLinks,
+    more: Omit<EndpointDirectoryOptions, "hostFailureDomain" | "log" | "rows" | "connect" | "isReusable">,
 ): EndpointDirectory =>
     createEndpointDirectory({
         hostFailureDomain: toFailureDomainId(settings.failure_domain),
         log,
         rows,
         connect,
+        isReusable,
         ...more,
     });
 
@@ -297,6 +339,7 @@
     context.metrics.endpoints.set({ state: "draining" }, all.filter(endpoint => endpoint.entry.isDraining).length);
     context.metrics.endpoints.set({ state: "cold" }, context.warmup.countCold(readClocks()));
     context.metrics.endpoints.set({ state: "known" }, all.length);
+    context.metrics.detouredEndpoints.set(context.links.countDetours());
     context.evacuations.checkDomains(new Set(all.map(({ entry }) => entry.failureDomain)));
 }
 
--- a/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
+++ b/packages/forwarding/src/endpoints/commands/requestEndpoint.ts
@@ -1,7 +1,7 @@
 /** Requests that the host itself makes to an endpoint: reservation orders and probes. */
 import { createByteBuffer } from "@currantrill/http";
 import type { EndpointCall, EndpointNotice, EndpointProtocol } from "../../ports/endpointProtocol.js";
-import type { ConnectionPool } from "../model/connectionPool.js";
+import type { Connection, ConnectionPool } from "../model/connectionPool.js";
 import { startTimeout } from "../model/startTimeout.js";
 import { sendAttempt } from "./sendAttempt.js";
 
@@ -20,6 +20,8 @@
     readonly usesNewConnection?: boolean;
     /** See `AttemptEvents`. The request rejects if it may not be sent. */
     readonly canSend?: () => boolean;
+    /** See `AttemptEvents`. */
+    readonly onSent?: (connection: Connection) => void;
     /** Called with what the endpoint states about itself in its reply. */
     readonly onNotice?: (notice: EndpointNotice) => void;
 }
@@ -33,7 +35,8 @@
     call: EndpointCall,
     options: EndpointRequestOptions,
 ): Promise<EndpointReply> {
-    const { timeoutMs, protocol, usesNewConnection = false, canSend = () => true, onNotice } = options;
+    const { timeoutMs, protocol, usesNewConnection = false, canSend = () => true, onSent = () => undefined, onNotice } =
+        options;
     return new Promise((resolve, reject) => {
         const reply = createByteBuffer({ maxBytes: MAX_REPLY_BYTES });
         let status = 0;
@@ -46,7 +49,7 @@
             usesNewConnection,
         }, {
             canSend,
-            onSent: () => undefined,
+            onSent,
             onResponse: (responseStatus, headers) => {
                 status = responseStatus;
                 // A response with a request id answers a caller's request: an endpoint may send one a second time, late,
--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -1,7 +1,8 @@
 /** Sends a request to an endpoint at most once and reports the result through callbacks. */
 import type { Dispatcher } from "undici";
 import { createBodyReading } from "../model/bodyReading.js";
-import { type Connection, type ConnectionPool, detectReset, MAX_HEAD_BYTES } from "../model/connectionPool.js";
+import { type Connection, type ConnectionPool, MAX_HEAD_BYTES } from "../model/connectionPool.js";
+import { detectReset } from "./detectReset.js";
 
 /** Why an attempt ended without a complete response. */
 export type AttemptFailure =
@@ -209,7 +210,9 @@
         onFailure(new Error("connection closed before the first byte of a body without a length"));
         return;
     }
-    detectReset(connection).then(
+    const { socket, hasSocketError } = connection;
+    const detection = hasSocketError || socket === undefined ? Promise.resolve(true) : detectReset(socket);
+    detection.then(
         hasBeenReset =>
             hasBeenReset ? onFailure(new Error("connection reset before the response was complete")) : onEnd(),
         onFailure,
--- a/packages/forwarding/src/endpoints/commands/startProbing.ts
+++ b/packages/forwarding/src/endpoints/commands/startProbing.ts
@@ -59,6 +59,7 @@
     };
     const timer = setInterval(() => {
         ticks += 1;
+        directory.listAll().forEach(endpoint => endpoint.pool.discardUnusable());
         const unresponsive = directory.listAll().filter(endpoint => endpoint.health.isUnresponsive);
         unresponsive.filter(endpoint => !probesInFlight.has(endpoint)).forEach(endpoint => endpoint.pool.discardIdle());
         const monitored = ticks % TICKS_PER_MONITOR_PROBE === 0 ? options.listMonitored() : [];
--- a/packages/forwarding/src/endpoints/model/connectionPool.ts
+++ b/packages/forwarding/src/endpoints/model/connectionPool.ts
@@ -1,7 +1,8 @@
 /** Pool of HTTP/1.1 connections to one endpoint. Each connection carries one request at a time, without pipelining. */
 import type { Socket } from "node:net";
 import { Client } from "undici";
-import { connectSocket, type SocketConnector } from "../commands/connectSocket.js";
+import { connectSocket } from "../commands/connectSocket.js";
+import type { EndpointConnector, EndpointSocket } from "./endpointSocket.js";
 
 /** Idle time after which a connection is closed if the endpoint does not announce a keep-alive timeout. */
 const IDLE_TIMEOUT_MS = 4_000;
@@ -15,6 +16,10 @@
     readonly client: Client;
     /** Set once connected. */
     socket: Socket | undefined;
+    /** Peer that relays the connection; `undefined` for a direct one. */
+    relay: string | undefined;
+    /** When bytes were last received, or the connection was established, on the monotonic clock. */
+    lastReceivedAtMs: number;
     /** Whether the socket reported an error, such as a reset. */
     hasSocketError: boolean;
     /** Number of requests sent on this connection, including the current one. */
@@ -37,6 +42,12 @@
     discard(connection: Connection): void;
     /** Closes all idle connections, since those may be as dead as the one that stopped responding. */
     discardIdle(): void;
+    /** Closes the idle connections that are not to be reused any more. */
+    discardUnusable(): void;
+    /** Closes the direct connections that are idle, and also those in use that have been silent, if their path is lost. */
+    discardDirect(includesSilent: boolean): void;
+    /** Returns whether a direct connection is in use and has been silent. */
+    hasSilentDirect(): boolean;
     /** Closes the idle connections. Connections in use are closed when they are released. */
     close(): void;
 }
@@ -44,27 +55,37 @@
 export interface ConnectionPoolOptions {
     /** Called for each established connection. */
     readonly onConnect?: () => void;
-    readonly connect?: SocketConnector;
+    readonly connect?: EndpointConnector;
+    /** Returns whether an idle connection may be reused, by the peer that relays it. */
+    readonly isReusable?: (relay: string | undefined) => boolean;
 }
 
+/** A connection whose path is lost is silent for longer than sound ones are between two events. */
+const MIN_SILENCE_MS = 200;
+
 const defaultOptions = {
     onConnect: () => undefined,
-    connect: connectSocket,
+    connect: address => connectSocket(address).connected.then(socket => ({ socket })),
+    isReusable: () => true,
 } satisfies ConnectionPoolOptions;
 
 /** Creates a pool for `address`, an IP address and port. */
 export function createConnectionPool(address: string, options: ConnectionPoolOptions = {}): ConnectionPool {
-    const { onConnect, connect } = { ...defaultOptions, ...options };
+    const { onConnect, connect, isReusable } = { ...defaultOptions, ...options };
     let idle: Connection[] = [];
+    const open = new Set<Connection>();
     let isClosed = false;
     const discard = (connection: Connection): void => {
         idle = idle.filter(other => other !== connection);
+        open.delete(connection);
         // The promise can only reject if a callback throws, and no callback is passed.
         void connection.client.destroy();
     };
     const openConnection = (): Connection => {
         const connection: Connection = {
             socket: undefined,
+            relay: undefined,
+            lastReceivedAtMs: performance.now(),
             hasSocketError: false,
             requestCount: 0,
             refusedIds: new Set(),
@@ -78,10 +99,10 @@
                 bodyTimeout: 0,
                 maxHeaderSize: MAX_HEAD_BYTES,
                 connect: (_options, callback) =>
-                    void connect(address).connected.then(
-                        socket => {
-                            watchSocket(connection, socket);
-                            callback(null, socket);
+                    void connect(address).then(
+                        established => {
+                            watchSocket(connection, established);
+                            callback(null, established.socket);
                         },
                         (error: unknown) => callback(error as Error, null),
                     ),
@@ -89,10 +110,18 @@
         };
         connection.client.on("connect", onConnect);
         connection.client.on("disconnect", () => discard(connection));
+        open.add(connection);
         return connection;
     };
+    const discardUnusable = (): void => idle.filter(({ relay }) => !isReusable(relay)).forEach(discard);
+    const listSilentDirect = (): readonly Connection[] =>
+        [...open].filter(connection =>
+            connection.socket !== undefined && connection.relay === undefined && !idle.includes(connection)
+            && performance.now() - connection.lastReceivedAtMs >= MIN_SILENCE_MS
+        );
     return {
         acquire: usesNewConnection => {
+            discardUnusable();
             const reused = usesNewConnection ? undefined : idle.pop();
             const connection = reused ?? openConnection();
             connection.requestCount += 1;
@@ -106,6 +135,14 @@
             idle.push(connection);
         },
         discard,
+        discardUnusable,
+        discardDirect: includesSilent => {
+            idle.filter(({ relay }) => relay === undefined).forEach(discard);
+            if (includesSilent) {
+                listSilentDirect().forEach(discard);
+            }
+        },
+        hasSilentDirect: () => listSilentDirect().length > 0,
         discardIdle: () => idle.forEach(discard),
         close: () => {
             isClosed = true;
@@ -114,27 +151,18 @@
     };
 }
 
-function watchSocket(connection: Connection, socket: Socket): void {
+function watchSocket(connection: Connection, { socket, relay }: EndpointSocket): void {
     connection.socket = socket;
+    connection.relay = relay;
+    connection.lastReceivedAtMs = performance.now();
     // Prepended, because the client's own listener may treat a reset as the end of a body.
     socket.prependListener("error", () => {
         connection.hasSocketError = true;
     });
     // Also before the client's own listener, which fails if the response is still paused.
     socket.on("end", () => connection.onEnd?.());
-    socket.on("readable", () => connection.onBytesReceived?.(socket.bytesRead));
-}
-
-/**
- * Detects whether a connection that has ended was reset. Node.js reports a reset that arrives together with data as an
- * ordinary end, but a subsequent write fails. The write is an empty line, which HTTP servers ignore before a request.
- */
-export function detectReset(connection: Connection): Promise<boolean> {
-    const { socket } = connection;
-    if (connection.hasSocketError || socket === undefined) {
-        return Promise.resolve(true);
-    }
-    return new Promise(resolve => {
-        socket.write("\r\n", error => resolve(error !== null && error !== undefined));
+    socket.on("readable", () => {
+        connection.lastReceivedAtMs = performance.now();
+        connection.onBytesReceived?.(socket.bytesRead);
     });
 }
--- a/packages/forwarding/src/endpoints/model/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/model/endpointDirectory.ts
@@ -7,9 +7,9 @@
 import type { TableRow } from "../../ports/tableSource.js";
 import { createEndpointWarmth, type EndpointWarmth } from "../../warmup/model/endpointWarmth.js";
 import { createWarmupLog, type WarmupLog } from "../../warmup/model/warmupLog.js";
-import { connectSocket, type SocketConnector } from "../commands/connectSocket.js";
 import { type ConnectionPool, createConnectionPool } from "./connectionPool.js";
 import { createEndpointHealth, type EndpointHealth } from "./endpointHealth.js";
+import type { EndpointConnector } from "./endpointSocket.js";
 import { createExpirations } from "./expirations.js";
 import { createFormerEndpoints, type FormerEndpoint, isSameProcess } from "./formerEndpoints.js";
 
@@ -53,7 +53,9 @@
     /** Called for each connection established to an endpoint. */
     readonly onConnect: () => void;
     /** Connects to endpoints; directly by default. */
-    readonly connect?: SocketConnector;
+    readonly connect?: EndpointConnector;
+    /** Returns whether an idle connection may be reused, by the peer that relays it. */
+    readonly isReusable?: (relay: string | undefined) => boolean;
     /** Called when a notice of an endpoint changes. */
     readonly onNotice: (source: NoticeSource) => void;
     /** Returns how cold endpoints of a service are treated; without it none is cold. */
@@ -152,7 +154,7 @@
 
 /** Creates the endpoint of an entry. If its process was known before, what it has said still holds. */
 function createEndpoint(
-    { log, onConnect, connect = connectSocket, onNotice, getColdPolicy }: EndpointDirectoryOptions,
+    { log, onNotice, getColdPolicy, ...poolOptions }: EndpointDirectoryOptions,
     entry: EndpointEntry,
     former: FormerEndpoint | undefined,
     { hasJustStarted, warmupLog }: NewProcess,
@@ -160,7 +162,7 @@
     const nowMs = performance.now();
     return {
         entry: { ...entry, isDraining: former?.entry.isDraining === true || entry.isDraining },
-        pool: createConnectionPool(entry.address, { onConnect, connect }),
+        pool: createConnectionPool(entry.address, poolOptions),
         bias: Math.random(),
         health: createEndpointHealth(nowMs),
         notices: former?.notices ?? createEndpointNotices({ endpointId: entry.id, log, onChange: onNotice }),
--- a/packages/forwarding/src/model/forwardingContext.ts
+++ b/packages/forwarding/src/model/forwardingContext.ts
@@ -12,6 +12,7 @@
 import type { CallerProtocol } from "../ports/callerProtocol.js";
 import type { EndpointProtocol } from "../ports/endpointProtocol.js";
 import type { Quarantine } from "../quarantine/commands/startQuarantine.js";
+import type { EndpointLinks } from "../relays/commands/createEndpointLinks.js";
 import type { Exchange } from "../requests/model/exchange.js";
 import type { RouteDurations } from "../requests/model/routeDurations.js";
 import type { SharedRetryBudget } from "../retries/model/sharedRetryBudget.js";
@@ -27,6 +28,8 @@
     readonly callers: CallerProtocol;
     readonly protocol: EndpointProtocol;
     readonly directory: EndpointDirectory;
+    /** Paths to the endpoints. */
+    readonly links: EndpointLinks;
     readonly evacuations: EvacuationRegistry;
     /** Endpoints that are cold. */
     readonly warmup: Warmup;
--- a/packages/forwarding/src/model/forwardingMetrics.ts
+++ b/packages/forwarding/src/model/forwardingMetrics.ts
@@ -17,6 +17,8 @@
     readonly permits: Counter<"outcome">;
     readonly tableFetches: Counter<"outcome">;
     readonly tableBehindSeconds: Gauge<"table">;
+    readonly relayedConnections: Counter<"role" | "outcome">;
+    readonly detouredEndpoints: Gauge;
     readonly crashReports: Counter<"state">;
     readonly isolatedParts: Gauge;
     readonly isolatedRequests: Gauge;
@@ -205,7 +207,14 @@
     registers: Registry[],
 ): Pick<
     ForwardingMetrics,
-    "datagrams" | "placementQueries" | "permits" | "tableFetches" | "tableBehindSeconds" | "peers"
+    | "datagrams"
+    | "placementQueries"
+    | "permits"
+    | "tableFetches"
+    | "tableBehindSeconds"
+    | "relayedConnections"
+    | "detouredEndpoints"
+    | "peers"
 > {
     return {
         datagrams: new Counter({
@@ -232,6 +241,17 @@
             labelNames: ["outcome"],
             registers,
         }),
+        relayedConnections: new Counter({
+            name: "currantrill_relayed_connections_total",
+            help: "Connections to endpoints that this host has opened through peers, or served for peers, by outcome.",
+            labelNames: ["role", "outcome"],
+            registers,
+        }),
+        detouredEndpoints: new Gauge({
+            name: "currantrill_detoured_endpoints",
+            help: "Endpoints that this host reaches only through peers.",
+            registers,
+        }),
         tableBehindSeconds: new Gauge({
             name: "currantrill_table_behind_seconds",
             help: "Time for which peers have known of a change of a table that this host does not have.",
--- a/packages/forwarding/src/peers/commands/serveTableCopies.ts
+++ b/packages/forwarding/src/peers/commands/serveTableCopies.ts
@@ -1,4 +1,4 @@
-/** Serves copies of tables to peers over HTTP. */
+/** Serves peers over HTTP: copies of tables, and connections that they relay. */
 import { type RunningServer, sendJson, serveHttp, type ServeHttpOptions } from "@currantrill/http";
 import { gzipSync } from "node:zlib";
 import type { SharedTable } from "../../replicas/model/sharedTable.js";
@@ -12,7 +12,7 @@
 
 export type TableServerOptions = Pick<
     ServeHttpOptions,
-    "budget" | "maxConnections" | "onConnectionLimit" | "onServerError"
+    "budget" | "maxConnections" | "onConnectionLimit" | "onServerError" | "handleTunnel"
 >;
 
 /** Serves copies on the peer address. Rejects if it cannot be bound. */
--- a/packages/forwarding/src/peers/model/fleetView.ts
+++ b/packages/forwarding/src/peers/model/fleetView.ts
@@ -71,6 +71,8 @@
     readonly listLocalPeers: () => readonly Peer[];
     /** Live peers of this host. */
     readonly listAlive: () => readonly string[];
+    /** Live peers that are not shutting down. */
+    readonly listServing: () => readonly string[];
 }
 
 export interface FleetViewOptions {
@@ -162,6 +164,7 @@
         listLocalDomain: () => [address, ...listDomainPeers(failureDomain).map(peer => peer.address)].sort(),
         listLocalPeers: () => listDomainPeers(failureDomain),
         listAlive: () => listAlivePeers().map(peer => peer.address),
+        listServing: () => listAlivePeers().filter(peer => !peer.isLeaving).map(peer => peer.address),
     };
 }
 
--- a/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
+++ b/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
@@ -18,6 +18,8 @@
                     callback(Object.assign(new Error(`connect ${code}`), { code, syscall: "connect" }), null),
             }),
             socket: undefined,
+            relay: undefined,
+            lastReceivedAtMs: 0,
             hasSocketError: false,
             requestCount: 1,
             refusedIds: new Set<string>(),
@@ -30,6 +32,9 @@
             void connection.client.destroy();
         },
         discardIdle: () => undefined,
+        discardUnusable: () => undefined,
+        discardDirect: () => undefined,
+        hasSilentDirect: () => false,
         close: () => undefined,
     };
 }
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -204,6 +204,8 @@
         acquire: () => ({
             client: { dispatch } as never,
             socket: undefined,
+            relay: undefined,
+            lastReceivedAtMs: 0,
             hasSocketError: false,
             requestCount: 1,
             refusedIds: new Set(),
@@ -213,6 +215,9 @@
         release: () => undefined,
         discard: () => undefined,
         discardIdle: () => undefined,
+        discardUnusable: () => undefined,
+        discardDirect: () => undefined,
+        hasSilentDirect: () => false,
         close: () => undefined,
     };
 }
--- /dev/null
+++ b/packages/forwarding/tests/relays/relayServer.test.ts
@@ -0,0 +1,151 @@
+import { serveHttp } from "@currantrill/http";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import { connectSocket } from "../../src/endpoints/commands/connectSocket.js";
+import { detectReset } from "../../src/endpoints/commands/detectReset.js";
+import { createRelayServer, type RelayOutcome } from "../../src/relays/commands/createRelayServer.js";
+import { openRelay } from "../../src/relays/commands/openRelay.js";
+import { waitUntil } from "../hostFixture.js";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+    await Promise.all(closers.splice(0).map(close => close()));
+});
+
+interface Relay {
+    readonly peer: string;
+    readonly address: string;
+    readonly outcomes: RelayOutcome[];
+    readonly countOpen: () => number;
+    /** Connections that the endpoint has accepted. */
+    readonly accepted: Socket[];
+}
+
+/** Starts an endpoint that runs a script on each connection, and a host that relays to it. */
+async function startRelay(
+    script: (socket: Socket) => void,
+    changes: { readonly isStopping?: boolean; readonly isKnown?: boolean; } = {},
+): Promise<Relay> {
+    const accepted: Socket[] = [];
+    const endpoint: Server = createServer({ allowHalfOpen: true }, socket => {
+        accepted.push(socket);
+        socket.on("error", () => undefined);
+        script(socket);
+    });
+    await new Promise<void>(resolve => endpoint.listen(0, "127.0.0.1", resolve));
+    const outcomes: RelayOutcome[] = [];
+    const relays = createRelayServer({
+        connectDirect: connectSocket,
+        isKnownAddress: () => changes.isKnown ?? true,
+        isStopping: () => changes.isStopping ?? false,
+        onRelay: outcome => outcomes.push(outcome),
+    });
+    const server = await serveHttp({
+        host: "127.0.0.1",
+        port: 0,
+        bodies: "raw",
+        routes: [],
+        handleTunnel: relays.handleTunnel,
+    });
+    closers.push(server.close, () => {
+        endpoint.close();
+        accepted.forEach(socket => socket.destroy());
+    });
+    return {
+        peer: `127.0.0.1:${server.port}`,
+        address: `127.0.0.1:${(endpoint.address() as AddressInfo).port}`,
+        outcomes,
+        countOpen: relays.countOpen,
+        accepted,
+    };
+}
+
+const waitFor = (socket: Socket, event: string): Promise<unknown> =>
+    new Promise(resolve => {
+        socket.once(event, resolve);
+    });
+
+const answer = "HTTP/1.1 200 OK\r\n\r\npart of a body";
+
+describe("createRelayServer", () => {
+    it("passes bytes on in both directions", async () => {
+        const relay = await startRelay(socket => void socket.pipe(socket));
+        const socket = await openRelay(relay.peer, relay.address).connected;
+        const sent = Buffer.alloc(3_000_000, "abc");
+        const received: Buffer[] = [];
+        socket.on("data", (chunk: Buffer) => received.push(chunk));
+        socket.write(sent);
+        while (received.reduce((sum, chunk) => sum + chunk.length, 0) < sent.length) {
+            await waitFor(socket, "data");
+        }
+        expect(Buffer.concat(received).equals(sent)).toBe(true);
+        socket.destroy();
+    });
+    // Guards against a response without a length that is taken for complete, because a reset of the endpoint looks like a
+    // regular end to the host behind the relay.
+    it.each([
+        { name: "reset", close: (socket: Socket): void => void socket.resetAndDestroy(), hasBeenReset: true },
+        { name: "end", close: (socket: Socket): void => void socket.end(), hasBeenReset: false },
+    ])("passes on the $name of an endpoint", async ({ close, hasBeenReset }) => {
+        const relay = await startRelay(socket => {
+            socket.once("data", () => {
+                socket.write(answer);
+                setTimeout(() => close(socket), 20);
+            });
+        });
+        const socket = await openRelay(relay.peer, relay.address).connected;
+        const errors: Error[] = [];
+        socket.on("error", error => errors.push(error));
+        let text = "";
+        socket.on("data", chunk => {
+            text += String(chunk);
+        });
+        socket.write("GET / HTTP/1.1\r\n\r\n");
+        await Promise.race([waitFor(socket, "end"), waitFor(socket, "close")]);
+        expect(errors.length > 0 || await detectReset(socket)).toBe(hasBeenReset);
+        expect(text).toBe(answer);
+        socket.destroy();
+    });
+    // Guards against endpoints that go on with a request whose caller has left.
+    it("closes the connection to the endpoint when the host closes its own", async () => {
+        const relay = await startRelay(socket => socket.resume());
+        const socket = await openRelay(relay.peer, relay.address).connected;
+        const [accepted] = relay.accepted;
+        socket.destroy();
+        await waitFor(accepted!, "end");
+        await waitFor(accepted!.end(), "close");
+        await waitUntil(() => relay.countOpen() === 0);
+    });
+    // Guards against a host that relays to arbitrary addresses, or takes on connections that its stop would cut.
+    it.each([
+        { outcome: "unknown_endpoint", status: 403, changes: { isKnown: false } },
+        { outcome: "stopping", status: 503, changes: { isStopping: true } },
+    ])("refuses: $outcome", async ({ outcome, status, changes }) => {
+        const relay = await startRelay(() => undefined, changes);
+        await expect(openRelay(relay.peer, relay.address).connected).rejects.toThrow(`status ${status}`);
+        expect(relay.outcomes).toEqual([outcome]);
+        expect(relay.accepted).toHaveLength(0);
+    });
+    it("refuses if it cannot connect either", async () => {
+        const relay = await startRelay(() => undefined);
+        await expect(openRelay(relay.peer, "127.0.0.1:1").connected).rejects.toThrow("status 502");
+        expect(relay.countOpen()).toBe(0);
+    });
+    // Guards against a host that goes on waiting for a peer that does not answer.
+    it("gives up a peer that does not answer", async () => {
+        const silent = createServer(socket => void socket.on("error", () => undefined));
+        await new Promise<void>(resolve => silent.listen(0, "127.0.0.1", resolve));
+        closers.push(() => silent.close());
+        const { port } = silent.address() as AddressInfo;
+        await expect(openRelay(`127.0.0.1:${port}`, "127.0.0.1:1").connected).rejects.toThrow("within 600 ms");
+    });
+    it("keeps answering other requests of the server", async () => {
+        const relay = await startRelay(socket => void socket.pipe(socket));
+        const [host, port] = relay.peer.split(":");
+        const socket = connect({ host, port: Number(port) });
+        socket.write("GET /none HTTP/1.1\r\nhost: x\r\n\r\n");
+        expect(String(await waitFor(socket, "data"))).toContain("404");
+        socket.destroy();
+    });
+});
--- a/packages/forwarding/tests/relays/strandedHost.test.ts
+++ b/packages/forwarding/tests/relays/strandedHost.test.ts
@@ -33,12 +33,17 @@
         setTimeout(() => writeAnswer(socket, received, 200, "ok"), 20);
         return;
     }
-    const first = Number(received.headers["t-last"] ?? 0) + 1;
+    let id = Number(received.headers["t-last"] ?? 0);
     beginStream(socket, received);
-    for (let id = first; id <= 5; id += 1) {
-        setTimeout(() => writeChunk(socket, formatEvent(id)), 20 * (id - first + 1));
-    }
-    setTimeout(() => endStream(socket), 20 * (7 - first));
+    const timer = setInterval(() => {
+        id += 1;
+        if (id <= 5) {
+            writeChunk(socket, formatEvent(id));
+            return;
+        }
+        clearInterval(timer);
+        endStream(socket);
+    }, 20);
 };
 
 interface Fleet {
--- a/packages/http/src/limitConnections.ts
+++ b/packages/http/src/limitConnections.ts
@@ -35,6 +35,8 @@
 export interface ConnectionLimit {
     /** Returns whether the request came on a connection beyond the limit. */
     readonly isExcess: (request: IncomingMessage) => boolean;
+    /** Counts a connection as in use until it closes. */
+    readonly hold: (socket: Socket) => void;
     /** Closes the connections that clients keep for a further request and on which none has arrived. */
     readonly closeKept: () => Promise<void>;
     /** Returns the number of connections on which the head of a request is arriving. */
@@ -71,10 +73,7 @@
         state.bytesWhenIdle = socket.bytesRead;
         idle.add(socket);
     };
-    const remove = (socket: Socket): void => {
-        connections.delete(socket);
-        idle.delete(socket);
-    };
+    const remove = (socket: Socket): void => [connections, idle].forEach(each => void each.delete(socket));
     /** Closes an idle connection, unless a request has arrived on it, which is refused. Returns whether there was one. */
     const closeIdle = (): boolean => {
         const closed = findIdle(connections, idle, getNowMs());
@@ -109,14 +108,20 @@
             onLimit("idle_closed");
         }
     });
-    server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
+    const hold = (socket: Socket): ConnectionState | undefined => {
         const state = connections.get(socket);
+        if (state !== undefined) {
+            state.pendingCount += 1;
+            idle.delete(socket);
+        }
+        return state;
+    };
+    server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
+        const state = hold(socket);
         if (state === undefined) {
             excess.markRefused(socket);
             return;
         }
-        state.pendingCount += 1;
-        idle.delete(socket);
         response.once("close", () => {
             state.pendingCount -= 1;
             if (state.pendingCount === 0 && connections.has(socket)) {
@@ -127,10 +132,10 @@
     });
     return {
         isExcess: request => excess.has(request.socket),
+        hold: socket => void hold(socket),
         closeKept: async () => {
             await awaitReads();
-            const kept = [...idle].filter(socket => isKept(connections, socket));
-            kept.forEach(socket => closeConnection(socket, "stop"));
+            [...idle].filter(socket => isKept(connections, socket)).forEach(socket => closeConnection(socket, "stop"));
         },
         countArriving: () => [...idle].filter(socket => isArriving(connections, socket)).length,
         closeAll: () => [...connections.keys(), ...excess.list()].forEach(socket => closeConnection(socket, "stop")),
--- a/packages/http/src/serveHttp.ts
+++ b/packages/http/src/serveHttp.ts
@@ -79,6 +79,8 @@
     readonly bodies?: "json" | "raw";
     /** Called if a body cannot be read or a handler throws. */
     readonly handleError?: (error: HttpError, request: IncomingMessage, response: ServerResponse) => void;
+    /** Takes over the connection of a CONNECT request, which is closed by default. */
+    readonly handleTunnel?: (request: IncomingMessage, socket: Socket) => void;
     /** Called if no route matches. */
     readonly handleNotFound?: (request: IncomingMessage, response: ServerResponse) => void;
     /** Called if the server cannot accept a connection, such as without free file descriptors. It goes on listening. */
@@ -192,6 +194,9 @@
         onLimit: settings.onConnectionLimit,
         getNowMs: settings.getNowMs,
     });
+    if (settings.handleTunnel !== undefined) {
+        serveTunnels(server, connectionLimit, settings.handleTunnel);
+    }
     const tracker = trackConnections({ server, budget, queues, getMaxHeadBytes: () => settings.maxHeaderBytes });
     // Without a listener, Node.js closes these connections at once.
     server.on("timeout", (socket: Socket) => void closeIfUnread(socket));
@@ -222,6 +227,23 @@
     };
 }
 
+function serveTunnels(
+    server: Server,
+    { isExcess, hold }: ConnectionLimit,
+    handle: Required<ServeHttpOptions>["handleTunnel"],
+): void {
+    server.on("connect", (request, socket: Socket) => {
+        if (isExcess(request)) {
+            closeConnection(socket, "connection_limit");
+            return;
+        }
+        hold(socket);
+        // The listener that passes the bytes on to the HTTP parser.
+        socket.removeAllListeners("data");
+        handle(request, socket);
+    });
+}
+
 const getBodyLimit = (limit: number | (() => number)): number => typeof limit === "number" ? limit : limit();
 
 /** Loads `body-parser` on demand: loading it with its encoding tables takes a large fraction of the start-up time. */
