Take a status above 599 for no answer

But a status from 600 to 999 was passed on to the caller, for calls and for streams that may not be resumed. HTTP defines none of them, and a caller cannot know what such an answer promises.

Ruled out: early answers (without a length, too short, chunks without end, HTTP/1.0; reset or end; with and without an upload of 3 MB in progress): 64 of 64 right before the change. Status lines below 200 or malformed: the parser rejects them.

Change: such a response is one that cannot belong to the request; a repeatable call gets its second attempt, as after other bytes that are no response.

--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -66,6 +66,9 @@
  */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Largest status that HTTP defines. Smaller ones than 200 are no final responses, which the parser rejects. */
+const MAX_STATUS = 599;
+
 /** Refusals after which a connection is closed, so that the ids kept for it stay few. */
 const MAX_REFUSED_IDS = 64;
 
@@ -266,6 +269,9 @@
 
 /** Describes why a response cannot belong to the request or cannot be forwarded; `undefined` for a valid response. */
 function describeMismatch(exchange: Exchange, status: number, metadata: ResponseMetadata): string | undefined {
+    if (status > MAX_STATUS) {
+        return `status ${status}, which HTTP does not define`;
+    }
     if (metadata.requestId !== undefined && metadata.requestId !== exchange.requestId) {
         return "response to another request";
     }
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -294,6 +294,8 @@
     /** Store in which the first configuration is written, with rows of its own. */
     readonly storeToUse?: TestStore;
     readonly quarantine?: Partial<ForwardingSettings["quarantine"]>;
+    /** Bytes of request bodies that the host may hold. */
+    readonly maxBufferedBytes?: number;
     /** File descriptors that the host may use. */
     readonly fileDescriptors?: number;
     /** Connects to endpoints directly. */
@@ -328,7 +330,7 @@
         reservations: { free_ms: 2_000 },
         processor: { cores: 1, share: 1 },
         limits: { file_descriptors: options.fileDescriptors ?? 4_200, memory_mb: 202 },
-        requests: { max_buffered_bytes: 400_000 },
+        requests: { max_buffered_bytes: options.maxBufferedBytes ?? 400_000 },
         responses: { max_body_bytes: 300_000, max_event_bytes: 50_000, max_buffered_bytes: 400_000 },
         quarantine: { crashes: 3, retry_after_ms: 30_000, forget_after_ms: 1_800_000, ...options.quarantine },
         log_level: "info",
