Check for a crash under an attempt that its caller or its time limit has ended

Cause: such an attempt is aborted by the host, which closes its connection, so that nobody sees how the endpoint ends. No crash was reported.

Ruled out: a probe for each abandoned attempt. An endpoint that has responded to anything since is alive.

Change: 0.1 s after the abort, the endpoint is probed if it has not responded since; a crash is reported as for a broken attempt.

Conclusion: a crash later than 0.1 s after the abort is still not found.

--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -22,6 +22,7 @@
 import type { AttemptOutcome, AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import { createRefusedResponse, type RefusedResponse } from "../model/refusedResponse.js";
+import { checkAbandoned } from "./checkAbandoned.js";
 
 /** What to send in an attempt, and how to report its result. */
 export interface AttemptPlan {
@@ -114,6 +115,7 @@
         const reason = refused?.reason ?? mismatch ?? error.message;
         endpoint.health = updateHealth[failure](endpoint.health, performance.now());
         end(outcome, reason);
+        checkAbandoned(context, exchange, { endpoint, record, failure });
         plan.onFailure(outcome, failure);
     };
     let attempt: RunningAttempt;
