Ask the next peer after 60 ms, and one that has connected before first

Cause: most peers of a host have lost their paths, too. One whose connections hang refused only after 0.5 s, the next one was asked after that, and a failure was forgotten after 1 s.

Change: a peer that reaches an endpoint only through others refuses at once; the next one is asked as well after 60 ms; a peer that has connected is preferred for up to six connections; failures count for 3 s.

Evidence: relayServer.test.ts and linkTracker.test.ts; tests of relays pass.

--- a/packages/forwarding/src/relays/commands/createEndpointLinks.ts
+++ b/packages/forwarding/src/relays/commands/createEndpointLinks.ts
@@ -56,6 +56,7 @@
         connectDirect,
         isKnownAddress: address => getDirectory().findByAddress(address) !== undefined,
         isStopping,
+        isDetoured: address => tracker.isStranded() || tracker.isDetoured(address),
         onRelay: outcome => metrics.relayedConnections.inc({ role: "served", outcome }),
     });
     const timer = setInterval(() => {
--- a/packages/forwarding/src/relays/commands/createRelayServer.ts
+++ b/packages/forwarding/src/relays/commands/createRelayServer.ts
@@ -19,6 +19,8 @@
     readonly connectDirect: SocketConnector;
     readonly isKnownAddress: (address: string) => boolean;
     readonly isStopping: () => boolean;
+    /** Returns whether this host reaches the endpoint only through peers itself. */
+    readonly isDetoured: (address: string) => boolean;
     /** Called with the outcome of each connection, for metrics. */
     readonly onRelay: (outcome: RelayOutcome) => void;
 }
@@ -30,7 +32,7 @@
 }
 
 export function createRelayServer(options: RelayServerOptions): RelayServer {
-    const { connectDirect, isKnownAddress, isStopping, onRelay } = options;
+    const { connectDirect, isKnownAddress, isStopping, isDetoured, onRelay } = options;
     const open = new Set<Socket>();
     const refuse = (socket: Socket, reason: keyof typeof refusals): void => {
         const status = refusals[reason];
@@ -40,8 +42,15 @@
     return {
         handleTunnel: ({ url: address = "" }, socket) => {
             socket.on("error", () => socket.destroy());
-            if (isStopping() || !isKnownAddress(address)) {
-                refuse(socket, isStopping() ? "stopping" : "unknown_endpoint");
+            const reason = isStopping()
+                ? "stopping"
+                : !isKnownAddress(address)
+                ? "unknown_endpoint"
+                : isDetoured(address)
+                ? "not_connected"
+                : undefined;
+            if (reason !== undefined) {
+                refuse(socket, reason);
                 return;
             }
             const pending = connectDirect(address);
--- a/packages/forwarding/src/relays/commands/createRelayedConnector.ts
+++ b/packages/forwarding/src/relays/commands/createRelayedConnector.ts
@@ -11,8 +11,10 @@
  * milliseconds.
  */
 const DIRECT_HEAD_START_MS = 50;
-/** Most peers that are asked for one connection, one after the other. */
+/** Most peers that are asked for one connection. */
 const MAX_PEERS = 3;
+/** Time without an answer after which the next peer is asked as well: the first one may have lost its paths, too. */
+const NEXT_PEER_DELAY_MS = 60;
 
 export interface RelayedConnectorOptions {
     readonly connectDirect: SocketConnector;
@@ -85,7 +87,7 @@
     );
 }
 
-/** A connection that is being established through one peer after the other. */
+/** A connection that is being established through peers; the first one counts. */
 interface Relay {
     readonly hasFailed: () => boolean;
     readonly cancel: () => void;
@@ -98,30 +100,43 @@
     onFailed: () => void,
 ): Relay {
     const asked = new Set<string>();
-    let hasFailed = false;
-    let isCancelled = false;
-    let pending: PendingSocket | undefined;
+    const pending = new Map<string, PendingSocket>();
+    let hasEnded = false;
+    let cancelNext = (): void => undefined;
+    const end = (): void => {
+        hasEnded = true;
+        cancelNext();
+        pending.forEach(each => each.cancel());
+    };
     const askNext = (): void => {
+        cancelNext();
         const peer = asked.size < MAX_PEERS ? peers.choose(asked) : undefined;
         if (peer === undefined) {
-            hasFailed = true;
-            onFailed();
+            if (pending.size === 0 && !hasEnded) {
+                hasEnded = true;
+                onFailed();
+            }
             return;
         }
         asked.add(peer);
-        pending = openRelay(peer, address);
-        pending.connected.then(
+        cancelNext = startTimeout(NEXT_PEER_DELAY_MS, askNext);
+        const relay = openRelay(peer, address);
+        pending.set(peer, relay);
+        relay.connected.then(
             socket => {
-                if (isCancelled) {
+                pending.delete(peer);
+                if (hasEnded) {
                     socket.destroy();
                     return;
                 }
+                end();
                 onRelay("connected");
                 socket.once("close", peers.recordOpen(peer));
                 onConnected({ socket, relay: peer });
             },
             () => {
-                if (!isCancelled) {
+                pending.delete(peer);
+                if (!hasEnded) {
                     onRelay("failed");
                     peers.recordFailure(peer);
                     askNext();
@@ -130,11 +145,5 @@
         );
     };
     askNext();
-    return {
-        hasFailed: () => hasFailed,
-        cancel: () => {
-            isCancelled = true;
-            pending?.cancel();
-        },
-    };
+    return { hasFailed: () => hasEnded, cancel: end };
 }
--- a/packages/forwarding/src/relays/model/relayPeers.ts
+++ b/packages/forwarding/src/relays/model/relayPeers.ts
@@ -1,10 +1,17 @@
 /** Peers that can relay connections to endpoints. */
 
 /** Time for which a peer that could not connect is asked only if no other one is left: it may have lost its paths, too. */
-const FAILURE_VALID_MS = 1_000;
+const FAILURE_VALID_MS = 3_000;
+/** Time for which a peer that has connected is asked rather than one of which nothing is known. */
+const SUCCESS_VALID_MS = 5_000;
+/** Connections of this host that a peer relays before one of which nothing is known is asked instead. */
+const MAX_PREFERRED_CONNECTIONS = 6;
 
 export interface RelayPeers {
-    /** Chooses the peer with the fewest relayed connections of this host; `undefined` if all are excluded. */
+    /**
+     * Chooses the peer with the fewest relayed connections of this host, rather one that has connected before;
+     * `undefined` if all are excluded.
+     */
     readonly choose: (excluded: ReadonlySet<string>) => string | undefined;
     readonly recordFailure: (peer: string) => void;
     /** Counts a relayed connection until the returned function is called. */
@@ -16,6 +23,7 @@
 /** Creates the choice of peers. `listServing` returns the addresses of live peers that are not shutting down. */
 export function createRelayPeers(listServing: () => readonly string[]): RelayPeers {
     const failedAtMs = new Map<string, number>();
+    const connectedAtMs = new Map<string, number>();
     const openCounts = new Map<string, number>();
     const change = (peer: string, difference: number): void => {
         const count = (openCounts.get(peer) ?? 0) + difference;
@@ -27,16 +35,17 @@
     };
     const hasFailed = (peer: string): boolean =>
         performance.now() - (failedAtMs.get(peer) ?? -Infinity) < FAILURE_VALID_MS;
+    const hasConnected = (peer: string): boolean =>
+        performance.now() - (connectedAtMs.get(peer) ?? -Infinity) < SUCCESS_VALID_MS;
+    const rank = (peer: string): number =>
+        (hasFailed(peer) ? Number.MAX_SAFE_INTEGER / 2 : hasConnected(peer) ? 0 : MAX_PREFERRED_CONNECTIONS)
+        + (openCounts.get(peer) ?? 0) + Math.random();
     return {
         choose: excluded => {
             const serving = listServing();
-            for (const peer of failedAtMs.keys()) {
-                if (!serving.includes(peer)) {
-                    failedAtMs.delete(peer);
-                }
-            }
-            const rank = (peer: string): number =>
-                (hasFailed(peer) ? Number.MAX_SAFE_INTEGER / 2 : 0) + (openCounts.get(peer) ?? 0) + Math.random();
+            [failedAtMs, connectedAtMs].forEach(times => {
+                [...times.keys()].filter(peer => !serving.includes(peer)).forEach(peer => times.delete(peer));
+            });
             const [best] = serving
                 .filter(peer => !excluded.has(peer))
                 .map(peer => ({ peer, rank: rank(peer) }))
@@ -47,6 +56,7 @@
         recordOpen: peer => {
             let isOpen = true;
             failedAtMs.delete(peer);
+            connectedAtMs.set(peer, performance.now());
             change(peer, 1);
             return () => {
                 if (isOpen) {
--- a/packages/forwarding/tests/relays/linkTracker.test.ts
+++ b/packages/forwarding/tests/relays/linkTracker.test.ts
@@ -66,14 +66,14 @@
 
 describe("createRelayPeers", () => {
     // Guards against one peer that carries the connections of all, and against peers that have lost their paths, too.
-    it("chooses the peer with the fewest connections, and those that failed last", () => {
+    it("chooses the peer with the fewest connections, rather one that is known, and those that failed last", () => {
         const peers = createRelayPeers(() => ["p1", "p2", "p3"]);
-        const opened = [1, 2, 3].map(() => {
+        const opened = Array.from({ length: 24 }, () => {
             const peer = peers.choose(new Set()) ?? "none";
             peers.recordOpen(peer);
             return peer;
         });
-        expect(opened.sort()).toEqual(["p1", "p2", "p3"]);
+        expect(["p1", "p2", "p3"].map(peer => opened.filter(each => each === peer).length)).toEqual([8, 8, 8]);
         peers.recordFailure("p1");
         const chosen = Array.from({ length: 30 }, () => peers.choose(new Set(["p2"])));
         expect(new Set(chosen)).toEqual(new Set(["p3"]));
--- a/packages/forwarding/tests/relays/relayServer.test.ts
+++ b/packages/forwarding/tests/relays/relayServer.test.ts
@@ -25,7 +25,7 @@
 /** Starts an endpoint that runs a script on each connection, and a host that relays to it. */
 async function startRelay(
     script: (socket: Socket) => void,
-    changes: { readonly isStopping?: boolean; readonly isKnown?: boolean; } = {},
+    changes: { readonly isStopping?: boolean; readonly isKnown?: boolean; readonly isDetoured?: boolean; } = {},
 ): Promise<Relay> {
     const accepted: Socket[] = [];
     const endpoint: Server = createServer({ allowHalfOpen: true }, socket => {
@@ -39,6 +39,7 @@
         connectDirect: connectSocket,
         isKnownAddress: () => changes.isKnown ?? true,
         isStopping: () => changes.isStopping ?? false,
+        isDetoured: () => changes.isDetoured ?? false,
         onRelay: outcome => outcomes.push(outcome),
     });
     const server = await serveHttp({
@@ -121,6 +122,7 @@
     it.each([
         { outcome: "unknown_endpoint", status: 403, changes: { isKnown: false } },
         { outcome: "stopping", status: 503, changes: { isStopping: true } },
+        { outcome: "not_connected", status: 502, changes: { isDetoured: true } },
     ])("refuses: $outcome", async ({ outcome, status, changes }) => {
         const relay = await startRelay(() => undefined, changes);
         await expect(openRelay(relay.peer, relay.address).connected).rejects.toThrow(`status ${status}`);
