Follow the store as soon as the followers of the domain are silent

Cause: a host that copies tables follows the store itself when the followers of its domain no longer count as alive, 2.5 s after their last message. That is later than the 2 s in which a change has to be in force. Coordinators are passed over after 1.6 s without an answer.

Change: the same 1.6 s for followers.

Evidence: fleetView.test.ts, 2 cases failed before and pass; tests of peers and coordination pass (77).

Conclusion: in a small fleet other domains announce the change anyway; a domain of a large one whose followers all fall silent at once is at most 1.6 s and one read late.

--- a/packages/forwarding/src/peers/model/fleetView.ts
+++ b/packages/forwarding/src/peers/model/fleetView.ts
@@ -104,6 +104,11 @@
         ]);
     const listCoordinators = (domain: FailureDomainId): readonly string[] =>
         rankDomain(domain, listDomainPeers(domain).filter(peer => !isSilent(peer))).slice(0, COORDINATORS_PER_DOMAIN);
+    const rankFollowers = (): readonly string[] =>
+        rankDomain(
+            failureDomain,
+            listDomainPeers(failureDomain).filter(peer => !peer.isStoreUnavailable && !isSilent(peer)),
+        );
     const countByDomain = (): Readonly<Record<string, number>> =>
         hostCounts.merge(failureDomain, listAlivePeers(), performance.now());
     const countHosts = (): number => Object.values(countByDomain()).reduce((sum, count) => sum + count, 0);
@@ -154,13 +159,8 @@
         recordSent: silence.recordSent,
         recordDigest: digest => hostCounts.record(digest.hostCounts, performance.now()),
         hasManyFollowers,
-        shouldFollowStore: () => {
-            if (isConnecting()) {
-                return false;
-            }
-            const withAccess = listDomainPeers(failureDomain).filter(peer => !peer.isStoreUnavailable);
-            return rankDomain(failureDomain, withAccess).indexOf(address) < (hasManyFollowers() ? 1 : STORE_FOLLOWERS);
-        },
+        shouldFollowStore: () =>
+            !isConnecting() && rankFollowers().indexOf(address) < (hasManyFollowers() ? 1 : STORE_FOLLOWERS),
         listLocalDomain: () => [address, ...listDomainPeers(failureDomain).map(peer => peer.address)].sort(),
         listLocalPeers: () => listDomainPeers(failureDomain),
         listAlive: () => listAlivePeers().map(peer => peer.address),
--- a/packages/forwarding/tests/peers/model/fleetView.test.ts
+++ b/packages/forwarding/tests/peers/model/fleetView.test.ts
@@ -157,6 +157,16 @@
         },
     );
     // Guards against store calls that grow with the fleet, and against a fleet with a single follower.
+    // Guards against changes that arrive later than the platform expects, because the hosts that follow the store have
+    // stopped without a word and still count as alive.
+    it.each([3, 40])("follows the store once the followers do not answer heartbeats, with %i hosts a domain", size => {
+        const fleet = createFleet(size, "n003");
+        fleet.recordSent(["n001", "n002"]);
+        expect(fleet.shouldFollowStore()).toBe(false);
+        vi.advanceTimersByTime(1_601);
+        ["n003", "s001"].forEach(address => fleet.table.accept(describeHost(address, 2), performance.now()));
+        expect(fleet.shouldFollowStore()).toBe(true);
+    });
     it("has one host of a domain follow the store if there are three domains and many hosts", () => {
         const third = toFailureDomainId("west");
         for (const [host, expected] of [["n001", true], ["n002", false]] as const) {
