--- a/packages/forwarding/src/endpoints/model/connectionPool.ts
+++ b/packages/forwarding/src/endpoints/model/connectionPool.ts
@@ -60,6 +60,8 @@
     readonly isReusable?: (relay: string | undefined) => boolean;
 }
 
+/** Reason of attempts on connections whose path is lost. */
+const LOST_PATH = "the host has lost its path to the endpoint";
 /** A connection whose path is lost is silent for longer than sound ones are between two events. */
 const MIN_SILENCE_MS = 200;
 
@@ -139,7 +141,7 @@
         discardDirect: includesSilent => {
             idle.filter(({ relay }) => relay === undefined).forEach(discard);
             if (includesSilent) {
-                listSilentDirect().forEach(discard);
+                listSilentDirect().forEach(({ client }) => void client.destroy(new Error(LOST_PATH)));
             }
         },
         hasSilentDirect: () => listSilentDirect().length > 0,
