Probe a silent endpoint again while its attempt is the only one

Cause: an endpoint counts as gone 2 s after its first failed probe, and there was no further probe once no other endpoint could take the stream.

Change: it is probed at each check, every 0.2 s; an answer begins the silence anew.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -18,9 +18,10 @@
 import { clearWhenClosed } from "./clearWhenClosed.js";
 import { createStreamRecord } from "./createStreamRecord.js";
 import { runAttempt } from "./runAttempt.js";
+import { scheduleGoneCheck } from "./scheduleGoneCheck.js";
 
 /** Interval at which a stalled attempt is checked again for which there is no other one now. */
-const RETRY_CHECK_MS = 200;
+export const RETRY_CHECK_MS = 200;
 
 /** Time for the body of an error response, which is a few hundred bytes long. */
 const ERROR_BODY_TIMEOUT_MS = 1_000;
@@ -197,21 +198,13 @@
         run.isLast = true;
         run.record.outcome = "pending";
         watchCaller(run);
-        scheduleGoneCheck(run);
+        scheduleGoneCheck(
+            run,
+            () => abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, "the endpoint does not respond"),
+        );
     }
 }
 
-/** Ends the only attempt of a stream that has not begun if its endpoint has gone. */
-function scheduleGoneCheck(run: StreamRun): void {
-    run.cancelStallCheck = startTimeout(RETRY_CHECK_MS, () => {
-        if (isGone(run)) {
-            abortRun(run, { kind: "broken", wasSent: run.record.wasSent }, "the endpoint does not respond");
-            return;
-        }
-        scheduleGoneCheck(run);
-    });
-}
-
 /** Ends the next attempt in favour of this one, whose endpoint goes on. */
 function resumeSilent(run: StreamRun): void {
     if (run.isSilent) {
