Keep the assignment of a silent attempt, and report its crash

Cause: both depend on the end of the attempt, which runWithAssignments and the loop over attempts took for reached when the next attempt began. Two effects of one cause, in one commit.

Change: assignments are removed, and a crash is reported, when the silent attempt has ended.

--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -28,6 +28,7 @@
 import { admitExchange, refuseIsolated } from "./admitExchange.js";
 import { checkCrash } from "./checkCrash.js";
 import { finishAtStop } from "./finishAtStop.js";
+import { reportSilentCrash } from "./reportSilentCrash.js";
 import { runStreamAttempt } from "./runStreamAttempt.js";
 import { type RefusalReason, sendRefusal } from "./sendRefusal.js";
 
@@ -120,6 +121,7 @@
         }
         if (end.kind === "silent") {
             silent.add(end.attempt);
+            void reportSilentCrash(context, exchange, chosen.endpoint, end.attempt);
         }
         const isBroken = end.kind === "broken";
         if (isBroken && await isCrashSuspected(context, exchange, chosen.endpoint, end.mayBeCrash === true)) {
@@ -382,8 +384,14 @@
         .map(work => context.assignmentRegistry.add(work, nowMs));
     chosen.settle();
     const stopMonitor = releaseIfUnresponsive(context, exchange, progress, chosen);
+    const release = (): void => {
+        stopMonitor();
+        assignments.forEach(assignment => context.assignmentRegistry.remove(assignment.id));
+        chosen.reservedMemory?.release();
+    };
+    let result: StreamAttemptResult | undefined;
     try {
-        return await runStreamAttempt(context, exchange, progress, {
+        result = await runStreamAttempt(context, exchange, progress, {
             ...options,
             endpoint: chosen.endpoint,
             permitted: { endpoints: [chosen.endpoint, ...chosen.helpers], at: chosen.permittedAt },
@@ -402,11 +410,11 @@
                 );
             },
         });
+        return result;
     }
     finally {
-        stopMonitor();
-        assignments.forEach(assignment => context.assignmentRegistry.remove(assignment.id));
-        chosen.reservedMemory?.release();
+        // The endpoint of a silent attempt may still be working on it.
+        void (result?.kind === "silent" ? result.attempt.ended.then(release) : release());
     }
 }
 
