--- a/packages/forwarding/src/relays/commands/createEndpointLinks.ts
+++ b/packages/forwarding/src/relays/commands/createEndpointLinks.ts
@@ -1,4 +1,5 @@
 /** Paths of a host to its endpoints: direct ones, and those through peers. */
+import { createThrottledLog } from "@currantrill/logging";
 import type Logger from "bunyan";
 import type { SocketConnector } from "../../endpoints/commands/connectSocket.js";
 import type { EndpointDirectory } from "../../endpoints/model/endpointDirectory.js";
@@ -12,6 +13,8 @@
 
 /** Interval at which a host that reaches endpoints only through peers tries a direct connection. */
 const DIRECT_CHECK_MS = 400;
+/** While endpoints have ended, no peer connects to them either. */
+const FAILURE_LOG_INTERVAL_MS = 1_000;
 /** Endpoints that are tried then. One alone may have ended. */
 const DIRECT_CHECKS = 2;
 
@@ -40,6 +43,10 @@
 export function createEndpointLinks(options: EndpointLinksOptions): EndpointLinks {
     const { log, metrics, connectDirect, getDirectory, listServing, isStopping } = options;
     const peers = createRelayPeers(listServing);
+    const logFailure = createThrottledLog({
+        intervalMs: FAILURE_LOG_INTERVAL_MS,
+        write: (fields, count) => log.info({ ...fields, count }, "links: peer did not connect"),
+    });
     const tracker = createLinkTracker({
         log,
         onRelayed: (address, isHanging) => getDirectory().findByAddress(address)?.pool.discardDirect(isHanging),
@@ -50,7 +57,11 @@
         openRelay,
         tracker,
         peers,
-        onRelay: outcome => metrics.relayedConnections.inc({ role: "opened", outcome }),
+        onConnected: () => metrics.relayedConnections.inc({ role: "opened", outcome: "connected" }),
+        onFailed: (peer, error) => {
+            metrics.relayedConnections.inc({ role: "opened", outcome: "failed" });
+            logFailure({ peer, err: error });
+        },
     });
     const relays = createRelayServer({
         connectDirect,
@@ -64,7 +75,9 @@
             connectDirect(address).connected.then(socket => {
                 socket.destroy();
                 tracker.recordDirect(address);
-            }, () => undefined);
+            }, () => {
+                // The path is still lost, or the endpoint has ended: peers go on being asked.
+            });
         }
     }, DIRECT_CHECK_MS);
     return {
@@ -85,6 +98,7 @@
     for (const { entry, pool } of directory.listAll()) {
         pool.discardDirect(false);
         if (pool.hasSilentDirect()) {
+            // Only the way counts, which the tracker learns; a failure says nothing about the path.
             connect(entry.address).then(({ socket }) => socket.destroy(), () => undefined);
         }
     }
--- a/packages/forwarding/src/relays/commands/createRelayServer.ts
+++ b/packages/forwarding/src/relays/commands/createRelayServer.ts
@@ -41,6 +41,7 @@
     };
     return {
         handleTunnel: ({ url: address = "" }, socket) => {
+            // The peer has gone; it reports the failure of its request.
             socket.on("error", () => socket.destroy());
             const reason = isStopping()
                 ? "stopping"
--- a/packages/forwarding/src/relays/commands/createRelayedConnector.ts
+++ b/packages/forwarding/src/relays/commands/createRelayedConnector.ts
@@ -21,8 +21,9 @@
     readonly openRelay: (peer: string, address: string) => PendingSocket;
     readonly tracker: LinkTracker;
     readonly peers: RelayPeers;
-    /** Called with the outcome of each connection through a peer, for metrics. */
-    readonly onRelay: (outcome: "connected" | "failed") => void;
+    /** Called for each connection through a peer, for metrics and the log. */
+    readonly onConnected: () => void;
+    readonly onFailed: (peer: string, error: unknown) => void;
 }
 
 /** Creates a connector. The first established connection counts, and the other one is closed. */
@@ -94,10 +95,10 @@
 }
 
 function connectThroughPeers(
-    { openRelay, peers, onRelay }: RelayedConnectorOptions,
+    { openRelay, peers, onConnected, onFailed }: RelayedConnectorOptions,
     address: string,
-    onConnected: (connection: EndpointSocket) => void,
-    onFailed: () => void,
+    resolve: (connection: EndpointSocket) => void,
+    reject: () => void,
 ): Relay {
     const asked = new Set<string>();
     const pending = new Map<string, PendingSocket>();
@@ -114,7 +115,7 @@
         if (peer === undefined) {
             if (pending.size === 0 && !hasEnded) {
                 hasEnded = true;
-                onFailed();
+                reject();
             }
             return;
         }
@@ -130,14 +131,14 @@
                     return;
                 }
                 end();
-                onRelay("connected");
+                onConnected();
                 socket.once("close", peers.recordOpen(peer));
-                onConnected({ socket, relay: peer });
+                resolve({ socket, relay: peer });
             },
-            () => {
+            (error: unknown) => {
                 pending.delete(peer);
                 if (!hasEnded) {
-                    onRelay("failed");
+                    onFailed(peer, error);
                     peers.recordFailure(peer);
                     askNext();
                 }
