--- a/packages/forwarding/tests/peers/model/copySources.test.ts
+++ b/packages/forwarding/tests/peers/model/copySources.test.ts
@@ -25,6 +25,7 @@
         });
         expect(asked).toEqual(["a", "b", "c", undefined]);
     });
+    // Guards against a fetch from a peer whose table the host already has, and a list that grows with the fleet's history.
     it("forgets the peers that have nothing newer", () => {
         const sources = createCopySources();
         sources.recordAnnouncement("a", 6);
--- a/packages/forwarding/tests/relays/linkTracker.test.ts
+++ b/packages/forwarding/tests/relays/linkTracker.test.ts
@@ -26,6 +26,7 @@
 }
 
 describe("createLinkTracker", () => {
+    // Guards against a host that takes one lost endpoint for the loss of all paths, or does not notice that loss.
     it("takes the paths for lost once two endpoints are reached only through peers", () => {
         const { tracker, relayed, stranded } = createTracked();
         tracker.recordRelayed("a", true);
@@ -56,6 +57,7 @@
         tracker.recordRelayed("a", false);
         expect(countAdmitted()).toBe(20);
     });
+    // Guards against a state without end for endpoints that have gone.
     it("forgets an endpoint that is not connected to any more", () => {
         const { tracker } = createTracked();
         tracker.recordRelayed("a", true);
@@ -80,6 +82,7 @@
         expect(peers.choose(new Set(["p2", "p3"]))).toBe("p1");
         expect(peers.choose(new Set(["p1", "p2", "p3"]))).toBeUndefined();
     });
+    // Guards against connections that are cut by the stop of the peer that relays them.
     it("does not choose peers that are shutting down", () => {
         const serving = ["p1", "p2"];
         const peers = createRelayPeers(() => serving);
--- a/packages/forwarding/tests/relays/relayServer.test.ts
+++ b/packages/forwarding/tests/relays/relayServer.test.ts
@@ -70,6 +70,7 @@
 const answer = "HTTP/1.1 200 OK\r\n\r\npart of a body";
 
 describe("createRelayServer", () => {
+    // Guards against bytes that are lost or reordered when one side reads more slowly than the other writes.
     it("passes bytes on in both directions", async () => {
         const relay = await startRelay(socket => void socket.pipe(socket));
         const socket = await openRelay(relay.peer, relay.address).connected;
@@ -129,6 +130,7 @@
         expect(relay.outcomes).toEqual([outcome]);
         expect(relay.accepted).toHaveLength(0);
     });
+    // Guards against a relay that stays open, and a host that waits, although the endpoint has gone.
     it("refuses if it cannot connect either", async () => {
         const relay = await startRelay(() => undefined);
         await expect(openRelay(relay.peer, "127.0.0.1:1").connected).rejects.toThrow("status 502");
@@ -142,6 +144,7 @@
         const { port } = silent.address() as AddressInfo;
         await expect(openRelay(`127.0.0.1:${port}`, "127.0.0.1:1").connected).rejects.toThrow("within 600 ms");
     });
+    // Guards against copies of tables that are no longer served on the address of the relays.
     it("keeps answering other requests of the server", async () => {
         const relay = await startRelay(socket => void socket.pipe(socket));
         const [host, port] = relay.peer.split(":");
