--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -166,7 +166,9 @@
     const [storePort, callersPort, readyPort, peersPort, controlPort] = await findPorts(5);
     const listen = (handle, port, ip = "127.0.0.1") =>
         new Promise((resolve, reject) => {
-            const server = createServer({ keepAliveTimeout: 10_000 }, handle);
+            const server = createServer({ keepAliveTimeout: 10_000, maxHeaderSize: 65_536 }, handle);
+            // All fields of a request, however many there are.
+            server.maxHeadersCount = 0;
             server.once("error", reject);
             server.listen(port, ip, () => {
                 closers.push(() => {
