--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -131,8 +131,10 @@
         }
         const relayed = results.filter(({ isRelayed }) => isRelayed);
         const truncated = relayed.filter(({ isTruncated }) => isTruncated);
-        note(`requests ${results.length}, through the other host ${relayed.length}, truncated and complete to the client `
-            + `${truncated.length}, whole ${results.filter(({ isServed }) => isServed).length}`);
+        note(
+            `requests ${results.length}, through the other host ${relayed.length}, truncated and complete to the client `
+                + `${truncated.length}, whole ${results.filter(({ isServed }) => isServed).length}`,
+        );
         exitCode = relayed.length === 0 ? 2 : truncated.length > 0 ? 1 : 0;
     }
 }
--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -45,6 +45,8 @@
     });
 });
 server.on("clientError", (_error, socket) => socket.destroy());
-server.listen({ port: Number(process.env.SERVER_PORT), host: "127.0.0.1", backlog: BACKLOG }, () =>
-    tell({ event: "listens" }));
+server.listen(
+    { port: Number(process.env.SERVER_PORT), host: "127.0.0.1", backlog: BACKLOG },
+    () => tell({ event: "listens" }),
+);
 process.on("disconnect", () => process.exit(0));
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -141,7 +141,10 @@
             /\{\{#seed_addresses\}\}.*?\{\{\/seed_addresses\}\}/s,
             fields.seed_addresses.map(each => JSON.stringify(each)).join(","),
         )
-        .replace(/\{\{#([\w.]+)\}\}\n(.*?)\{\{\/\1\}\}\n?/gs, (_all, path, inner) => get(path) === undefined ? "" : inner)
+        .replace(
+            /\{\{#([\w.]+)\}\}\n(.*?)\{\{\/\1\}\}\n?/gs,
+            (_all, path, inner) => get(path) === undefined ? "" : inner,
+        )
         .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, path, json) => {
             const value = get(path);
             return json === undefined ? String(value ?? "") : JSON.stringify(value);
