Mark the end of an endpoint's answer on connections through a peer

A host had reached the endpoint through another host, which was killed in the middle.

Cause: an answer with neither a length nor chunks ends with its connection. Through a peer, the end of the connection says that some process has ended, and the host took it for that of the endpoint. The write that tells a reset from an end succeeds before the reset that it causes comes back.

Change: the relaying host sends the endpoint's bytes in frames and an empty frame once the endpoint has ended its side; only that ends an answer without a length. The format is offered and confirmed in the header relay-format, so that hosts of earlier builds get and send bytes as they are; through them such an answer is never whole. An endpoint that answers the detection of a reset by one no longer turns its end into a reset.

Why it works: no end of the relaying process, whatever its cause, contains the empty frame.

The test of relayServer.test.ts that told a reset from an end by detectReset asks checkEnd now, and has two more ends.

--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -2,7 +2,6 @@
 import type { Dispatcher } from "undici";
 import { createBodyReading } from "../model/bodyReading.js";
 import { type Connection, type ConnectionPool, MAX_HEAD_BYTES } from "../model/connectionPool.js";
-import { detectReset } from "./detectReset.js";
 
 /** Why an attempt ended without a complete response. */
 export type AttemptFailure =
@@ -197,8 +196,9 @@
 }
 
 /**
- * Distinguishes the end of a body without a length, which ends only with the connection, from a reset. If the body is
- * missing, the endpoint may have crashed after the head, which ends its connection in the same way as a regular end.
+ * Distinguishes the end of a body without a length, which ends only with the connection, from a reset and from the end of
+ * a host that relays the connection. If the body is missing, the endpoint may have crashed after the head, which ends its
+ * connection in the same way as a regular end.
  */
 function checkRegularEnd(
     connection: Connection,
@@ -210,11 +210,17 @@
         onFailure(new Error("connection closed before the first byte of a body without a length"));
         return;
     }
-    const { socket, hasSocketError } = connection;
-    const detection = hasSocketError || socket === undefined ? Promise.resolve(true) : detectReset(socket);
-    detection.then(
-        hasBeenReset =>
-            hasBeenReset ? onFailure(new Error("connection reset before the response was complete")) : onEnd(),
+    const { relay, hasSocketError, checkEnd } = connection;
+    const check = hasSocketError ? Promise.resolve(false) : checkEnd();
+    check.then(
+        isEndOfEndpoint =>
+            isEndOfEndpoint ? onEnd() : onFailure(
+                new Error(
+                    relay === undefined
+                        ? "connection reset before the response was complete"
+                        : `the end of the response is not confirmed by the relaying host ${relay}`,
+                ),
+            ),
         onFailure,
     );
 }
--- a/packages/forwarding/src/endpoints/model/connectionPool.ts
+++ b/packages/forwarding/src/endpoints/model/connectionPool.ts
@@ -1,8 +1,8 @@
 /** Pool of HTTP/1.1 connections to one endpoint. Each connection carries one request at a time, without pipelining. */
-import type { Socket } from "node:net";
 import { Client } from "undici";
 import { connectSocket } from "../commands/connectSocket.js";
-import type { EndpointConnector, EndpointSocket } from "./endpointSocket.js";
+import { toDirectConnection } from "../commands/toDirectConnection.js";
+import type { EndpointConnector, EndpointSocket, EndpointStream } from "./endpointSocket.js";
 
 /** Idle time after which a connection is closed if the endpoint does not announce a keep-alive timeout. */
 const IDLE_TIMEOUT_MS = 4_000;
@@ -15,9 +15,11 @@
 export interface Connection {
     readonly client: Client;
     /** Set once connected. */
-    socket: Socket | undefined;
+    socket: EndpointStream | undefined;
     /** Peer that relays the connection; `undefined` for a direct one. */
     relay: string | undefined;
+    /** Returns whether the endpoint itself has ended the connection; see `EndpointSocket`. */
+    checkEnd: EndpointSocket["checkEnd"];
     /** When bytes were last received, or the connection was established, on the monotonic clock. */
     lastReceivedAtMs: number;
     /** Whether the socket reported an error, such as a reset. */
@@ -60,6 +62,9 @@
     readonly isReusable?: (relay: string | undefined) => boolean;
 }
 
+/** The HTTP client types a connection as a socket, and uses it as a stream only. */
+type StreamCallback = (error: null, stream: EndpointStream) => void;
+
 /** Reason of attempts on connections whose path is lost. */
 const LOST_PATH = "the host has lost its path to the endpoint";
 /** A connection whose path is lost is silent for longer than sound ones are between two events. */
@@ -67,7 +72,7 @@
 
 const defaultOptions = {
     onConnect: () => undefined,
-    connect: address => connectSocket(address).connected.then(socket => ({ socket })),
+    connect: address => connectSocket(address).connected.then(toDirectConnection),
     isReusable: () => true,
 } satisfies ConnectionPoolOptions;
 
@@ -87,6 +92,7 @@
         const connection: Connection = {
             socket: undefined,
             relay: undefined,
+            checkEnd: () => Promise.resolve(false),
             lastReceivedAtMs: performance.now(),
             hasSocketError: false,
             requestCount: 0,
@@ -104,7 +110,7 @@
                     void connect(address).then(
                         established => {
                             watchSocket(connection, established);
-                            callback(null, established.socket);
+                            (callback as StreamCallback)(null, established.socket);
                         },
                         (error: unknown) => callback(error as Error, null),
                     ),
@@ -153,9 +159,10 @@
     };
 }
 
-function watchSocket(connection: Connection, { socket, relay }: EndpointSocket): void {
+function watchSocket(connection: Connection, { socket, relay, checkEnd }: EndpointSocket): void {
     connection.socket = socket;
     connection.relay = relay;
+    connection.checkEnd = checkEnd;
     connection.lastReceivedAtMs = performance.now();
     // Prepended, because the client's own listener may treat a reset as the end of a body.
     socket.prependListener("error", () => {
--- a/packages/forwarding/src/relays/commands/createRelayServer.ts
+++ b/packages/forwarding/src/relays/commands/createRelayServer.ts
@@ -3,6 +3,7 @@
 import { STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import type { SocketConnector } from "../../endpoints/commands/connectSocket.js";
+import { parseTunnelFormat, TUNNEL_FORMAT_HEADER, type TunnelFormat } from "../model/tunnelFormat.js";
 import { joinSockets } from "./joinSockets.js";
 
 /** Why a connection is not relayed, with the status of the response. */
@@ -12,6 +13,12 @@
     stopping: 503,
 } as const;
 
+/** Responses to a host whose connection is relayed. Builds without formats get the one that they know. */
+const responses: Readonly<Record<TunnelFormat, string>> = {
+    raw: "HTTP/1.1 200 Connection Established\r\n\r\n",
+    framed: `HTTP/1.1 200 Connection Established\r\n${TUNNEL_FORMAT_HEADER}: framed\r\n\r\n`,
+};
+
 export type RelayOutcome = "connected" | keyof typeof refusals;
 
 export interface RelayServerOptions {
@@ -40,7 +47,7 @@
         socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
     };
     return {
-        handleTunnel: ({ url: address = "" }, socket) => {
+        handleTunnel: ({ url: address = "", headers }, socket) => {
             // The peer has gone; it reports the failure of its request.
             socket.on("error", () => socket.destroy());
             const reason = isStopping()
@@ -63,8 +70,9 @@
             pending.connected.then(
                 endpoint => {
                     onRelay("connected");
-                    socket.write("HTTP/1.1 200 Connection Established\r\n\r\n");
-                    joinSockets(socket, endpoint);
+                    const format = parseTunnelFormat(headers[TUNNEL_FORMAT_HEADER]);
+                    socket.write(responses[format]);
+                    joinSockets(socket, endpoint, format);
                 },
                 () => {
                     open.delete(socket);
--- a/packages/forwarding/src/relays/commands/createRelayedConnector.ts
+++ b/packages/forwarding/src/relays/commands/createRelayedConnector.ts
@@ -1,10 +1,12 @@
 /** Connects to endpoints directly, or through a peer if that fails. */
-import type { PendingSocket, SocketConnector } from "../../endpoints/commands/connectSocket.js";
+import type { SocketConnector } from "../../endpoints/commands/connectSocket.js";
 import { isLackOfResources } from "../../endpoints/commands/sendAttempt.js";
+import { toDirectConnection } from "../../endpoints/commands/toDirectConnection.js";
 import type { EndpointConnector, EndpointSocket } from "../../endpoints/model/endpointSocket.js";
 import { startTimeout } from "../../endpoints/model/startTimeout.js";
 import type { LinkTracker } from "../model/linkTracker.js";
 import type { RelayPeers } from "../model/relayPeers.js";
+import type { PendingRelay } from "./openRelay.js";
 
 /**
  * Time in which a direct connection gets no reply until a peer is asked as well. Endpoints accept connections within a few
@@ -18,7 +20,7 @@
 
 export interface RelayedConnectorOptions {
     readonly connectDirect: SocketConnector;
-    readonly openRelay: (peer: string, address: string) => PendingSocket;
+    readonly openRelay: (peer: string, address: string) => PendingRelay;
     readonly tracker: LinkTracker;
     readonly peers: RelayPeers;
     /** Called for each connection through a peer, for metrics and the log. */
@@ -75,7 +77,7 @@
             settle(() => {
                 relay?.cancel();
                 tracker.recordDirect(address);
-                resolve({ socket });
+                resolve(toDirectConnection(socket));
             });
         },
         (error: unknown) => {
@@ -101,7 +103,7 @@
     reject: () => void,
 ): Relay {
     const asked = new Set<string>();
-    const pending = new Map<string, PendingSocket>();
+    const pending = new Map<string, PendingRelay>();
     let hasEnded = false;
     let cancelNext = (): void => undefined;
     const end = (): void => {
@@ -124,16 +126,16 @@
         const relay = openRelay(peer, address);
         pending.set(peer, relay);
         relay.connected.then(
-            socket => {
+            connection => {
                 pending.delete(peer);
                 if (hasEnded) {
-                    socket.destroy();
+                    connection.socket.destroy();
                     return;
                 }
                 end();
                 onConnected();
-                socket.once("close", peers.recordOpen(peer));
-                resolve({ socket, relay: peer });
+                connection.socket.once("close", peers.recordOpen(peer));
+                resolve(connection);
             },
             (error: unknown) => {
                 pending.delete(peer);
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -205,6 +205,7 @@
             client: { dispatch } as never,
             socket: undefined,
             relay: undefined,
+            checkEnd: () => Promise.resolve(false),
             lastReceivedAtMs: 0,
             hasSocketError: false,
             requestCount: 1,
--- a/packages/forwarding/tests/faultFixture.ts
+++ b/packages/forwarding/tests/faultFixture.ts
@@ -42,8 +42,8 @@
 }
 
 /** Sends a request, and returns what has arrived of the response. */
-export async function sendRequest(host: TestHost, id: string): Promise<Reply> {
-    const reply = await request(`${host.url}/r/x`, { headers: { "host": "desk.example", "t-id": id } });
+export async function sendRequest(host: TestHost, id: string, path = "/r/x"): Promise<Reply> {
+    const reply = await request(`${host.url}${path}`, { headers: { "host": "desk.example", "t-id": id } });
     let body = "";
     try {
         for await (const chunk of reply.body) {
--- a/packages/forwarding/tests/relays/relayServer.test.ts
+++ b/packages/forwarding/tests/relays/relayServer.test.ts
@@ -1,9 +1,9 @@
 import { serveHttp } from "@currantrill/http";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
 import { afterEach, describe, expect, it } from "vitest";
 import { connectSocket } from "../../src/endpoints/commands/connectSocket.js";
-import { detectReset } from "../../src/endpoints/commands/detectReset.js";
 import { createRelayServer, type RelayOutcome } from "../../src/relays/commands/createRelayServer.js";
 import { openRelay } from "../../src/relays/commands/openRelay.js";
 import { waitUntil } from "../hostFixture.js";
@@ -20,6 +20,8 @@
     readonly countOpen: () => number;
     /** Connections that the endpoint has accepted. */
     readonly accepted: Socket[];
+    /** Closes the connections of the relaying host, as at the end of its grace time. */
+    readonly stop: () => Promise<void>;
 }
 
 /** Starts an endpoint that runs a script on each connection, and a host that relays to it. */
@@ -59,10 +61,11 @@
         outcomes,
         countOpen: relays.countOpen,
         accepted,
+        stop: server.close,
     };
 }
 
-const waitFor = (socket: Socket, event: string): Promise<unknown> =>
+const waitFor = (socket: Duplex, event: string): Promise<unknown> =>
     new Promise(resolve => {
         socket.once(event, resolve);
     });
@@ -73,7 +76,7 @@
     // Guards against bytes that are lost or reordered when one side reads more slowly than the other writes.
     it("passes bytes on in both directions", async () => {
         const relay = await startRelay(socket => void socket.pipe(socket));
-        const socket = await openRelay(relay.peer, relay.address).connected;
+        const { socket } = await openRelay(relay.peer, relay.address).connected;
         const sent = Buffer.alloc(3_000_000, "abc");
         const received: Buffer[] = [];
         socket.on("data", (chunk: Buffer) => received.push(chunk));
@@ -84,19 +87,25 @@
         expect(Buffer.concat(received).equals(sent)).toBe(true);
         socket.destroy();
     });
-    // Guards against a response without a length that is taken for complete, because a reset of the endpoint looks like a
-    // regular end to the host behind the relay.
-    it.each([
-        { name: "reset", close: (socket: Socket): void => void socket.resetAndDestroy(), hasBeenReset: true },
-        { name: "end", close: (socket: Socket): void => void socket.end(), hasBeenReset: false },
-    ])("passes on the $name of an endpoint", async ({ close, hasBeenReset }) => {
+    // Guards against a response without a length that is taken for complete, because a reset of the endpoint or the end of
+    // the relaying host looks like a regular end to the host behind the relay.
+    it.each<{ name: string; close: (socket: Socket, relay: Relay) => void; isEndOfEndpoint: boolean; }>([
+        { name: "reset of an endpoint", close: socket => void socket.resetAndDestroy(), isEndOfEndpoint: false },
+        { name: "end of an endpoint", close: socket => void socket.end(), isEndOfEndpoint: true },
+        {
+            name: "end of an endpoint that resets the connection after it",
+            close: socket => void socket.end().on("data", () => socket.resetAndDestroy()),
+            isEndOfEndpoint: true,
+        },
+        { name: "end of the relaying host", close: (_socket, relay) => void relay.stop(), isEndOfEndpoint: false },
+    ])("tells the $name", async ({ close, isEndOfEndpoint }) => {
         const relay = await startRelay(socket => {
             socket.once("data", () => {
                 socket.write(answer);
-                setTimeout(() => close(socket), 20);
+                setTimeout(() => close(socket, relay), 20);
             });
         });
-        const socket = await openRelay(relay.peer, relay.address).connected;
+        const { socket, checkEnd } = await openRelay(relay.peer, relay.address).connected;
         const errors: Error[] = [];
         socket.on("error", error => errors.push(error));
         let text = "";
@@ -105,14 +114,26 @@
         });
         socket.write("GET / HTTP/1.1\r\n\r\n");
         await Promise.race([waitFor(socket, "end"), waitFor(socket, "close")]);
-        expect(errors.length > 0 || await detectReset(socket)).toBe(hasBeenReset);
+        expect(errors.length === 0 && await checkEnd()).toBe(isEndOfEndpoint);
         expect(text).toBe(answer);
         socket.destroy();
     });
+    // Guards against an upload that looks complete to the endpoint although the host that sent it has ended in the middle.
+    it("passes on no more of an upload than has come", async () => {
+        const received: Buffer[] = [];
+        const relay = await startRelay(socket => void socket.on("data", (chunk: Buffer) => received.push(chunk)));
+        const { socket } = await openRelay(relay.peer, relay.address).connected;
+        const part = "POST / HTTP/1.1\r\ncontent-length: 20\r\n\r\nhalf of it";
+        socket.write(part);
+        await waitUntil(() => Buffer.concat(received).length === part.length);
+        socket.destroy();
+        await waitFor(relay.accepted[0]!, "end");
+        expect(String(Buffer.concat(received))).toBe(part);
+    });
     // Guards against endpoints that go on with a request whose caller has left.
     it("closes the connection to the endpoint when the host closes its own", async () => {
         const relay = await startRelay(socket => socket.resume());
-        const socket = await openRelay(relay.peer, relay.address).connected;
+        const { socket } = await openRelay(relay.peer, relay.address).connected;
         const [accepted] = relay.accepted;
         socket.destroy();
         await waitFor(accepted!, "end");
