Send streams to callers without chunks as a whole, with a length

What callers saw: with HTTP/1.0, a stream that had broken off came as status 200, some events and a regular end of the connection.

Ruled out: a reset in place of the close, since a host that is killed closes its connections in the regular way; a refusal, since sound callers would no longer be served.

Change: the events are collected within the limits on response bodies and sent with a length; a stream that breaks off is resumed elsewhere or refused with 502.

--- a/packages/forwarding/src/requests/commands/runStreamAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runStreamAttempt.ts
@@ -11,6 +11,7 @@
 import type { AttemptRecord } from "../model/attemptRecord.js";
 import type { Exchange } from "../model/exchange.js";
 import type { StreamAttemptPlan, StreamAttemptResult, StreamProgress } from "../model/streamAttempt.js";
+import type { WriteResult } from "../model/streamOutput.js";
 import { canReplace, isGone } from "../queries/canReplaceSilent.js";
 import { getMediaType } from "../queries/getMediaType.js";
 import { selectResponseHeaders } from "../queries/selectHeaders.js";
@@ -303,8 +304,7 @@
     if (!run.progress.hasSentHeaders) {
         run.progress.hasSentHeaders = true;
         run.progress.mediaType = mediaType;
-        run.exchange.response.writeHead(status, headers);
-        run.exchange.response.flushHeaders();
+        run.progress.output.begin(status, headers);
     }
 }
 
@@ -340,7 +340,6 @@
  * ones. They are written at once: a chunk may hold thousands.
  */
 function forwardEvents(run: StreamRun, events: readonly StreamEvent[]): readonly StreamEvent[] {
-    const { response } = run.exchange;
     const forwarded = events.filter(event => {
         const isForwarded = isNew(run.progress, event);
         if (isForwarded) {
@@ -355,12 +354,18 @@
     const bytes = forwarded.length === 1 && first !== undefined
         ? first.bytes
         : Buffer.concat(forwarded.map(event => event.bytes));
-    if (!response.write(bytes)) {
-        waitForCaller(run);
-    }
+    writeHandlers[run.progress.output.write(bytes)](run);
     return forwarded;
 }
 
+const writeHandlers: Readonly<Record<WriteResult, (run: StreamRun) => void>> = {
+    accepted: () => undefined,
+    full: waitForCaller,
+    exceeded: run => {
+        abortRun(run, { kind: "too_large" }, "the host cannot hold the response for a caller that reads no chunks");
+    },
+};
+
 /** Stops reading until the caller has received what was written. The endpoint has not stalled meanwhile. */
 function waitForCaller(run: StreamRun): void {
     run.isPaused = true;
@@ -433,7 +438,7 @@
         run.tracker.recordAnswer(run.exchange.startedAtMs + run.record.firstAfterMs);
     }
     run.tracker.recordSoundAnswer();
-    run.exchange.response.end();
+    run.progress.output.end();
     finishRun(run, { kind: "complete" });
 }
 
--- a/packages/forwarding/src/requests/commands/serveStream.ts
+++ b/packages/forwarding/src/requests/commands/serveStream.ts
@@ -27,6 +27,7 @@
 import { listLoads } from "../queries/listLoads.js";
 import { admitExchange, refuseIsolated } from "./admitExchange.js";
 import { checkCrash } from "./checkCrash.js";
+import { createStreamProgress } from "./createStreamProgress.js";
 import { finishAtStop } from "./finishAtStop.js";
 import { reportSilentCrash } from "./reportSilentCrash.js";
 import { runStreamAttempt } from "./runStreamAttempt.js";
@@ -65,11 +66,7 @@
 
 async function runAttempts(context: ForwardingContext, exchange: Exchange, silent: SilentAttempts): Promise<string> {
     const finish = (refuse: () => string): Promise<string> => finishOrContinue(context, exchange, silent, refuse);
-    const progress: StreamProgress = {
-        lastEventId: exchange.callerMetadata.lastEventId,
-        hasSentHeaders: false,
-        events: 0,
-    };
+    const progress = createStreamProgress(context, exchange);
     const tried = new Set<Endpoint>();
     let attemptsSent = 0;
     let connectFailures = 0;
@@ -178,6 +175,7 @@
 const fatalReasons: Readonly<Partial<Record<StreamAttemptResult["kind"], RefusalReason>>> = {
     out_of_time: "out_of_time",
     isolated: "crash_suspected",
+    too_large: "outcome_unknown",
 };
 
 /** Returns whether the prompt may be the reason why the endpoint of its last attempt crashed. */
--- a/packages/forwarding/src/requests/model/streamAttempt.ts
+++ b/packages/forwarding/src/requests/model/streamAttempt.ts
@@ -3,11 +3,13 @@
 import type { PromptPlacement } from "../../placement/model/promptPlacement.js";
 import type { PrefillShard } from "../../ports/endpointProtocol.js";
 import type { PermittedEndpoints } from "../../warmup/queries/isPermitCurrent.js";
+import type { StreamOutput } from "./streamOutput.js";
 
 /** What the caller has received so far, over all attempts. */
 export interface StreamProgress {
+    readonly output: StreamOutput;
     lastEventId: number | undefined;
-    /** Whether the response headers have been sent. */
+    /** Whether a response has begun, which a further attempt continues. */
     hasSentHeaders: boolean;
     /** Content type of that response without its parameters. A response that continues the stream has the same. */
     mediaType?: string;
@@ -15,9 +17,12 @@
     events: number;
 }
 
-/** Result of an attempt. `passed_on`: an error response of the endpoint was forwarded; `stopped`: the host stops. */
+/**
+ * Result of an attempt. `passed_on`: an error response of the endpoint was forwarded; `stopped`: the host stops;
+ * `too_large`: the host cannot hold the response.
+ */
 export type StreamAttemptResult =
-    | { readonly kind: "complete" | "passed_on" | "caller_gone" | "out_of_time" | "stopped"; }
+    | { readonly kind: "complete" | "passed_on" | "caller_gone" | "out_of_time" | "stopped" | "too_large"; }
     /** `not_run`: the endpoint has not run the request. `broken`: it may have run, partly or completely. */
     | {
         readonly kind: "not_run" | "broken";
