Keep an endpoint in use that refuses a condition of one caller

Cause: an endpoint answers 421 both for an address that belongs to another endpoint and for a condition of the caller. The host took each for the first and removed the endpoint until its entry changes.

Ruled out: putting the endpoint back after a time, since each such request would take it out again; removing the header, since callers may set it.

--- a/packages/forwarding/src/ports/endpointProtocol.ts
+++ b/packages/forwarding/src/ports/endpointProtocol.ts
@@ -82,6 +82,11 @@
 export interface EndpointProtocol {
     /** Header names, in lower case, that only hosts may set. They are removed from callers' requests. */
     readonly reservedHeaders: ReadonlySet<string>;
+    /**
+     * Header names, in lower case, of conditions that callers may set. An endpoint that does not meet one refuses the
+     * request like one that is meant for another endpoint.
+     */
+    readonly conditionHeaders: ReadonlySet<string>;
     /** Builds the headers that the host adds to an attempt. */
     buildHeaders(attempt: AttemptHeaders): Readonly<Record<string, string>>;
     /** Parses the status and headers of a response. */
--- a/packages/forwarding/src/requests/commands/forwardRequest.ts
+++ b/packages/forwarding/src/requests/commands/forwardRequest.ts
@@ -119,6 +119,7 @@
         target,
         headers: selectRequestHeaders(request.rawHeaders, context.protocol.reservedHeaders),
         body,
+        isConditional: Object.keys(request.headers).some(name => context.protocol.conditionHeaders.has(name)),
         callerMetadata,
         tracked: {
             service: service.name,
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -97,7 +97,8 @@
         const isStated = metadata.isNotExecuted || metadata.isMisdirected;
         if (isStated || notRunStatuses.has(status)) {
             const isCertain = isStated && isFirstRefusal(connection, metadata.requestId);
-            refused = acceptRefusal(context, endpoint, { status, metadata, isStated, isCertain, abort: attempt.abort });
+            const { abort } = attempt;
+            refused = acceptRefusal(context, { exchange, endpoint, status, metadata, isStated, isCertain, abort });
             connection?.refusedIds.add(exchange.requestId);
             if (!isCertain || (connection?.refusedIds.size ?? 0) >= MAX_REFUSED_IDS) {
                 attempt.abort(refused.reason);
@@ -213,6 +214,8 @@
 }
 
 interface Refusal {
+    readonly exchange: Exchange;
+    readonly endpoint: Endpoint;
     readonly status: number;
     readonly metadata: ResponseMetadata;
     /** Whether the endpoint states that it did not run the request. */
@@ -225,15 +228,18 @@
 /** Begins to receive a refusal. A statement only changes health if it is certainly about this request. */
 function acceptRefusal(
     context: ForwardingContext,
-    endpoint: Endpoint,
-    { status, metadata, isStated, isCertain, abort }: Refusal,
+    { exchange, endpoint, status, metadata, isStated, isCertain, abort }: Refusal,
 ): RefusedResponse {
+    // A condition of one caller says nothing about the endpoint that other callers use.
+    const isAmbiguous = metadata.isMisdirected && exchange.isConditional;
     const reason = !isStated
         ? `status ${status} without a statement that the request was not run`
+        : isAmbiguous
+        ? `not executed, status ${status}: a condition of the caller, or the address belongs to another endpoint`
         : metadata.isMisdirected
         ? "address belongs to another endpoint"
         : `not executed, status ${status}`;
-    if (isCertain) {
+    if (isCertain && !isAmbiguous) {
         recordRefusalFault(context, endpoint, metadata);
     }
     else if (!isStated) {
--- a/packages/forwarding/src/requests/model/exchange.ts
+++ b/packages/forwarding/src/requests/model/exchange.ts
@@ -17,6 +17,8 @@
     /** Header names and values, alternating, as forwarded to the endpoint. */
     readonly headers: readonly string[];
     readonly body: Buffer;
+    /** Whether the caller has set a condition that an endpoint may refuse (`EndpointProtocol.conditionHeaders`). */
+    readonly isConditional: boolean;
     /** Values parsed from the caller's headers. */
     readonly callerMetadata: CallerHeaders;
     readonly tracked: TrackedRequest;
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -128,6 +128,7 @@
                 target: "/r/x",
                 headers: [],
                 body: Buffer.alloc(0),
+                isConditional: false,
                 callerMetadata: { promptTokens },
                 tracked: {
                     service: directoryService,
--- a/packages/forwarding/tests/hostFixture.ts
+++ b/packages/forwarding/tests/hostFixture.ts
@@ -38,6 +38,7 @@
 /** Endpoint protocol for tests; header names begin with `t-`. */
 export const testProtocol: EndpointProtocol = {
     reservedHeaders: new Set(["authorization", "t-deadline", "t-endpoint", "t-workspace", "t-last"]),
+    conditionHeaders: new Set(["t-condition"]),
     buildHeaders: attempt => ({
         "t-deadline": String(attempt.deadlineMs),
         "t-endpoint": attempt.endpointId,
