Take the end of a relaying host for no crash of the endpoint

A host without paths whose relaying peers were killed had reported "endpoint crashed" for endpoints that were alive: its attempts broke off, and its probes found no path either.

The end of a relayed connection was booked on the endpoint.

Ruled out: that no host without paths reports crashes, since requests that crash endpoints also come at such hosts.

Change: the relaying host marks a reset by the endpoint as well as its end. The end of a relayed connection without a mark, and of a direct one whose path is lost, is a failure of its own (path_lost), which changes no health and is not reported.

--- a/packages/forwarding/src/endpoints/commands/sendAttempt.ts
+++ b/packages/forwarding/src/endpoints/commands/sendAttempt.ts
@@ -11,6 +11,8 @@
     | "no_resources"
     /** The connection failed after the request was sent, or carried bytes that are not a response to it. */
     | "broken"
+    /** The connection has ended after the request was sent, and not by the endpoint. */
+    | "path_lost"
     /** The response exceeds a limit. */
     | "oversized"
     /** The host aborted the attempt. */
@@ -87,7 +89,7 @@
             return;
         }
         pool.discard(connection);
-        const sentFailure = isOversized ? "oversized" : "broken";
+        const sentFailure = isOversized ? "oversized" : connection.isCut() ? "path_lost" : "broken";
         const unsentFailure = isLackOfResources(error) ? "no_resources" : "not_connected";
         events.onFailure(abortReason !== undefined ? "aborted" : wasSent ? sentFailure : unsentFailure, error);
     };
--- a/packages/forwarding/src/endpoints/model/endpointSocket.ts
+++ b/packages/forwarding/src/endpoints/model/endpointSocket.ts
@@ -16,6 +16,8 @@
      * connection is whole only then: the end of a relayed connection may be that of the relaying host.
      */
     readonly checkEnd: () => Promise<boolean>;
+    /** Returns whether the connection has ended, and it is not known that the endpoint has ended it. */
+    readonly isCut: () => boolean;
 }
 
 /** Connects to the IP address and port of an endpoint. Rejects if no connection is established in time. */
--- a/packages/forwarding/src/relays/commands/decodeTunnel.ts
+++ b/packages/forwarding/src/relays/commands/decodeTunnel.ts
@@ -2,12 +2,15 @@
 import { Duplex } from "node:stream";
 import type { EndpointStream } from "../../endpoints/model/endpointSocket.js";
 import { createTunnelDecoder } from "../model/tunnelDecoder.js";
+import type { EndpointEnd } from "../model/tunnelFormat.js";
 
 export interface DecodedTunnel {
     /** Bytes of the endpoint, and to it. Ends when the endpoint ends its side, or when the connection to the peer ends. */
     readonly stream: EndpointStream;
     /** Returns whether the relaying host has said that the endpoint itself has ended its side. */
     readonly hasEnded: () => boolean;
+    /** Returns whether the connection to the peer has ended, and the endpoint's has not. */
+    readonly isCut: () => boolean;
 }
 
 /** Decodes the frames of a relaying host. Bytes to the endpoint are sent as they are. */
@@ -15,6 +18,7 @@
     const decoder = createTunnelDecoder();
     let bytesRead = 0;
     let isEnded = false;
+    let isCut = false;
     const endOnce = (): void => {
         if (!isEnded) {
             isEnded = true;
@@ -41,6 +45,11 @@
         "bytesRead",
         { get: () => bytesRead },
     ) as EndpointStream;
+    const markHandlers: Readonly<Record<EndpointEnd | "none", () => void>> = {
+        none: () => undefined,
+        end: endOnce,
+        reset: () => void stream.destroy(new Error("the endpoint has reset its connection to the relaying host")),
+    };
     socket.on("data", (chunk: Buffer) => {
         try {
             for (const part of decoder.decode(chunk)) {
@@ -54,18 +63,20 @@
             stream.destroy(error as Error);
             return;
         }
-        if (decoder.hasEnded()) {
-            endOnce();
-        }
+        markHandlers[decoder.getEnd() ?? "none"]();
+    });
+    socket.once("end", () => {
+        isCut = decoder.getEnd() === undefined;
+        endOnce();
     });
-    socket.once("end", endOnce);
     // What becomes of the connection after the end of the endpoint takes nothing back.
     const destroyUnlessEnded = (error?: Error): void => {
-        if (!decoder.hasEnded()) {
+        if (decoder.getEnd() === undefined) {
+            isCut ||= error !== undefined;
             stream.destroy(error);
         }
     };
     socket.on("error", destroyUnlessEnded);
     socket.once("close", () => destroyUnlessEnded());
-    return { stream, hasEnded: decoder.hasEnded };
+    return { stream, hasEnded: () => decoder.getEnd() === "end", isCut: () => isCut };
 }
--- a/packages/forwarding/src/relays/commands/joinSockets.ts
+++ b/packages/forwarding/src/relays/commands/joinSockets.ts
@@ -6,14 +6,20 @@
 /**
  * Passes bytes on between the connection of a peer and one to an endpoint. The peer sees the same end as this host: a
  * reset of the endpoint is a reset for the peer, too, which cannot take a response without a length for complete then. In
- * frames, the peer can also tell the end of the endpoint from that of this host.
+ * frames, the peer can also tell both from the end of this host.
  */
 export function joinSockets(peer: Socket, endpoint: Socket, format: TunnelFormat): void {
     const encoder = createTunnelEncoder(format);
-    const reset = (): void => void peer.resetAndDestroy();
+    const reset = (): void => {
+        if (encoder.marksResets) {
+            encoder.end("reset");
+            return;
+        }
+        peer.resetAndDestroy();
+    };
     peer.pipe(endpoint, { end: false });
-    endpoint.pipe(encoder, { end: false });
-    encoder.pipe(peer);
+    endpoint.pipe(encoder.stream, { end: false });
+    encoder.stream.pipe(peer);
     endpoint.on("error", reset);
     endpoint.on("error", () => endpoint.destroy());
     endpoint.once("end", () => {
@@ -24,7 +30,7 @@
             }
             // An endpoint that has closed its connection answers the bytes of the detection by a reset.
             endpoint.off("error", reset);
-            encoder.end();
+            encoder.end("end");
         });
     });
     endpoint.once("close", () => {
--- a/packages/forwarding/src/relays/commands/openRelay.ts
+++ b/packages/forwarding/src/relays/commands/openRelay.ts
@@ -17,14 +17,21 @@
     readonly cancel: () => void;
 }
 
-type SocketReader = (socket: Socket) => Pick<EndpointSocket, "socket" | "checkEnd">;
+type SocketReader = (socket: Socket) => Pick<EndpointSocket, "socket" | "checkEnd" | "isCut">;
 
 const readers: Readonly<Record<TunnelFormat, SocketReader>> = {
     // The end may be that of the peer, for example because its process was killed.
-    raw: socket => ({ socket, checkEnd: () => Promise.resolve(false) }),
+    raw: socket => {
+        let isCut = false;
+        const recordCut = (): void => {
+            isCut = true;
+        };
+        socket.once("end", recordCut).once("error", recordCut);
+        return { socket, checkEnd: () => Promise.resolve(false), isCut: () => isCut };
+    },
     framed: socket => {
-        const { stream, hasEnded } = decodeTunnel(socket);
-        return { socket: stream, checkEnd: () => Promise.resolve(hasEnded()) };
+        const { stream, hasEnded, isCut } = decodeTunnel(socket);
+        return { socket: stream, checkEnd: () => Promise.resolve(hasEnded()), isCut };
     },
 };
 
--- a/packages/forwarding/src/relays/model/tunnelFormat.ts
+++ b/packages/forwarding/src/relays/model/tunnelFormat.ts
@@ -2,7 +2,7 @@
 
 /**
  * `raw`: as they are, as earlier builds send them; the end of the connection says only that some process has ended it.
- * `framed`: in frames, of which an empty one says that the endpoint itself has ended its side.
+ * `framed`: in frames, and a mark once the endpoint itself has ended or reset its connection.
  */
 export type TunnelFormat = "raw" | "framed";
 
@@ -15,5 +15,10 @@
 
 /** A frame begins with the number of its bytes, as an unsigned integer in network byte order. */
 export const FRAME_HEADER_BYTES = 4;
+/** How an endpoint has ended its connection. */
+export type EndpointEnd = "end" | "reset";
+
+/** Lengths that stand for an end instead of a frame. */
+export const endMarks: Readonly<Record<EndpointEnd, number>> = { end: 0, reset: 0xff_ff_ff_ff };
 /** Largest frame. Sockets are read in parts of at most 64 KiB; a longer frame is not one of a host. */
 export const MAX_FRAME_BYTES = 1_048_576;
--- a/packages/forwarding/src/requests/commands/runAttempt.ts
+++ b/packages/forwarding/src/requests/commands/runAttempt.ts
@@ -51,6 +51,7 @@
     not_connected: markUnresponsive,
     no_resources: health => health,
     broken: recordFailure,
+    path_lost: health => health,
     oversized: recordOversizedResponse,
     aborted: health => health,
 };
--- a/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
+++ b/packages/forwarding/tests/endpoints/commands/lackOfResources.test.ts
@@ -20,6 +20,7 @@
             socket: undefined,
             relay: undefined,
             checkEnd: () => Promise.resolve(false),
+            isCut: () => false,
             lastReceivedAtMs: 0,
             hasSocketError: false,
             requestCount: 1,
--- a/packages/forwarding/tests/evacuation/evacuationFixture.ts
+++ b/packages/forwarding/tests/evacuation/evacuationFixture.ts
@@ -207,6 +207,7 @@
             socket: undefined,
             relay: undefined,
             checkEnd: () => Promise.resolve(false),
+            isCut: () => false,
             lastReceivedAtMs: 0,
             hasSocketError: false,
             requestCount: 1,
--- a/packages/forwarding/tests/relays/relayedEnds.test.ts
+++ b/packages/forwarding/tests/relays/relayedEnds.test.ts
@@ -35,9 +35,16 @@
 const relayed = new Set<Socket>();
 let script: EndpointScript = () => undefined;
 
+/** Whether the peer ends each connection at once, as while its process is not running. */
+let isRelayDown = false;
+
 const collectRelayed = (message: unknown): void => {
     const { socket } = message as { socket: Socket; };
     if (socket.localAddress === PEER_IP && socket.localPort === Number(hosts[0]?.listen.peers.split(":")[1])) {
+        if (isRelayDown) {
+            socket.destroy();
+            return;
+        }
         relayed.add(socket);
         socket.once("close", () => relayed.delete(socket));
     }
@@ -189,4 +196,33 @@
         }
         expect(sent).toBe(2);
     });
+    // Guards against endpoints, and requests, that are blamed for a crash because the host that relays them has ended.
+    it.each([
+        {
+            name: "is no crash if the peer has ended",
+            crashes: 0,
+            end: (): void => {
+                isRelayDown = true;
+                killRelay();
+            },
+        },
+        {
+            name: "is a crash if the endpoint has ended",
+            crashes: 1,
+            end: (socket: Socket): void => {
+                endpoints.forEach(endpoint => endpoint.close());
+                socket.resetAndDestroy();
+            },
+        },
+    ])("$name", async ({ end, crashes }) => {
+        const countCrashes = (): number =>
+            hosts[0]!.logged.filter(line => line["msg"] === "quarantine: endpoint crashed").length;
+        const before = countCrashes();
+        script = (_received, socket) => void setTimeout(() => end(socket), 40);
+        expect(await send("onceCall")).toMatchObject({ status: 502 });
+        // A probe takes up to 0.6 s.
+        await new Promise(resolve => setTimeout(resolve, 1_000));
+        isRelayDown = false;
+        expect(countCrashes() - before).toBe(crashes);
+    });
 });
