Listen to errors of a relayed connection from its first byte on

What would have been seen: a host that ends by itself, because an endpoint resets its connection as soon as a peer has connected to it.

Cause: a mark that comes in the same segment as the peer's response is read before the HTTP client listens to the stream, and an error to which nobody listens ends the process.

Change: the decoded stream has a listener from the start. The HTTP client finds a destroyed stream and fails the attempt before anything is sent.

--- a/packages/forwarding/src/relays/commands/decodeTunnel.ts
+++ b/packages/forwarding/src/relays/commands/decodeTunnel.ts
@@ -45,6 +45,8 @@
         "bytesRead",
         { get: () => bytesRead },
     ) as EndpointStream;
+    // A mark that comes with the peer's response is read before the HTTP client listens to the stream.
+    stream.on("error", () => undefined);
     const markHandlers: Readonly<Record<EndpointEnd | "none", () => void>> = {
         none: () => undefined,
         end: endOnce,
--- a/packages/forwarding/tests/relays/relayServer.test.ts
+++ b/packages/forwarding/tests/relays/relayServer.test.ts
@@ -165,6 +165,24 @@
         const { port } = silent.address() as AddressInfo;
         await expect(openRelay(`127.0.0.1:${port}`, "127.0.0.1:1").connected).rejects.toThrow("within 600 ms");
     });
+    // Guards against a process that ends by an error to which nobody listens yet, if an endpoint resets its connection at once.
+    it.each([
+        { name: "a reset", bytes: Buffer.from([0xff, 0xff, 0xff, 0xff]) },
+        { name: "no frame", bytes: Buffer.from("HTTP/1.1 503 Service Unavailable") },
+    ])("survives $name beside the response", async ({ bytes }) => {
+        const peer = createServer(socket => {
+            socket.on("error", () => undefined);
+            const head = "HTTP/1.1 200 Connection Established\r\nrelay-format: framed\r\n\r\n";
+            socket.once("data", () => void socket.write(Buffer.concat([Buffer.from(head), bytes])));
+        });
+        await new Promise<void>(resolve => peer.listen(0, "127.0.0.1", resolve));
+        closers.push(() => peer.close());
+        const { port } = peer.address() as AddressInfo;
+        const { socket, checkEnd } = await openRelay(`127.0.0.1:${port}`, "127.0.0.1:1").connected;
+        await waitUntil(() => socket.destroyed);
+        expect(socket.errored).not.toBeNull();
+        expect(await checkEnd()).toBe(false);
+    });
     // Guards against copies of tables that are no longer served on the address of the relays.
     it("keeps answering other requests of the server", async () => {
         const relay = await startRelay(socket => void socket.pipe(socket));
